--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by `make bench`."""
--- /dev/null
+++ b/packages/ibisspring-cli/src/ibisspring_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The binary ibisspring, the command line for operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/__init__.py
@@ -0,0 +1,3 @@
+"""Kernel, timer service, settings, logs, counters and typed messages."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Typed messages between the daemons' parts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/codec.py
@@ -0,0 +1,72 @@
+"""Message codec: frozen data classes to msgpack and back, with their kind in front."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import msgspec
+
+MessageT = TypeVar("MessageT")
+
+
+def encode(message: Any) -> bytes:
+    """
+    Encode one data class whose type the receiver knows.
+
+    :param message: a data class of `ibisspring_core.messages`.
+    :return: msgpack bytes.
+    """
+    return msgspec.msgpack.encode(message)
+
+
+def decode(data: bytes, message_type: type[MessageT]) -> MessageT:
+    """
+    Decode and check one data class.
+
+    :param data: bytes from `encode`.
+    :param message_type: the expected type.
+    :return: the message; raises `msgspec.ValidationError` where the data does not fit.
+    """
+    return msgspec.msgpack.decode(data, type=message_type)
+
+
+class KindCodec:
+    """Encodes a closed set of data classes as pairs of kind and body."""
+
+    def __init__(self, type_by_kind: dict[str, type[Any]]) -> None:
+        self.type_by_kind = type_by_kind
+        self._kind_by_type = {kind_type: kind for kind, kind_type in type_by_kind.items()}
+
+    @classmethod
+    def from_types(cls, *types: type[Any]) -> KindCodec:
+        """
+        Build a codec; a type's kind is its class name.
+
+        :param types: the data classes.
+        :return: the codec.
+        """
+        return cls({kind_type.__name__: kind_type for kind_type in types})
+
+    def encode(self, message: Any) -> bytes:
+        """
+        Encode a message of the set.
+
+        :param message: the message.
+        :return: msgpack bytes.
+        """
+        return msgspec.msgpack.encode((self._kind_by_type[type(message)], message))
+
+    def decode(self, data: bytes) -> Any:
+        """
+        Decode a message of the set.
+
+        :param data: bytes from `encode`.
+        :return: the message; raises `msgspec.ValidationError` for an unknown kind or a wrong body.
+        """
+        kind, body = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
+        if kind not in self.type_by_kind:
+            raise msgspec.ValidationError(f"unknown message kind {kind!r}")
+        return msgspec.msgpack.decode(body, type=self.type_by_kind[kind])
+
+
+__all__ = ["KindCodec", "decode", "encode"]
--- /dev/null
+++ b/packages/ibisspring-daemon/src/ibisspring_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The binary ibisspringd."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/ibisspring-daemon/src/ibisspring_daemon/main.py
@@ -0,0 +1,55 @@
+"""The binary ibisspringd."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+import click
+import eliot
+
+from ibisspring_core.logs import start_logging
+from ibisspring_core.settings import Settings, load_settings
+from ibisspring_daemon.wiring import build_kernel
+
+EXIT_BAD_SETTINGS = 2
+
+
+async def run(settings: Settings) -> None:
+    """
+    Run a daemon until SIGTERM or SIGINT, then stop it gracefully.
+
+    :param settings: checked settings.
+    """
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopping.set)
+    kernel = build_kernel(settings)
+    await kernel.start()
+    eliot.log_message("daemon:started", daemon=settings.daemon, roles=list(settings.roles))
+    await stopping.wait()
+    eliot.log_message("daemon:stopping", daemon=settings.daemon)
+    await kernel.stop()
+    eliot.log_message("daemon:stopped", daemon=settings.daemon)
+
+
+@click.command()
+@click.option("--settings", "path", required=True, help="The daemon's YAML settings file.")
+@click.option("--check", is_flag=True, help="Check the settings, print every finding and leave.")
+def main(path: str, check: bool) -> None:
+    """Run one ibisspring daemon; its roles stand in its settings."""
+    settings = load_settings(path)
+    if not isinstance(settings, Settings):
+        for finding in settings:
+            click.echo(str(finding), err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        click.echo(f"{path}: settings are good")
+        return
+    start_logging(settings.log_path or None)
+    asyncio.run(run(settings))
+
+
+__all__ = ["main", "run"]
--- /dev/null
+++ b/packages/ibisspring-daemon/src/ibisspring_daemon/wiring.py
@@ -0,0 +1,42 @@
+"""Puts the services of a daemon's roles into one kernel."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisspring_core.control_client import ControlClient
+from ibisspring_core.counters import Counters
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.timer import TimerService
+
+if TYPE_CHECKING:
+    from ibisspring_core.settings import Settings
+
+
+def build_kernel(settings: Settings) -> Kernel:
+    """
+    Build the kernel of one daemon.
+
+    The roles are imported only where they are used, so that a daemon pays no memory for a role that
+    it lacks.
+
+    :param settings: checked settings.
+    :return: a kernel that is not started.
+    """
+    services = [
+        TimerService(),
+        Counters.from_config(settings.statsd),
+        ControlClient.from_config(settings),
+    ]
+    if "control" in settings.roles:
+        from ibisspring_control.role import build_services as build_control
+
+        services.extend(build_control(settings))
+    if "entry" in settings.roles:
+        from ibisspring_entry.role import build_services as build_entry
+
+        services.extend(build_entry(settings))
+    return Kernel.from_services(tuple(services))
+
+
+__all__ = ["build_kernel"]
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
