--- a/Makefile
+++ b/Makefile
@@ -14,22 +14,22 @@
 setup: $(STAMP)
 
 lint: setup
-	$(VENV)/bin/black --check -q packages tests bench
-	$(VENV)/bin/ruff check packages tests bench
+	$(VENV)/bin/black --check -q packages tests bench demo
+	$(VENV)/bin/ruff check packages tests bench demo
 
 format: setup
-	$(VENV)/bin/black -q packages tests bench
-	$(VENV)/bin/ruff check --fix packages tests bench
-	$(VENV)/bin/black -q packages tests bench
+	$(VENV)/bin/black -q packages tests bench demo
+	$(VENV)/bin/ruff check --fix packages tests bench demo
+	$(VENV)/bin/black -q packages tests bench demo
 
 test: setup
 	$(PYTHON) -m pytest -q
 
 demo: setup
-	$(PYTHON) -m tests.demo
+	PYTHONPATH=tests:. $(PYTHON) -m demo
 
 bench: setup
-	$(PYTHON) -m bench
+	PYTHONPATH=tests:. $(PYTHON) -m bench
 
 fuzz: setup
 	IBISSPRING_FUZZ=1 $(PYTHON) -m pytest -q tests/unit -k fuzz
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A guided run of a small system: `make demo`."""
