--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,270 @@
+"""Runs a small system end to end, says what happened, and stops everything gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import secrets
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from integration.cluster import Cluster
+from integration.processes import (
+    command_line,
+    free_address,
+    get_json,
+    python_module,
+    wait_until,
+)
+
+CALLER_KEY = secrets.token_urlsafe(32)
+TRAINER_KEY = secrets.token_urlsafe(32)
+WINDOW_S = 5.0
+GROUPS = 4
+GROUP_SIZE = 4
+
+
+def say(text: str) -> None:
+    """Print one line of the account."""
+    print(text, flush=True)
+
+
+def digest(key: str) -> str:
+    """The form in which a rules file names a key."""
+    return f"sha256:{hashlib.sha256(key.encode()).hexdigest()}"
+
+
+def rules_text() -> str:
+    """The demo's rules file."""
+    return f"""\
+client_account stoke-foundry key {digest(CALLER_KEY)} rate 50/s weight 2  # asked: archive desk, ticket 118
+client_account training key {digest(TRAINER_KEY)} rate 500/s weight 4  # asked: training, ticket 121
+allow stoke-foundry service scorer-lm, archive-app  # asked: archive desk, ticket 118
+allow training service scorer-lm, reader-scores  # asked: training, ticket 121
+trainer scan-reader client_account training  # asked: training, ticket 121
+share scorer-lm trainer scan-reader  # asked: training, ticket 121
+staleness trainer scan-reader 2 versions  # asked: training, ticket 121
+"""
+
+
+class Demo:
+    """The processes of the demo."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.platform = free_address()
+        self.usage = free_address()
+        self.weights = free_address()
+        self.cluster = Cluster.from_counts(
+            folder,
+            controls=3,
+            entries=2,
+            platform_url=f"http://{self.platform}",
+            usage_url=f"http://{self.usage}",
+            weight_store_url=f"http://{self.weights}",
+            usage_window_s=WINDOW_S,
+        )
+        self.control_options = [
+            f"--control={section['control']['listen']}"
+            for section in self.cluster.settings_by_daemon.values()
+            if "control" in section
+        ]
+
+    def operate(self, *arguments: str) -> str:
+        """Run the operators' command line; a failure ends the demo."""
+        say(f"$ ibisspring {' '.join(arguments)}")
+        result = command_line(*self.control_options, *arguments)
+        if result.returncode != 0:
+            raise SystemExit(f"exit {result.returncode}: {result.stderr}{result.stdout}")
+        for line in result.stdout.splitlines()[:12]:
+            say(f"  {line}")
+        return result.stdout
+
+    async def start(self) -> None:
+        """Start the fakes and the daemons, and found the control cluster."""
+        cluster = self.cluster
+        for name, listen in (
+            ("platform", self.platform),
+            ("usage", self.usage),
+            ("weight_store", self.weights),
+        ):
+            cluster.start_other(name, python_module(f"fakes.{name}", "--listen", listen))
+        cluster.start_all()
+        say(f"started {', '.join(cluster.settings_by_daemon)}; every process is a real one")
+        members = [name for name in cluster.settings_by_daemon if name.startswith("c")]
+        await self.bootstrap(members)
+        for entry in ("e1", "e2"):
+            await cluster.wait_ready(entry)
+        say("both entries hold a lease and are ready")
+
+    async def bootstrap(self, members: list[str]) -> None:
+        """Found the control cluster, once its daemons listen."""
+
+        async def founded() -> bool:
+            result = command_line(
+                *self.control_options, "control", "bootstrap", "--members", ",".join(members)
+            )
+            return result.returncode == 0
+
+        say(f"$ ibisspring control bootstrap --members {','.join(members)}")
+        await wait_until(founded, "the bootstrap")
+
+    async def start_endpoints(self) -> None:
+        """Start engines, a plain service and a scorer; they announce themselves."""
+        announce = ["--announce", self.cluster.url("e1"), "--announce", self.cluster.url("e2")]
+        for name, module, service, data_centre in (
+            ("engine-1", "fakes.engine", "scorer-lm", "birmingham"),
+            ("engine-2", "fakes.engine", "scorer-lm", "derby"),
+            ("archive-1", "fakes.plain", "archive-app", "birmingham"),
+            ("scorer-1", "fakes.scorer", "reader-scores", "derby"),
+        ):
+            arguments = ["--endpoint", name, "--listen", free_address(), "--service", service]
+            arguments += ["--data-centre", data_centre, *announce]
+            self.cluster.start_other(name, python_module(module, *arguments))
+        say("four endpoints announce themselves; no list of them stands anywhere")
+
+
+async def ask(
+    method: str, url: str, key: str, body: Any = None, headers: dict[str, str] | None = None
+) -> tuple[int, bytes]:
+    """Send one caller's request."""
+    all_headers = {"Authorization": f"Bearer {key}", **(headers or {})}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, url, json=body, headers=all_headers) as response,
+    ):
+        return response.status, await response.read()
+
+
+async def callers(demo: Demo) -> None:
+    """A generation, a plain call, and three refusals."""
+    url = demo.cluster.url("e1")
+    generate = {"model": "scorer-lm", "prompt": "read the heat number", "max_tokens": 12}
+
+    async def served() -> bool:
+        return (await ask("POST", f"{url}/v1/generate", CALLER_KEY, generate))[0] == 200
+
+    await wait_until(served, "an engine to be known")
+    status, body = await ask("POST", f"{url}/v1/generate", CALLER_KEY, {**generate, "stream": True})
+    lines = body.decode().splitlines()
+    say(f"caller: streamed generation: {status}, {len(lines)} lines, the last: {lines[-1]}")
+    await wait_until(
+        lambda: plain_call(f"{url}/v1/services/archive-app/certificates/4711"), "the archive"
+    )
+    status, body = await ask("GET", f"{url}/v1/services/archive-app/certificates/4711", CALLER_KEY)
+    say(f"caller: plain call: {status}, {body.decode()[:120]}")
+    for what, key, model in (
+        ("wrong key", "no-such-key", "scorer-lm"),
+        ("unknown model", CALLER_KEY, "no-such-model"),
+    ):
+        status, body = await ask("POST", f"{url}/v1/generate", key, {**generate, "model": model})
+        say(f"caller: {what}: {status}, {body.decode()}")
+
+
+async def plain_call(url: str) -> bool:
+    """Whether the plain service is reached."""
+    return (await ask("GET", url, CALLER_KEY))[0] == 200
+
+
+async def training(demo: Demo) -> None:
+    """One training step, then new weights."""
+    url = f"{demo.cluster.url('e1')}/v1/trainers/scan-reader"
+    status, body = await ask(
+        "POST", f"{url}/versions", TRAINER_KEY, {"model": "scorer-lm", "version": 1}
+    )
+    say(f"trainer: published version 1: {status}")
+    step = {
+        "model": "scorer-lm",
+        "group_size": GROUP_SIZE,
+        "max_tokens": 16,
+        "groups": [{"group": f"g{n}", "prompt": f"scan {n}"} for n in range(GROUPS)],
+        "scorer": "reader-scores",
+    }
+    status, body = await ask("POST", f"{url}/steps/1", TRAINER_KEY, step)
+    say(f"trainer: opened step 1 with {GROUPS} groups of {GROUP_SIZE}: {status}")
+    found: dict[str, Any] = {}
+
+    async def whole() -> bool:
+        status, body = await ask("GET", f"{url}/steps/1/batch", TRAINER_KEY)
+        found.update(json.loads(body))
+        return status == 200
+
+    await wait_until(whole, "the batch")
+    sample = found["samples"][0]
+    say(f"trainer: batch of {len(found['samples'])} samples, digest {found['digest'][:12]}…")
+    say(f"trainer: sample {sample['sample']} was made by {sample['runs']}, score {sample['score']}")
+    status, _ = await ask("POST", f"{url}/steps/1/ack", TRAINER_KEY, {"digest": found["digest"]})
+    say(f"trainer: acknowledged: {status}")
+    status, _ = await ask(
+        "POST", f"{url}/versions", TRAINER_KEY, {"model": "scorer-lm", "version": 2}
+    )
+    say(f"trainer: published version 2: {status}")
+
+    async def loaded() -> bool:
+        answer = json.loads(demo_status(demo, "endpoints"))
+        versions = [
+            record["version_by_adapter"].get("scan-reader")
+            for record in answer["endpoints"]
+            if record["service"] == "scorer-lm"
+        ]
+        return versions == [2, 2]
+
+    await wait_until(loaded, "both engines to load version 2")
+    say("both engines announce version 2")
+
+
+def demo_status(demo: Demo, query: str) -> str:
+    """The command line's status as JSON."""
+    return command_line(*demo.control_options, "status", "--json").stdout
+
+
+async def usage(demo: Demo) -> None:
+    """Wait for a usage window to be reported."""
+
+    async def reported() -> Any:
+        answer = await get_json(f"http://{demo.usage}/log")
+        return [entry for entry in answer if entry["lines"]]
+
+    windows = await wait_until(reported, "a usage report")
+    for line in windows[0]["lines"]:
+        say(f"usage: window {windows[0]['window']}: {line}")
+
+
+async def run(folder: Path) -> None:
+    """The whole demo."""
+    demo = Demo(folder)
+    rules = folder / "rules.txt"
+    rules.write_text(rules_text())
+    try:
+        await demo.start()
+        demo.operate("rules", "check", str(rules))
+        demo.operate("rules", "apply", str(rules), "--base", "0")
+        demo.operate("rules", "show")
+        await demo.start_endpoints()
+        await callers(demo)
+        await training(demo)
+        await usage(demo)
+        demo.operate("status")
+        for daemon in ("e1", "e2", "c1", "c2", "c3"):
+            code = await demo.cluster.process_by_name[daemon].terminate()
+            say(f"stopped {daemon} gracefully, exit {code}")
+            if code != 0:
+                raise SystemExit(f"{daemon} exited {code}")
+    finally:
+        demo.cluster.stop_all()
+
+
+def main() -> None:
+    """Run in a temporary folder."""
+    with tempfile.TemporaryDirectory(prefix="ibisspring-demo-") as folder:
+        asyncio.run(run(Path(folder)))
+    say("done")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
