Replicate the control daemons' log by a consensus of our own

Test replicas (fakes.replica) run the real node with a small state machine. Before: no control role.

--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/files.py
@@ -0,0 +1,126 @@
+"""Checksummed records and files that are replaced whole."""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+# Length of the payload, CRC-32 of the payload, CRC-32 of the eight bytes before.
+HEADER = struct.Struct("<III")
+_LENGTH_AND_SUM = struct.Struct("<II")
+
+
+@dataclass(frozen=True)
+class Damage:
+    """
+    A place in a file that is not what was written.
+
+    :param offset: byte offset of the first bad record.
+    """
+
+    path: str
+    offset: int
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: offset {self.offset}: {self.message}"
+
+
+@dataclass(frozen=True)
+class Records:
+    """
+    Records of a file.
+
+    :param payloads: the good records in order.
+    :param end: offset after the last good record.
+    """
+
+    payloads: tuple[bytes, ...]
+    end: int
+
+
+def frame(payload: bytes) -> bytes:
+    """
+    Frame a record.
+
+    :param payload: its bytes.
+    :return: header and payload.
+    """
+    start = _LENGTH_AND_SUM.pack(len(payload), zlib.crc32(payload))
+    return start + struct.pack("<I", zlib.crc32(start)) + payload
+
+
+def _record_at(data: bytes, offset: int) -> bytes | None:
+    if offset + HEADER.size > len(data):
+        return None
+    length, payload_sum, header_sum = HEADER.unpack_from(data, offset)
+    if zlib.crc32(data[offset : offset + _LENGTH_AND_SUM.size]) != header_sum:
+        return None
+    payload = data[offset + HEADER.size : offset + HEADER.size + length]
+    if len(payload) != length or zlib.crc32(payload) != payload_sum:
+        return None
+    return payload
+
+
+def read_records(path: Path) -> Records | Damage:
+    """
+    Read all records of a file that one record at a time was synced to.
+
+    A crash can only tear the last record, since each is synced before the next is written. A bad
+    record with a good one behind it was good once, and what it promised is lost: the replica must
+    not go on as if it had never been.
+
+    :param path: the file.
+    :return: the records before a torn end, or the damage.
+    """
+    data = path.read_bytes()
+    payloads = []
+    offset = 0
+    while offset < len(data):
+        payload = _record_at(data, offset)
+        if payload is None:
+            break
+        payloads.append(payload)
+        offset += HEADER.size + len(payload)
+    for later in range(offset + 1, len(data) - HEADER.size + 1):
+        if _record_at(data, later):
+            message = f"a damaged record stands before a good one at offset {later}"
+            return Damage(str(path), offset, message)
+    return Records(tuple(payloads), offset)
+
+
+def sync_folder(folder: Path) -> None:
+    """Make created, renamed and removed names in a folder last."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: Path, data: bytes) -> None:
+    """
+    Write a file whole or not at all.
+
+    A crash leaves the old file or the new one: the new one is synced under another name before it
+    takes the place, and the folder is synced after.
+
+    :param path: where it stands.
+    :param data: its new content.
+    """
+    temporary = path.with_name(path.name + ".tmp")
+    with temporary.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    sync_folder(path.parent)
+
+
+__all__ = ["HEADER", "Damage", "Records", "frame", "read_records", "replace_file", "sync_folder"]
--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/manage.py
@@ -0,0 +1,203 @@
+"""What operators ask of the replicas: status, bootstrap, replace, snapshot."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Any
+
+import grpc
+import grpc.aio
+import msgspec
+
+from ibisspring_control.consensus import events
+from ibisspring_control.consensus.messages import Members, ReplicaId
+from ibisspring_control.consensus.peer import Identity, open_channel
+from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
+
+if TYPE_CHECKING:
+    from ibisspring_control.consensus.node import ConsensusNode
+
+IDENTIFY_TIMEOUT_S = 2.0
+BOOTSTRAP_BOUND_S = 30.0
+REPLACE_BOUND_S = 120.0
+POLL_S = 0.05
+
+
+@dataclass(frozen=True)
+class Managed:
+    """
+    Answer to an operator.
+
+    :param answer: JSON of what was asked for.
+    :param leader_hint: whom to ask instead.
+    """
+
+    ok: bool
+    answer: bytes = b"null"
+    leader_hint: str = ""
+    detail: str = ""
+
+
+async def manage(node: ConsensusNode, action: str, arguments: dict[str, Any]) -> Managed:
+    """
+    Carry out an operator's action.
+
+    :param node: the replica that was asked.
+    :param action: `identify`, `status`, `bootstrap`, `replace` or `snapshot`.
+    :return: the answer.
+    """
+    if action == "identify":
+        return _answer(
+            {
+                "daemon": node.replica.daemon,
+                "disk_id": node.replica.disk_id,
+                "empty": node.core.is_empty,
+            }
+        )
+    if action == "status":
+        return _answer(status(node))
+    if action == "bootstrap":
+        return await bootstrap(node)
+    if action == "replace":
+        return await replace_member(node, arguments)
+    if action == "snapshot":
+        return _answer({"begun": node.take_snapshot(), "applied_index": node.applied_index})
+    return Managed(False, detail=f"unknown action {action!r}")
+
+
+def _answer(value: Any) -> Managed:
+    return Managed(True, msgspec.json.encode(value))
+
+
+def status(node: ConsensusNode) -> dict[str, Any]:
+    """
+    Describe a replica.
+
+    :return: role, term, members and positions, as JSON values.
+    """
+    state = node.core.state
+    members = node.core.members
+    return {
+        "daemon": node.replica.daemon,
+        "disk_id": node.replica.disk_id,
+        "role": "waiting" if node.core.is_empty else state.role,
+        "term": node.core.term,
+        "leader": node.leader_hint,
+        "lease_left_s": round(node.lease_left_s(), 3),
+        "last_index": state.log.last_index,
+        "commit_index": state.commit_index,
+        "applied_index": node.applied_index,
+        "snapshot_index": node.core.snapshot.index,
+        "voters": [asdict(voter) for voter in members.voters],
+        "learners": [asdict(learner) for learner in members.learners],
+        "match_by_daemon": {
+            replica.daemon: progress.match_index
+            for replica, progress in state.progress_by_replica.items()
+        },
+    }
+
+
+async def identify(address: str) -> Identity | None:
+    """
+    Ask a control daemon who it is.
+
+    :param address: IP:port.
+    :return: the identity; None where it does not answer.
+    """
+    channel = open_channel(address)
+    stub = consensus_pb2_grpc.ConsensusStub(channel)
+    request = consensus_pb2.ManageRequest(action="identify")
+    try:
+        reply = await stub.Manage(request, timeout=IDENTIFY_TIMEOUT_S)
+    except grpc.aio.AioRpcError:
+        return None
+    finally:
+        await channel.close()
+    answer = msgspec.json.decode(reply.answer)
+    return Identity(ReplicaId(answer["daemon"], answer["disk_id"]), answer["empty"])
+
+
+async def bootstrap(node: ConsensusNode) -> Managed:
+    """
+    Found the cluster of all control daemons in the settings.
+
+    Every one of them must answer and be empty. A cluster that lost some of its disks is therefore
+    never founded a second time beside what the others still hold; and only the first daemon by name
+    founds, so that two operators cannot found two.
+    """
+    first = min(node.settings.control_addresses)
+    if node.settings.daemon != first:
+        return Managed(False, leader_hint=first, detail=f"ask {first}, which founds the cluster")
+    found = [Identity(node.replica, node.core.is_empty)]
+    for daemon, address in sorted(node.settings.control_addresses.items()):
+        if daemon == node.settings.daemon:
+            continue
+        identity = await identify(address)
+        if identity is None or identity.replica.daemon != daemon:
+            return Managed(False, detail=f"{daemon} does not answer at {address}; nothing was done")
+        found.append(identity)
+    taken = [identity.replica.daemon for identity in found if not identity.empty]
+    if taken or not node.core.is_empty:
+        names = ", ".join(taken) or node.settings.daemon
+        return Managed(False, detail=f"{names} already holds state; nothing was done")
+    voters = tuple(sorted(identity.replica for identity in found))
+    node.dispatch(events.Bootstrap(Members(voters)))
+    led = await _wait(lambda: bool(node.leader_hint), BOOTSTRAP_BOUND_S)
+    if not led:
+        return Managed(False, detail="founded, but no leader was elected yet; see control status")
+    return _answer(status(node))
+
+
+async def replace_member(node: ConsensusNode, arguments: dict[str, Any]) -> Managed:
+    """
+    Put a replica in the place of another and wait until the old one counts no more.
+
+    :param arguments: `daemon`, whose present member leaves, and `new`, the daemon that takes its
+        place under its present disk; the same one after its disk was lost.
+    """
+    if not node.is_leader:
+        return Managed(False, leader_hint=node.leader_hint, detail="this replica does not lead")
+    new_daemon = arguments.get("new") or arguments["daemon"]
+    address = node.settings.control_addresses.get(new_daemon)
+    if address is None:
+        return Managed(False, detail=f"{new_daemon} is not in control_addresses")
+    identity = await identify(address)
+    if identity is None:
+        return Managed(False, detail=f"{new_daemon} does not answer at {address}")
+    new = identity.replica
+    voters = node.core.members.voters
+    old = next((voter for voter in voters if voter.daemon == arguments["daemon"]), None)
+    if old is None:
+        return Managed(False, detail=f"{arguments['daemon']} is not a voter")
+    if new not in voters and not identity.empty and not _is_learner(node, new):
+        return Managed(False, detail=f"{new_daemon} holds state of another cluster; empty its disk")
+
+    def replaced() -> bool:
+        node.dispatch(events.Replace(new, old))
+        now = node.core.members
+        return new in now.voters and (old == new or old not in now.voters) and not now.leaving
+
+    ended = await _wait(lambda: not node.is_leader or _settled(node, replaced), REPLACE_BOUND_S)
+    if ended and node.is_leader:
+        return _answer(status(node))
+    return Managed(False, leader_hint=node.leader_hint, detail="not finished; see control status")
+
+
+def _is_learner(node: ConsensusNode, replica: ReplicaId) -> bool:
+    return any(learner.replica == replica for learner in node.core.members.learners)
+
+
+def _settled(node: ConsensusNode, replaced: Any) -> bool:
+    return replaced() and node.core.state.commit_index >= node.core.state.log.members_index
+
+
+async def _wait(condition: Any, bound_s: float) -> bool:
+    for _ in range(int(bound_s / POLL_S)):
+        if condition():
+            return True
+        await asyncio.sleep(POLL_S)
+    return False
+
+
+__all__ = ["Managed", "bootstrap", "identify", "manage", "replace_member", "status"]
--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
@@ -0,0 +1,322 @@
+"""The service `consensus`: the core with its clock, disk, network and state machine."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import eliot
+
+from ibisspring_control.consensus import events
+from ibisspring_control.consensus.core import Core
+from ibisspring_control.consensus.files import Damage
+from ibisspring_control.consensus.messages import COMMAND, Entry, ReplicaId, SnapshotMeta
+from ibisspring_control.consensus.peer import Identity, Peer
+from ibisspring_control.consensus.proposals import Committed, Waiting
+from ibisspring_control.consensus.state import CoreConfig
+from ibisspring_control.consensus.storage import SegmentStart, Storage
+from ibisspring_control.consensus.writer import StoreSnapshot, Writer
+from ibisspring_core.clock import boot_now
+
+if TYPE_CHECKING:
+    from ibisspring_core.errors import Refusal
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.settings import Settings
+
+LeadershipCallback = Callable[[bool, int], None]
+
+FOLDER = "consensus"
+# The clock is looked at this often between two heartbeats.
+TICKS_PER_HEARTBEAT = 4
+# Entries kept before a snapshot: a follower that lags this much needs no snapshot.
+TAIL_ENTRIES = 256
+
+
+class ConsensusNode:
+    """One replica as a service."""
+
+    name = "consensus"
+
+    def __init__(self, settings: Settings) -> None:
+        control = settings.control
+        self.settings = settings
+        self.config = CoreConfig(
+            heartbeat_s=control.heartbeat_s,
+            election_timeout_s=control.election_timeout_s,
+            leader_lease_s=control.leader_lease_s,
+        )
+        self.core: Core | None = None
+        self.applied_index = 0
+        self.failed = False
+        self.waiting = Waiting(retry_after_s=control.election_timeout_s)
+        self._snapshot_under_way = False
+        self._announced = False
+        self._peer_by_daemon: dict[str, Peer] = {}
+        self._callbacks: list[LeadershipCallback] = []
+        self._commands: list[tuple[int, bytes]] = []
+        self._reads: list[asyncio.Future[int | Refusal]] = []
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> ConsensusNode:
+        """
+        Build the service.
+
+        :param settings: checked settings of a daemon with the control role.
+        :return: the service; files are opened at its start.
+        """
+        return cls(settings)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Open the disk, restore the state machine and begin to tick."""
+        self._state = kernel.find("state")
+        self._counters = kernel.find("counters")
+        timer = kernel.find("timer")
+        folder = Path(self.settings.data_folder) / FOLDER
+        storage = await asyncio.to_thread(Storage.from_folder, folder)
+        if isinstance(storage, Damage):
+            eliot.log_message("consensus:damaged", damage=str(storage))
+            # The one way out of a start: the daemon ends and its output says why.
+            raise SystemExit(f"ibisspringd: refusing to start: {storage}")
+        self.replica = ReplicaId(self.settings.daemon, storage.disk_id)
+        self._restore(storage)
+        self.core = Core.from_stored(
+            self.replica, self.config, storage.stored, random.Random(), boot_now()
+        )
+        self._writer = Writer(storage, self._synced, self._disk_failed)
+        self._writer.start()
+        self._start_peers()
+        interval = self.config.heartbeat_s / TICKS_PER_HEARTBEAT
+        self._ticks = timer.subscribe("consensus", interval, self._tick)
+
+    def _restore(self, storage: Storage) -> None:
+        snapshot = storage.stored.snapshot
+        self.applied_index = snapshot.index
+        if snapshot.index:
+            self._state.restore(storage.read_snapshot(snapshot.index))
+
+    def _start_peers(self) -> None:
+        for daemon, address in self.settings.control_addresses.items():
+            if daemon == self.settings.daemon:
+                continue
+            peer = Peer(
+                self.replica,
+                daemon,
+                address,
+                self.config.election_timeout_s / 2,
+                self._read_chunk,
+                self._identified,
+                self._counters,
+            )
+            self._peer_by_daemon[daemon] = peer
+            peer.start()
+
+    async def stop(self) -> None:
+        """Hand over leadership, answer what waits, and close the disk."""
+        self._ticks.cancel()
+        self.dispatch(events.Resign())
+        self.waiting.stop()
+        for peer in self._peer_by_daemon.values():
+            await peer.stop()
+        await self._writer.stop()
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and has applied all that was committed before its term."""
+        return self._announced and not self.failed
+
+    @property
+    def term(self) -> int:
+        return self.core.term
+
+    @property
+    def fencing(self) -> int:
+        """A number that rises with each leader."""
+        return self.core.term
+
+    @property
+    def leader_hint(self) -> str:
+        """Daemon id of the leader as this replica knows it; empty for none."""
+        leader = self.core.state.leader
+        return leader.daemon if leader is not None else ""
+
+    def lease_left_s(self) -> float:
+        """
+        Tell for how long this replica surely stays the only leader.
+
+        :return: seconds; 0.0 without a lease.
+        """
+        if not self.is_leader:
+            return 0.0
+        return max(0.0, self.core.lease_until() - boot_now())
+
+    def subscribe_leadership(self, callback: LeadershipCallback) -> None:
+        """
+        Call `callback(is_leader, term)` on the event loop at each change.
+
+        :param callback: a plain function; it gets True once the state machine is up to date.
+        """
+        self._callbacks.append(callback)
+
+    async def propose(self, data: bytes) -> Committed | Refusal:
+        """
+        Commit a command and apply it.
+
+        :param data: what the state machine applies.
+        :return: its place and result; NO_LEADER with `not_run` where it entered no log,
+            MAY_HAVE_RUN where the leader changed before it was committed.
+        """
+        number, future = self.waiting.add_proposal()
+        self._commands.append((number, data))
+        if len(self._commands) == 1:
+            asyncio.get_running_loop().call_soon(self._flush_commands)
+        return await future
+
+    def _flush_commands(self) -> None:
+        commands = tuple(self._commands)
+        self._commands.clear()
+        self.dispatch(events.Propose(commands))
+
+    async def confirm_read(self) -> int | Refusal:
+        """
+        Confirm with a quorum that this replica leads, after the call began.
+
+        :return: an applied index from which on reads are current, or NO_LEADER.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._reads.append(future)
+        if len(self._reads) == 1:
+            asyncio.get_running_loop().call_soon(self._flush_reads)
+        return await future
+
+    def _flush_reads(self) -> None:
+        """One heartbeat round confirms all the reads that began before it."""
+        futures = tuple(self._reads)
+        self._reads.clear()
+        number, confirmed = self.waiting.add_read()
+        confirmed.add_done_callback(lambda done: _copy_result(done, futures))
+        self.dispatch(events.ConfirmRead(number))
+
+    def dispatch(self, event: events.Event) -> None:
+        """
+        Hand an event to the core and carry out its effects.
+
+        :param event: what happened just now.
+        """
+        if self.failed:
+            self.waiting.stop()
+            return
+        for effect in self.core.step(event, boot_now()):
+            self._carry_out(effect)
+        self._announce()
+
+    def _carry_out(self, effect: events.Effect) -> None:
+        match effect:
+            case events.Persist() | events.InstallSnapshot():
+                if isinstance(effect, events.InstallSnapshot):
+                    self._state.restore(effect.data)
+                    self.applied_index = effect.meta.index
+                self._writer.add(effect)
+            case events.Send(target, message):
+                peer = self._peer_by_daemon.get(target.daemon)
+                if peer is not None:
+                    peer.send(target, message)
+            case events.Apply(entries):
+                self._apply(entries)
+            case events.Proposed(number, index, term):
+                self.waiting.proposed(number, index, term)
+            case events.ProposalRefused(number):
+                self.waiting.refused(number)
+            case events.ReadConfirmed(read, index):
+                self.waiting.read_confirmed(read, index)
+            case events.ReadRefused(read):
+                self.waiting.read_refused(read)
+            case events.BecameLeader(term):
+                self._counters.add("consensus.elected")
+                eliot.log_message("consensus:elected", daemon=self.replica.daemon, term=term)
+            case events.SteppedDown(term, cause):
+                self._counters.add("consensus.stepped_down")
+                eliot.log_message("consensus:stepped_down", term=term, cause=cause)
+                self.waiting.stepped_down()
+
+    def _apply(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            result = b""
+            if entry.kind == COMMAND:
+                result = self._state.apply(entry.index, entry.data)
+            self.applied_index = entry.index
+            self.waiting.applied(entry.index, entry.term, result)
+        if self.applied_index - self.core.snapshot.index >= self.settings.control.snapshot_every:
+            self.take_snapshot()
+
+    def _announce(self) -> None:
+        """
+        Tell the subscribers once the state machine holds all of earlier terms, and at the end.
+        """
+        leads = self.core.is_leader and self.applied_index >= self.core.state.noop_index
+        if leads == self._announced:
+            return
+        self._announced = leads
+        for callback in self._callbacks:
+            callback(leads, self.core.term)
+
+    def take_snapshot(self) -> bool:
+        """
+        Begin to store a snapshot of the state machine.
+
+        :return: False where one is under way or nothing is new.
+        """
+        index = self.applied_index
+        if self._snapshot_under_way or index <= self.core.snapshot.index:
+            return False
+        self._snapshot_under_way = True
+        data = self._state.snapshot()
+        log = self.core.state.log
+        meta = SnapshotMeta(
+            index, log.term_at(index), log.members_at(index), len(data), zlib.crc32(data)
+        )
+        base = max(log.base_index, index - TAIL_ENTRIES)
+        start = SegmentStart(base, log.term_at(base))
+        entries = log.slice(base + 1, log.last_index)
+        done = self._snapshot_done(meta, base + 1)
+        self._writer.add(StoreSnapshot(meta, data, start, entries, done))
+        return True
+
+    def _snapshot_done(self, meta: SnapshotMeta, keep_from: int) -> Callable[[], None]:
+        def done() -> None:
+            self._snapshot_under_way = False
+            self._counters.add("consensus.snapshots")
+            self.dispatch(events.SnapshotTaken(meta, keep_from))
+
+        return done
+
+    async def _tick(self, now: float) -> None:
+        self.dispatch(events.Tick())
+
+    def _synced(self, sequence: int) -> None:
+        self.dispatch(events.Persisted(sequence))
+
+    def _disk_failed(self) -> None:
+        self.failed = True
+        self.waiting.stop()
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def _read_chunk(self, index: int, offset: int) -> bytes | None:
+        return await self._writer.read_snapshot(index, offset, self.config.chunk_bytes)
+
+    def _identified(self, identity: Identity) -> None:
+        self.dispatch(events.ReplicaSeen(identity.replica, identity.empty))
+
+
+def _copy_result(done: asyncio.Future, futures: tuple[asyncio.Future, ...]) -> None:
+    for future in futures:
+        if not future.done():
+            future.set_result(done.result())
+
+
+__all__ = ["FOLDER", "ConsensusNode", "LeadershipCallback"]
--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/peer.py
@@ -0,0 +1,164 @@
+"""The connection to one other control daemon: a task that sends what waits in its outbox."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+import grpc
+import grpc.aio
+
+from ibisspring_control.consensus.messages import MESSAGES, Message, ReplicaId, SnapshotChunk
+from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
+
+if TYPE_CHECKING:
+    from ibisspring_core.counters import Counters
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+MAX_BATCH_BYTES = 4 * 1024 * 1024
+# Older messages go first where a peer does not answer; the core sends again what still matters.
+MAX_WAITING = 512
+# Two lost packets on a healthy path are sent again within this time; a dead path is left by then.
+TCP_USER_TIMEOUT_MS = 1000
+CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", TCP_USER_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    # The library's own backoff grows to two minutes, long after a cut is over.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 500),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    # Without its own pool a new channel takes over the old one's connection, the silent one.
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+)
+RETRY_PAUSE_S = 0.1
+
+ReadChunk = Callable[[int, int], Awaitable[bytes | None]]
+
+
+@dataclass(frozen=True)
+class Identity:
+    """
+    Who answered.
+
+    :param empty: its disk never took part in a cluster.
+    """
+
+    replica: ReplicaId
+    empty: bool
+
+
+def open_channel(address: str) -> grpc.aio.Channel:
+    """
+    Open a channel with a connection of its own.
+
+    :param address: IP:port.
+    :return: the channel.
+    """
+    return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+
+
+class Peer:
+    """Outbox and connection of one other daemon."""
+
+    def __init__(
+        self,
+        own: ReplicaId,
+        daemon: str,
+        address: str,
+        deadline_s: float,
+        read_chunk: ReadChunk,
+        on_identity: Callable[[Identity], None],
+        counters: Counters,
+    ) -> None:
+        self.daemon = daemon
+        self._own = own
+        self._address = address
+        self._deadline_s = deadline_s
+        self._read_chunk = read_chunk
+        self._on_identity = on_identity
+        self._counters = counters
+        self._outbox: deque[tuple[ReplicaId, Message]] = deque(maxlen=MAX_WAITING)
+        self._wake = asyncio.Event()
+        self._channel: grpc.aio.Channel | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start the peer's task."""
+        self._task = asyncio.create_task(self._run(), name=f"consensus:peer:{self.daemon}")
+
+    async def stop(self) -> None:
+        """Send what waits, within the deadline, and end the task."""
+        if self._task is not None:
+            await asyncio.wait([self._task], timeout=self._deadline_s if self._outbox else 0)
+            self._task.cancel()
+            await asyncio.wait([self._task])
+        if self._channel is not None:
+            await self._channel.close()
+
+    def send(self, target: ReplicaId, message: Message) -> None:
+        """Queue a message; it may be lost."""
+        self._outbox.append((target, message))
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._outbox:
+                await self._send_batch()
+
+    async def _send_batch(self) -> None:
+        request = await self._take_batch()
+        if self._channel is None:
+            self._channel = open_channel(self._address)
+        stub = consensus_pb2_grpc.ConsensusStub(self._channel)
+        try:
+            reply = await stub.Deliver(request, timeout=self._deadline_s)
+        except grpc.aio.AioRpcError as error:
+            self._counters.add(f"consensus.deliver_failed.{error.code().name.lower()}")
+            await self._reopen()
+            return
+        replica = ReplicaId(self.daemon, reply.disk_id)
+        self._on_identity(Identity(replica, reply.empty))
+
+    async def _reopen(self) -> None:
+        """
+        Leave the connection after a failure.
+
+        One whose other end lost track of it accepts bytes for ever and returns nothing, while a new
+        one works.
+        """
+        await self._channel.close()
+        self._channel = None
+        await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _take_batch(self) -> consensus_pb2.DeliverRequest:
+        target = self._outbox[0][0]
+        messages = []
+        size = 0
+        while self._outbox and self._outbox[0][0] == target and size < MAX_BATCH_BYTES:
+            _, message = self._outbox.popleft()
+            if isinstance(message, SnapshotChunk):
+                data = await self._read_chunk(message.meta.index, message.offset)
+                if data is None:
+                    continue
+                message = replace(message, data=data)
+            encoded = MESSAGES.encode(message)
+            size += len(encoded)
+            messages.append(encoded)
+        return consensus_pb2.DeliverRequest(
+            daemon=self._own.daemon,
+            disk_id=self._own.disk_id,
+            target_disk_id=target.disk_id,
+            messages=messages,
+        )
+
+
+__all__ = ["CHANNEL_OPTIONS", "MAX_MESSAGE_BYTES", "Identity", "Peer", "open_channel"]
--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/consensus_service.py
@@ -0,0 +1,71 @@
+"""gRPC service `Consensus`: messages between replicas, and operators' actions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ibisspring_control.consensus import events
+from ibisspring_control.consensus.manage import manage
+from ibisspring_control.consensus.messages import MESSAGES, ReplicaId
+from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
+
+if TYPE_CHECKING:
+    import grpc.aio
+
+    from ibisspring_control.consensus.node import ConsensusNode
+    from ibisspring_core.counters import Counters
+    from ibisspring_core.kernel import Kernel
+
+
+class ConsensusService(consensus_pb2_grpc.ConsensusServicer):
+    """Hands what comes in to the consensus node."""
+
+    def __init__(self, node: ConsensusNode, counters: Counters) -> None:
+        self._node = node
+        self._counters = counters
+
+    @classmethod
+    def from_kernel(cls, kernel: Kernel) -> ConsensusService:
+        """
+        Build the service.
+
+        :param kernel: holds `consensus` and `counters`.
+        :return: the servicer.
+        """
+        return cls(kernel.find("consensus"), kernel.find("counters"))
+
+    async def Deliver(  # noqa: N802
+        self, request: consensus_pb2.DeliverRequest, context: grpc.aio.ServicerContext
+    ) -> consensus_pb2.DeliverReply:
+        """Hand messages to the core; its answers go out through the sender's own peer task."""
+        node = self._node
+        sender = ReplicaId(request.daemon, request.disk_id)
+        target = ReplicaId(node.replica.daemon, request.target_disk_id)
+        # Told before the messages count: once they do, an empty replica is empty no more.
+        empty = node.core.is_empty
+        for data in request.messages:
+            try:
+                message = MESSAGES.decode(data)
+            except msgspec.DecodeError:
+                self._counters.add("consensus.bad_message")
+                continue
+            node.dispatch(events.Received(sender, target, message))
+        return consensus_pb2.DeliverReply(disk_id=node.replica.disk_id, empty=empty)
+
+    async def Manage(  # noqa: N802
+        self, request: consensus_pb2.ManageRequest, context: grpc.aio.ServicerContext
+    ) -> consensus_pb2.ManageReply:
+        """Carry out an operator's action."""
+        arguments = msgspec.msgpack.decode(request.arguments) if request.arguments else {}
+        managed = await manage(self._node, request.action, arguments)
+        return consensus_pb2.ManageReply(
+            ok=managed.ok,
+            answer=managed.answer,
+            leader_hint=managed.leader_hint,
+            detail=managed.detail,
+        )
+
+
+__all__ = ["ConsensusService"]
--- /dev/null
+++ b/tests/fakes/replica.py
@@ -0,0 +1,120 @@
+"""
+A control replica with a state machine of two lines and an HTTP interface, for the consensus tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from typing import Any
+
+import click
+from aiohttp import web
+
+from ibisspring_control.consensus import Committed, ConsensusNode
+from ibisspring_control.rpc.server import ControlRpc
+from ibisspring_core.counters import Counters
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.logs import start_logging
+from ibisspring_core.settings import Settings, load_settings
+from ibisspring_core.timer import TimerService
+
+
+class Lines:
+    """Remembers every command in order."""
+
+    name = "state"
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+        self.indexes: list[int] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def apply(self, index: int, data: bytes) -> bytes:
+        self.lines.append(data.decode())
+        self.indexes.append(index)
+        return str(len(self.lines)).encode()
+
+    def snapshot(self) -> bytes:
+        return json.dumps([self.lines, self.indexes]).encode()
+
+    def restore(self, data: bytes) -> None:
+        self.lines, self.indexes = json.loads(data)
+
+
+class Api:
+    """Proposals and reads over HTTP."""
+
+    def __init__(self, node: ConsensusNode, state: Lines) -> None:
+        self.node = node
+        self.state = state
+
+    async def propose(self, request: web.Request) -> web.Response:
+        answer = await self.node.propose(await request.read())
+        if isinstance(answer, Committed):
+            return web.json_response({"index": answer.index, "result": answer.result.decode()})
+        return _refused(answer)
+
+    async def read(self, request: web.Request) -> web.Response:
+        answer = await self.node.confirm_read()
+        if not isinstance(answer, int):
+            return _refused(answer)
+        return web.json_response({"index": answer, "lines": self.state.lines})
+
+    async def local(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "is_leader": self.node.is_leader,
+                "term": self.node.term,
+                "lease_left_s": self.node.lease_left_s(),
+                "lines": self.state.lines,
+                "indexes": self.state.indexes,
+            }
+        )
+
+
+def _refused(refusal: Any) -> web.Response:
+    body = {"reason": refusal.reason.value, "not_run": refusal.not_run}
+    return web.json_response(body, status=503)
+
+
+async def run(settings: Settings, listen: str) -> None:
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    state = Lines()
+    node = ConsensusNode.from_config(settings)
+    services = (TimerService(), Counters.from_config(None), state, node)
+    kernel = Kernel.from_services((*services, ControlRpc.from_config(settings)))
+    await kernel.start()
+    api = Api(node, state)
+    app = web.Application()
+    app.add_routes([web.post("/propose", api.propose), web.get("/read", api.read)])
+    app.add_routes([web.get("/local", api.local)])
+    runner = web.AppRunner(app, shutdown_timeout=1)
+    await runner.setup()
+    host, port = listen.split(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    await stopping.wait()
+    await runner.cleanup()
+    await kernel.stop()
+
+
+@click.command()
+@click.option("--settings", "path", required=True)
+@click.option("--listen", required=True)
+def main(path: str, listen: str) -> None:
+    """Run one replica."""
+    settings = load_settings(path)
+    assert isinstance(settings, Settings), settings
+    start_logging(settings.log_path)
+    asyncio.run(run(settings, listen))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/integration/replicas.py
@@ -0,0 +1,147 @@
+"""A cluster of test replicas (`fakes.replica`) with a fault proxy before each direction."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import yaml
+
+from integration.cluster import Cluster
+from integration.processes import (
+    Process,
+    command_line,
+    free_address,
+    python_module,
+    wait_until,
+)
+from integration.proxy import FaultProxy
+
+REQUEST_S = 10.0
+
+
+class Replicas:
+    """Replica processes by daemon id."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.http_by_daemon = {daemon: free_address() for daemon in cluster.settings_by_daemon}
+        self.listen_by_daemon = {
+            daemon: settings["control"]["listen"]
+            for daemon, settings in cluster.settings_by_daemon.items()
+        }
+        self.proxy_by_path: dict[tuple[str, str], FaultProxy] = {}
+
+    @classmethod
+    def from_count(cls, folder: Path, count: int, **control: Any) -> Replicas:
+        """Lay out replicas `c1`… without starting them."""
+        return cls(Cluster.from_counts(folder, count, 0, **control))
+
+    async def add_proxies(self) -> None:
+        """Put a proxy on each path from one replica to another."""
+        for source, settings in self.cluster.settings_by_daemon.items():
+            for target, address in self.listen_by_daemon.items():
+                if target == source:
+                    continue
+                proxy = await FaultProxy.before(address)
+                self.proxy_by_path[(source, target)] = proxy
+                settings["control_addresses"][target] = proxy.address
+
+    def paths_of(self, daemon: str, inward: bool, outward: bool) -> tuple[FaultProxy, ...]:
+        """Proxies on the paths to and from a replica."""
+        return tuple(
+            proxy
+            for (source, target), proxy in self.proxy_by_path.items()
+            if (inward and target == daemon) or (outward and source == daemon)
+        )
+
+    def start(self, daemon: str) -> Process:
+        """Write the settings and start a replica's process."""
+        path = self.cluster.settings_path(daemon)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(yaml.safe_dump(self.cluster.settings_by_daemon[daemon]))
+        listen = self.http_by_daemon[daemon]
+        arguments = python_module("fakes.replica", "--settings", str(path), "--listen", listen)
+        return self.cluster.start_other(daemon, arguments)
+
+    async def start_all(self) -> None:
+        for daemon in self.http_by_daemon:
+            self.start(daemon)
+        for daemon in self.http_by_daemon:
+            await self.wait_up(daemon)
+
+    async def wait_up(self, daemon: str) -> None:
+        await wait_until(lambda: self.local(daemon), f"{daemon} to answer")
+
+    def control(self, *arguments: str) -> Any:
+        """Run `ibisspring control` against all replicas."""
+        addresses = ",".join(self.listen_by_daemon.values())
+        return command_line("control", "--control", addresses, *arguments)
+
+    def process(self, daemon: str) -> Process:
+        return self.cluster.process_by_name[daemon]
+
+    async def found(self) -> None:
+        """Start all replicas and bootstrap them."""
+        await self.start_all()
+        result = self.control("bootstrap")
+        assert result.returncode == 0, result.stderr
+        await self.leader()
+
+    async def _http(self, daemon: str, method: str, path: str, data: bytes | None = None) -> Any:
+        timeout = aiohttp.ClientTimeout(total=REQUEST_S)
+        url = f"http://{self.http_by_daemon[daemon]}{path}"
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.request(method, url, data=data) as response:
+                    return await response.json()
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
+    async def local(self, daemon: str) -> Any:
+        """What a replica itself knows; None where it does not answer."""
+        return await self._http(daemon, "GET", "/local")
+
+    async def leader(self, but: str = "") -> str:
+        """Wait for a leader that holds its lease."""
+
+        async def find() -> str:
+            for daemon, process in self.cluster.process_by_name.items():
+                if daemon == but or not process.alive():
+                    continue
+                local = await self.local(daemon)
+                if local and local["is_leader"] and local["lease_left_s"] > 0:
+                    return daemon
+            return ""
+
+        return await wait_until(find, "a leader")
+
+    async def propose(self, daemon: str, line: str) -> Any:
+        """Propose once; None where no answer came."""
+        return await self._http(daemon, "POST", "/propose", line.encode())
+
+    async def accept(self, line: str, but: str = "") -> int:
+        """Propose to the leader until the line is accepted; it may stand in the log twice."""
+
+        async def once() -> int:
+            answer = await self.propose(await self.leader(but), line)
+            return answer["index"] if answer and "index" in answer else 0
+
+        return await wait_until(once, f"{line!r} to be accepted")
+
+    async def read(self, daemon: str) -> Any:
+        """A confirmed read; None where no answer came."""
+        return await self._http(daemon, "GET", "/read")
+
+    async def wait_lines(self, daemon: str, lines: list[str]) -> None:
+        """Wait until a replica has applied all these lines."""
+
+        async def holds() -> bool:
+            local = await self.local(daemon)
+            return local is not None and set(lines) <= set(local["lines"])
+
+        await wait_until(holds, f"{daemon} to hold {len(lines)} lines")
+
+    def stop_all(self) -> None:
+        self.cluster.stop_all()
--- /dev/null
+++ b/tests/integration/test_consensus_basics.py
@@ -0,0 +1,58 @@
+"""Replicas as real processes: found, write, restart."""
+
+from __future__ import annotations
+
+import pytest
+
+from integration.processes import wait_until
+from integration.replicas import Replicas
+
+
+@pytest.mark.parametrize("count", [1, 3])
+async def test_accepted_lines_outlast_a_restart_of_all(tmp_path, count) -> None:
+    replicas = Replicas.from_count(tmp_path, count)
+    try:
+        await replicas.found()
+        lines = [f"line {number}" for number in range(20)]
+        for line in lines:
+            await replicas.accept(line)
+        for daemon in replicas.http_by_daemon:
+            replicas.process(daemon).kill()
+        await replicas.start_all()
+        leader = await replicas.leader()
+        answer = await replicas.read(leader)
+        assert answer["lines"] == lines
+    finally:
+        replicas.stop_all()
+
+
+async def test_graceful_stop_hands_leadership_over(tmp_path) -> None:
+    replicas = Replicas.from_count(tmp_path, 3)
+    try:
+        await replicas.found()
+        old = await replicas.leader()
+        assert await replicas.process(old).terminate() == 0
+        assert await replicas.leader(but=old) != old
+    finally:
+        replicas.stop_all()
+
+
+async def test_bootstrap_is_refused_where_a_daemon_holds_state_or_is_silent(tmp_path) -> None:
+    replicas = Replicas.from_count(tmp_path, 3)
+    try:
+        replicas.start("c1")
+        replicas.start("c2")
+        await replicas.wait_up("c1")
+        await replicas.wait_up("c2")
+        result = replicas.control("bootstrap")
+        assert result.returncode == 1
+        assert "c3 does not answer" in result.stderr
+        replicas.start("c3")
+        await replicas.wait_up("c3")
+        assert replicas.control("bootstrap").returncode == 0
+        again = replicas.control("bootstrap")
+        assert again.returncode == 1
+        assert "already holds state" in again.stderr
+        await wait_until(replicas.leader, "the founded cluster to go on")
+    finally:
+        replicas.stop_all()
