Serve callers through the entry: HTTP, registry, proxying, claims, fakes

Cause: callers, endpoints and trainers need a way in; nothing listened.

Ruled out: pooled connections to endpoints (one that went silent takes a request and leaves unknown whether it ran), passing hearsay on between entries (n^2 copies of each announcement), a framework's own handling of callers that leave (it iterates a stream to its end for nobody).

Change: `http` (falcon on uvicorn), `registry` (table, announcements, EntryPeer exchange), `endpoints` (generation with resume by offset, silence checked over a new connection, plain calls), `claims`, retry budget, first routing, fakes of an engine and a plain service. EntryPeer gained `ages_s` (a record's age, so that no endpoint lives on by rumour) and `unheard`. A lone entry with stand-ins for lease and control lets the request path be tested as a process before control exists.

Not measured yet: added latency.

Conclusion: the thin path works against the fakes; with the real lease and control client it is untested here.

--- /dev/null
+++ b/packages/ibisspring-entry/src/ibisspring_entry/claims/service.py
@@ -0,0 +1,175 @@
+"""The service `claims`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.messages.commands import ClaimKey, ClaimState, Refused, SettleClaim
+from ibisspring_entry.proxy.messages import PlainAnswer, PlainRequest
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.settings import Settings
+
+MAX_KEY = 200
+STORED_BYTES = 65_536
+"""Largest answer that is stored in the replicated state."""
+
+IN_PROGRESS_RETRY_S = 1.0
+
+Run = Callable[[], Awaitable[PlainAnswer | Refusal]]
+
+
+class Claims:
+    """Sends each call under an idempotency key once at most, whichever entry the caller asks."""
+
+    name = "claims"
+
+    def __init__(self, daemon: str) -> None:
+        self._daemon = daemon
+        self._running: set[asyncio.Task[PlainAnswer | Refusal]] = set()
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> Claims:
+        """
+        Build the service.
+
+        :param settings: this daemon's settings.
+        :return: the service.
+        """
+        return cls(settings.daemon)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the services that it needs."""
+        self._endpoints = kernel.find("endpoints")
+        self._control = kernel.find("control_client")
+        self._lease = kernel.find("lease")
+
+    async def stop(self) -> None:
+        """Let what was sent be settled."""
+        if self._running:
+            await asyncio.gather(*self._running, return_exceptions=True)
+
+    async def call(self, request: PlainRequest, key: str) -> PlainAnswer | Refusal:
+        """
+        Send a call that is not idempotent under the caller's key.
+
+        :param request: the call.
+        :param key: the caller's Idempotency-Key.
+        :return: the answer, also when an earlier call under the key got it, or a refusal.
+        """
+        return await self.run_once(
+            request, digest_of(request), key, lambda: self._endpoints.call(request)
+        )
+
+    async def run_once(
+        self, request: PlainRequest, digest: str, key: str, run: Run
+    ) -> PlainAnswer | Refusal:
+        """
+        Claim the key, run, settle.
+
+        :param digest: digest of what is asked, so that a key used for something else is refused.
+        :param run: sends the request; called once at most, and only with the claim committed.
+        :return: the answer or a refusal.
+        """
+        if not 0 < len(key) <= MAX_KEY:
+            detail = f"Idempotency-Key must have 1 to {MAX_KEY} characters"
+            return Refusal(Reason.BAD_REQUEST, True, None, detail)
+        claim = ClaimKey(
+            client_account=request.client_account,
+            key=key,
+            digest=digest,
+            request_id=request.request_id,
+            daemon=self._daemon,
+            incarnation=self._lease.incarnation,
+        )
+        state = await self._control.propose(claim, f"claim-{request.request_id}")
+        if not isinstance(state, ClaimState):
+            return unclaimed(state)
+        if state.state != "granted":
+            return answer_of(request, state)
+        # The caller may leave now; what was claimed is sent and settled all the same, or the claim
+        # would stay "running" for a call of which nobody knows whether it ran.
+        work = asyncio.create_task(self._run_claimed(claim, run))
+        self._running.add(work)
+        work.add_done_callback(self._running.discard)
+        return await asyncio.shield(work)
+
+    async def _run_claimed(self, claim: ClaimKey, run: Run) -> PlainAnswer | Refusal:
+        answer = await run()
+        await self._control.propose(settlement_of(claim, answer), f"settle-{claim.request_id}")
+        return answer
+
+
+def digest_of(request: PlainRequest) -> str:
+    """
+    Digest what is asked.
+
+    :param request: the call.
+    :return: hexadecimal digest of service, method, path and body.
+    """
+    asked = (request.service, request.method, request.path, request.body)
+    return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(asked))
+
+
+def settlement_of(claim: ClaimKey, answer: PlainAnswer | Refusal) -> SettleClaim:
+    """
+    Decide how a claim ends.
+
+    :param claim: the claim.
+    :param answer: what came of it.
+    :return: the command.
+    """
+    place = (claim.client_account, claim.key, claim.request_id)
+    if isinstance(answer, Refusal):
+        outcome = "not_run" if answer.not_run else "may_have_run"
+        return SettleClaim(*place, outcome)
+    stored = len(answer.body) <= STORED_BYTES
+    content_type = dict(answer.headers).get("content-type", "")
+    body = answer.body if stored else b""
+    return SettleClaim(*place, "done", answer.status, body, content_type, stored)
+
+
+def unclaimed(result: Refused | Refusal) -> Refusal:
+    """
+    Refuse a call whose claim was not committed; nothing was sent.
+
+    :param result: why it was not.
+    :return: the refusal, not run.
+    """
+    if isinstance(result, Refused):
+        return Refusal(Reason(result.reason), True, IN_PROGRESS_RETRY_S, result.detail)
+    retry_after_s = result.retry_after_s or IN_PROGRESS_RETRY_S
+    return Refusal(result.reason, True, retry_after_s, result.detail)
+
+
+def answer_of(request: PlainRequest, state: ClaimState) -> PlainAnswer | Refusal:
+    """
+    Answer a call whose key was claimed before.
+
+    :param request: the call.
+    :param state: what became of the earlier one.
+    :return: its stored answer, or why there is none.
+    """
+    if state.state == "running":
+        detail = "the first call under this Idempotency-Key still runs"
+        return Refusal(Reason.IN_PROGRESS, False, IN_PROGRESS_RETRY_S, detail)
+    if state.state == "conflict":
+        detail = "this Idempotency-Key was used for another call"
+        return Refusal(Reason.CONFLICT, True, None, detail)
+    if state.state == "done" and state.stored:
+        headers = (("content-type", state.content_type),) if state.content_type else ()
+        return PlainAnswer(request.request_id, state.status, state.answer, headers)
+    if state.state == "done":
+        detail = f"the first call ran (status {state.status}); its answer was too large to store"
+        return Refusal(Reason.CONFLICT, False, None, detail)
+    return Refusal(Reason.MAY_HAVE_RUN, False, None, "the first call may have run")
+
+
+__all__ = ["Claims", "answer_of", "digest_of", "settlement_of", "unclaimed"]
--- /dev/null
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/announce.py
@@ -0,0 +1,46 @@
+"""`POST /v1/announce`: endpoints tell of themselves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import falcon
+import falcon.asgi
+import msgspec
+
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_entry.http.bodies import read_body
+from ibisspring_entry.http.refusals import refuse
+from ibisspring_entry.registry.announcement import parse_announcement
+
+if TYPE_CHECKING:
+
+    from ibisspring_core.kernel import Kernel
+
+MAX_BYTES = 65_536
+
+
+class AnnounceResource:
+    """Takes announcements; no key is asked for, see docs/how-to/endpoints.md."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._registry = kernel.find("registry")
+        self._counters = kernel.find("counters")
+
+    async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Take one announcement."""
+        data = await read_body(request, MAX_BYTES)
+        record = data if isinstance(data, Refusal) else parse_announcement(data)
+        if isinstance(record, tuple):
+            self._counters.add("announcement_broken")
+            found = "; ".join(f"{finding.place}: {finding.message}" for finding in record)
+            record = Refusal(Reason.BAD_REQUEST, True, None, found)
+        if isinstance(record, Refusal):
+            refuse(response, record, request.context.request_id, self._counters)
+            return
+        reason = self._registry.announce(record)
+        response.content_type = falcon.MEDIA_JSON
+        response.data = msgspec.json.encode({"accepted": not reason, "reason": reason})
+
+
+__all__ = ["AnnounceResource"]
--- /dev/null
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/__init__.py
@@ -0,0 +1,23 @@
+"""Sends requests to endpoints and brings whole answers back."""
+
+from __future__ import annotations
+
+from ibisspring_entry.proxy.messages import (
+    End,
+    Failed,
+    GenerateRequest,
+    PlainAnswer,
+    PlainRequest,
+    TokenRun,
+)
+from ibisspring_entry.proxy.service import Endpoints
+
+__all__ = [
+    "End",
+    "Endpoints",
+    "Failed",
+    "GenerateRequest",
+    "PlainAnswer",
+    "PlainRequest",
+    "TokenRun",
+]
--- /dev/null
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/engine_wire.py
@@ -0,0 +1,105 @@
+"""Engines' wire format (docs/API.md, Engines): bodies out, JSON lines in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from ibisspring_entry.proxy.messages import GenerateRequest
+
+
+@dataclass(frozen=True)
+class EngineLine:
+    """One line of an engine's stream; which fields stand in it tells its kind."""
+
+    request_id: str
+    offset: int = 0
+    tokens: tuple[int, ...] = ()
+    text: str = ""
+    version: int | None = None
+    done: bool = False
+    total: int = 0
+    error: str = ""
+
+
+@dataclass(frozen=True)
+class RequestState:
+    """Answer to `GET /requests/{id}`: `running`, `done` or `unknown`."""
+
+    request_id: str
+    state: str
+    offset: int = 0
+
+
+def generate_body(
+    request: GenerateRequest, try_id: str, resume_tokens: tuple[int, ...]
+) -> dict[str, object]:
+    """
+    Build the body of `POST /generate`.
+
+    :param request: the caller's request.
+    :param try_id: the id of this try.
+    :param resume_tokens: tokens that the caller holds already.
+    :return: the JSON object.
+    """
+    return {
+        "request_id": try_id,
+        "model": request.model,
+        "adapter": request.adapter,
+        "prompt": request.prompt,
+        "max_tokens": request.max_tokens,
+        "priority": request.priority,
+        "resume_tokens": list(resume_tokens),
+    }
+
+
+def parse_line(data: bytes) -> EngineLine | None:
+    """
+    Parse one line.
+
+    :param data: the line.
+    :return: the line, or None where it is not one: a stream that was cut may end in half a line.
+    """
+    try:
+        return msgspec.json.decode(data, type=EngineLine)
+    except msgspec.DecodeError:
+        return None
+
+
+def parse_state(data: bytes) -> RequestState | None:
+    """
+    Parse the answer to `GET /requests/{id}`.
+
+    :param data: the body.
+    :return: the state, or None where the body is none.
+    """
+    try:
+        return msgspec.json.decode(data, type=RequestState)
+    except msgspec.DecodeError:
+        return None
+
+
+def says_not_run(data: bytes) -> bool:
+    """
+    Whether an engine's refusal says that it refused before work.
+
+    :param data: the body of a 429 or 503.
+    :return: True only where it says so.
+    """
+    try:
+        return msgspec.json.decode(data, type=dict).get("not_run") is True
+    except msgspec.DecodeError:
+        return False
+
+
+__all__ = [
+    "EngineLine",
+    "RequestState",
+    "generate_body",
+    "parse_line",
+    "parse_state",
+    "says_not_run",
+]
--- /dev/null
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -0,0 +1,176 @@
+"""The service `endpoints`: sends generations and calls to the endpoints that the registry knows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
+
+from ibisspring_core.clock import boot_now
+from ibisspring_decisions.retries import RetryBudget
+from ibisspring_decisions.routing import Candidate, Router
+from ibisspring_entry.proxy.connections import open_session
+from ibisspring_entry.proxy.generation import Generation
+from ibisspring_entry.proxy.plain_call import call_plain
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Coroutine, Iterator
+
+    import aiohttp
+
+    from ibisspring_core.errors import Reason, Refusal
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.settings import Settings
+    from ibisspring_entry.proxy.messages import (
+        End,
+        Failed,
+        GenerateRequest,
+        PlainAnswer,
+        PlainRequest,
+        TokenRun,
+    )
+
+
+class Endpoints:
+    """What this entry has under way at the endpoints."""
+
+    name = "endpoints"
+
+    def __init__(self, data_centre: str, silence_s: float) -> None:
+        self.silence_s = silence_s
+        self.session: aiohttp.ClientSession | None = None
+        self._router = Router.from_data_centre(data_centre, random.Random())
+        self._budget = RetryBudget.from_defaults()
+        self._in_flight_by_endpoint: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> Endpoints:
+        """
+        Build the service.
+
+        :param settings: settings of a daemon with the entry role.
+        :return: the service.
+        """
+        return cls(settings.data_centre, settings.entry.silence_s)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Open the client; no connection is made before the first request."""
+        self._registry = kernel.find("registry")
+        self._counters = kernel.find("counters")
+        self.session = open_session()
+
+    async def stop(self) -> None:
+        """Let the cancels that are under way end, then close the client."""
+        if self._tasks:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.session.close()
+
+    def generate(self, request: GenerateRequest) -> AsyncIterator[TokenRun | End | Failed]:
+        """
+        Run a generation.
+
+        Leaving the iteration early (`aclose` or cancellation) cancels the engine's work.
+
+        :param request: what to generate and for whom.
+        :return: token runs in order, then exactly one `End` or `Failed`.
+        """
+        self._budget.request(boot_now())
+        return Generation(self, request).answers()
+
+    async def call(self, request: PlainRequest) -> PlainAnswer | Refusal:
+        """
+        Call a plain service.
+
+        :param request: the call.
+        :return: its whole answer or a refusal.
+        """
+        self._budget.request(boot_now())
+        return await call_plain(self, request)
+
+    def pick(
+        self, service: str, prompt: str, avoid: tuple[str, ...], failed_on: frozenset[str]
+    ) -> EndpointRecord | None:
+        """
+        Choose an endpoint for new work.
+
+        :param service: the model or plain service.
+        :param prompt: for the prefix cache; empty where it means nothing.
+        :param avoid: endpoints that must not be used.
+        :param failed_on: endpoints that failed this request, used only where no other is left.
+        :return: the endpoint's record, or None where none may take work.
+        """
+        record_by_endpoint = {}
+        for record in self._registry.records_of(service):
+            if record.endpoint in avoid:
+                continue
+            record_by_endpoint[record.endpoint] = record
+        fresh = [name for name in record_by_endpoint if name not in failed_on]
+        names = fresh or list(record_by_endpoint)
+        candidates = tuple(self._candidate(record_by_endpoint[name]) for name in names)
+        chosen = self._router.choose(candidates, boot_now())
+        return None if chosen is None else record_by_endpoint[chosen]
+
+    def _candidate(self, record: EndpointRecord) -> Candidate:
+        return Candidate(
+            endpoint=record.endpoint,
+            data_centre=record.data_centre,
+            kind=record.kind,
+            running=record.load.running,
+            queued=record.load.queued,
+            capacity=record.load.capacity,
+            in_flight=self._in_flight_by_endpoint.get(record.endpoint, 0),
+        )
+
+    @contextmanager
+    def work_on(self, record: EndpointRecord) -> Iterator[None]:
+        """
+        Count one request as under way at an endpoint.
+
+        :param record: the endpoint.
+        """
+        endpoint = record.endpoint
+        self._in_flight_by_endpoint[endpoint] = self._in_flight_by_endpoint.get(endpoint, 0) + 1
+        try:
+            yield
+        finally:
+            left = self._in_flight_by_endpoint[endpoint] - 1
+            self._in_flight_by_endpoint[endpoint] = left
+            if left == 0:
+                del self._in_flight_by_endpoint[endpoint]
+
+    def note_failure(self, endpoint: str) -> None:
+        """
+        Tell the routing that an endpoint failed a request.
+
+        :param endpoint: its id.
+        """
+        self._router.failed(endpoint, boot_now())
+
+    def may_retry(self, reason: Reason) -> bool:
+        """
+        Take one retry out of the budget.
+
+        :param reason: why the try before failed.
+        :return: whether there is one.
+        """
+        if not self._budget.take(boot_now()):
+            self._counters.add("retry_budget_empty")
+            return False
+        self._counters.retried(reason)
+        return True
+
+    def run_aside(self, work: Coroutine[Any, Any, None]) -> None:
+        """
+        Run something that the caller must not wait for.
+
+        :param work: a coroutine that raises nothing.
+        """
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+__all__ = ["Endpoints"]
--- /dev/null
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -0,0 +1,219 @@
+"""The exchange with the other entries: one task per peer, and the server of EntryPeer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import eliot
+import grpc
+
+from ibisspring_core.clock import boot_now
+from ibisspring_core.errors import Refusal
+from ibisspring_core.pb import entry_peer_pb2, entry_peer_pb2_grpc
+from ibisspring_entry.registry.peer_wire import pack, take_all
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.views import PeerRecord
+    from ibisspring_core.settings import Settings
+    from ibisspring_entry.registry.table import EndpointTable
+
+EXCHANGE_EVERY_S = 0.5
+DIGEST_EVERY = 4
+"""Every so many exchanges carry the digest, so that a gap is repaired within about two seconds."""
+
+EXCHANGE_TIMEOUT_S = 2.0
+DEMAND_TTL_S = 5.0
+STOP_GRACE_S = 1.0
+CHUNK_BYTES = 512 * 1024
+CHANNEL_OPTIONS = (
+    # The library's own backoff grows to two minutes: a peer back from a restart would stay unheard.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+class PeerExchange:
+    """Hands this entry's endpoint records to the peers and takes theirs."""
+
+    def __init__(self, daemon: str, listen: str, table: EndpointTable) -> None:
+        self._daemon = daemon
+        self._listen = listen
+        self._table = table
+        self._task_by_daemon: dict[str, asyncio.Task[None]] = {}
+        self._peer_by_daemon: dict[str, PeerRecord] = {}
+        self._demand: dict[str, tuple[float, dict[str, float]]] = {}
+        self._server: grpc.aio.Server | None = None
+        self.demand_by_client_account: dict[str, float] = {}
+
+    @classmethod
+    def from_config(cls, settings: Settings, table: EndpointTable) -> PeerExchange:
+        """
+        Build the exchange.
+
+        :param settings: settings of a daemon with the entry role.
+        :param table: this entry's table.
+        :return: the exchange.
+        """
+        return cls(settings.daemon, settings.entry.listen_peer, table)
+
+    async def start(self, kernel: Kernel) -> None:
+        """
+        Listen for peers and follow the view's list of them.
+
+        :param kernel: the daemon's kernel.
+        """
+        self._kernel = kernel
+        self._lease = kernel.find("lease")
+        self._counters = kernel.find("counters")
+        self._server = grpc.aio.server()
+        entry_peer_pb2_grpc.add_EntryPeerServicer_to_server(
+            PeerServicer(self, kernel), self._server
+        )
+        self._server.add_insecure_port(self._listen)
+        await self._server.start()
+        kernel.find("timer").subscribe("peers", EXCHANGE_EVERY_S, self._follow_view)
+
+    async def stop(self) -> None:
+        """Stop talking to the peers."""
+        for task in self._task_by_daemon.values():
+            task.cancel()
+        await self._server.stop(STOP_GRACE_S)
+
+    async def _follow_view(self, now: float) -> None:
+        view = self._lease.view()
+        # A lapsed lease says nothing about the peers: the last known ones are kept, since what they
+        # know of the endpoints stays true.
+        if not isinstance(view, Refusal):
+            self._peer_by_daemon = dict(view.peer_by_daemon)
+            self._peer_by_daemon.pop(self._daemon, None)
+        for daemon in list(self._task_by_daemon):
+            if daemon not in self._peer_by_daemon:
+                self._task_by_daemon.pop(daemon).cancel()
+        for daemon in self._peer_by_daemon:
+            if daemon not in self._task_by_daemon:
+                self._task_by_daemon[daemon] = asyncio.create_task(self._talk(daemon))
+
+    async def _talk(self, daemon: str) -> None:
+        """Exchange with one peer until it leaves the view, over one channel while that works."""
+        channel: grpc.aio.Channel | None = None
+        address = ""
+        sent_until = 0.0
+        number = 0
+        try:
+            while True:
+                peer = self._peer_by_daemon[daemon]
+                if channel is None or address != peer.peer_address:
+                    address = peer.peer_address
+                    channel = grpc.aio.insecure_channel(address, CHANNEL_OPTIONS)
+                began = boot_now()
+                with_digest = number % DIGEST_EVERY == 0
+                number += 1
+                if await self._exchange(channel, sent_until, with_digest):
+                    sent_until = began
+                else:
+                    # A channel that the network lost track of stays silent for good while a new one
+                    # works: the deadline ends it.
+                    await channel.close()
+                    channel = None
+                await asyncio.sleep(EXCHANGE_EVERY_S)
+        finally:
+            if channel is not None:
+                await channel.close()
+
+    async def _exchange(
+        self, channel: grpc.aio.Channel, sent_until: float, with_digest: bool
+    ) -> bool:
+        began = boot_now()
+        newer = []
+        for heard in self._table.heard():
+            # Hearsay is not passed on: every entry hears from every other, and n entries that pass
+            # on what they heard would send n^2 copies of each announcement.
+            if heard.first_hand and heard.heard_at >= sent_until:
+                newer.append(heard)
+        records, ages_s = pack(newer, began)
+        request = entry_peer_pb2.ExchangeRequest(
+            daemon=self._daemon,
+            endpoints=records,
+            ages_s=ages_s,
+            digest=self._table.digest() if with_digest else 0,
+            unheard=self._table.unheard(began) if with_digest else (),
+            demand_by_client_account=self.demand_by_client_account,
+        )
+        stub = entry_peer_pb2_grpc.EntryPeerStub(channel)
+        try:
+            reply = await stub.Exchange(request, timeout=EXCHANGE_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            self._counters.add("peer_exchange_failed")
+            eliot.log_message("registry:peer_failed", code=error.code().name)
+            return False
+        broken = take_all(self._table, reply.endpoints, reply.ages_s, began)
+        self._counters.add("peer_record_broken", broken)
+        return True
+
+    def answer(self, request: entry_peer_pb2.ExchangeRequest) -> entry_peer_pb2.ExchangeReply:
+        """
+        Answer a peer's exchange.
+
+        :param request: its records, digest and demand.
+        :return: all records where the digests differ.
+        """
+        now = boot_now()
+        broken = take_all(self._table, request.endpoints, request.ages_s, now)
+        self._counters.add("peer_record_broken", broken)
+        self._demand[request.daemon] = (now, dict(request.demand_by_client_account))
+        known = self._table.heard_lately(request.unheard, now)
+        if request.digest not in (0, self._table.digest()):
+            self._counters.add("peer_digest_repaired")
+            known = self._table.heard()
+        records, ages_s = pack(known, now)
+        return entry_peer_pb2.ExchangeReply(endpoints=records, ages_s=ages_s)
+
+    def peer_demand(self, now: float) -> dict[str, dict[str, float]]:
+        """
+        What the peers told lately of their demand.
+
+        :param now: seconds on this entry's boot clock.
+        :return: demand by client account by daemon.
+        """
+        found = {}
+        for daemon, (heard_at, demand) in self._demand.items():
+            if now - heard_at <= DEMAND_TTL_S:
+                found[daemon] = demand
+        return found
+
+
+class PeerServicer(entry_peer_pb2_grpc.EntryPeerServicer):
+    """The server of EntryPeer."""
+
+    def __init__(self, exchange: PeerExchange, kernel: Kernel) -> None:
+        self._exchange = exchange
+        self._kernel = kernel
+
+    async def Exchange(
+        self, request: entry_peer_pb2.ExchangeRequest, context: grpc.aio.ServicerContext
+    ) -> entry_peer_pb2.ExchangeReply:
+        """Take a peer's records; see proto/entry_peer.proto."""
+        return self._exchange.answer(request)
+
+    async def FetchBatch(
+        self, request: entry_peer_pb2.FetchBatchRequest, context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[entry_peer_pb2.BatchChunk]:
+        """Hand over a batch's payload; the service `rollouts` holds it."""
+        rollouts = self._kernel.find_optional("rollouts")
+        payload = None
+        if rollouts is not None:
+            payload = rollouts.payload_of(request.trainer, request.step, request.batch_digest)
+        if payload is None:
+            yield entry_peer_pb2.BatchChunk(found=False)
+            return
+        for start in range(0, max(1, len(payload)), CHUNK_BYTES):
+            yield entry_peer_pb2.BatchChunk(found=True, data=payload[start : start + CHUNK_BYTES])
+
+
+__all__ = ["PeerExchange", "PeerServicer"]
--- /dev/null
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/service.py
@@ -0,0 +1,139 @@
+"""The service `registry`."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eliot
+
+from ibisspring_core.clock import boot_now
+from ibisspring_entry.registry.peers import PeerExchange
+from ibisspring_entry.registry.table import EndpointTable
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.settings import Settings
+
+EXPIRE_EVERY_S = 0.25
+
+
+class Registry:
+    """The endpoints that this entry knows of, and the exchange with the other entries."""
+
+    name = "registry"
+
+    def __init__(self, table: EndpointTable, exchange: PeerExchange) -> None:
+        self.table = table
+        self._exchange = exchange
+        self._all_pending = True
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> Registry:
+        """
+        Build the service.
+
+        :param settings: settings of a daemon with the entry role.
+        :return: the service.
+        """
+        table = EndpointTable(settings.entry.announce_ttl_s)
+        return cls(table, PeerExchange.from_config(settings, table))
+
+    async def start(self, kernel: Kernel) -> None:
+        """Start the exchange with the peers."""
+        self._kernel = kernel
+        self._lease = kernel.find("lease")
+        self._counters = kernel.find("counters")
+        kernel.find("timer").subscribe("registry", EXPIRE_EVERY_S, self._tick)
+        await self._exchange.start(kernel)
+
+    async def stop(self) -> None:
+        """End the exchange."""
+        await self._exchange.stop()
+
+    async def _tick(self, now: float) -> None:
+        for endpoint in self.table.expire(now):
+            self._counters.add("endpoint_silent")
+            eliot.log_message("registry:endpoint_gone", endpoint=endpoint)
+
+    def announce(self, record: EndpointRecord) -> str:
+        """
+        Take an endpoint's own announcement.
+
+        :param record: the checked announcement.
+        :return: empty where it was taken, else why it was not.
+        """
+        refused = self.table.take(record, boot_now())
+        if refused:
+            self._counters.add("announcement_refused")
+        return refused
+
+    def records_of(self, service: str) -> tuple[EndpointRecord, ...]:
+        """
+        Find the endpoints that may get new work: alive, not leaving, not draining.
+
+        :param service: the name that callers ask for.
+        :return: their records.
+        """
+        view = self._lease.view()
+        draining = getattr(view, "draining", ())
+        found = []
+        for record in self.table.serving(service, boot_now()):
+            if record.endpoint in draining:
+                continue
+            found.append(record)
+        return tuple(found)
+
+    def pending_changes(self) -> tuple[tuple[EndpointRecord, ...], bool]:
+        """
+        What the leader does not know yet; the renewal carries it.
+
+        :return: records that changed in more than load (of leaving ones, load as well), and whether
+            these are all records.
+        """
+        if self._all_pending:
+            return tuple(heard.record for heard in self.table.heard()), True
+        records = []
+        for endpoint in sorted(self.table.changed | self._draining()):
+            record = self.table.record_of(endpoint)
+            if record is not None:
+                records.append(record)
+        return tuple(records), False
+
+    def changes_taken(self, records: tuple[EndpointRecord, ...]) -> None:
+        """
+        The leader has them: what changed since stays pending.
+
+        :param records: what `pending_changes` gave before the renewal was sent.
+        """
+        self._all_pending = False
+        for record in records:
+            if self.table.record_of(record.endpoint) == record:
+                self.table.changed.discard(record.endpoint)
+
+    def want_all(self) -> None:
+        """The leader asks for all records: it is new, or missed something."""
+        self._all_pending = True
+
+    def _draining(self) -> set[str]:
+        draining = getattr(self._lease.view(), "draining", ())
+        return {endpoint for endpoint in draining if self.table.record_of(endpoint) is not None}
+
+    def set_demand(self, demand_by_client_account: dict[str, float]) -> None:
+        """
+        Tell the peers what this entry's client accounts ask for.
+
+        :param demand_by_client_account: requests a second.
+        """
+        self._exchange.demand_by_client_account = dict(demand_by_client_account)
+
+    def peer_demand(self) -> dict[str, dict[str, float]]:
+        """
+        What the other entries' client accounts ask for there.
+
+        :return: demand by client account by daemon, only of peers heard lately.
+        """
+        return self._exchange.peer_demand(boot_now())
+
+
+__all__ = ["Registry"]
--- /dev/null
+++ b/tests/fakes/engine.py
@@ -0,0 +1,255 @@
+"""A model engine: streams tokens, swaps weights, and fails as engines fail."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import zlib
+from typing import Any
+
+import aiohttp
+import click
+from aiohttp import web
+
+from fakes.announcing import Announcer, serve
+
+CHUNK_TOKENS = 4
+PREFIX_CHARACTERS = 64
+
+
+def token_at(prompt: str, offset: int) -> int:
+    """The token that every engine makes there: whole answers can be told by comparing."""
+    return zlib.crc32(f"{prompt}:{offset}".encode()) % 32_000
+
+
+class Engine:
+    """The engine's state; `faults` are switched by `POST /fault`."""
+
+    def __init__(self, **options: Any) -> None:
+        self.options = options
+        self.version_by_adapter: dict[str, int] = {"": options["version"]}
+        self.claimed_by_adapter: dict[str, int] = {}
+        self.faults: dict[str, Any] = {}
+        self.requests: list[dict[str, Any]] = []
+        self.orders: dict[str, dict[str, Any]] = {}
+        self.offset_by_request: dict[str, int] = {}
+        self.cancelled: set[str] = set()
+        self.running: set[str] = set()
+        self.waiting = 0
+        self.fencing = 0
+        self.prefixes: list[str] = []
+        self.slots = asyncio.Semaphore(options["capacity"])
+
+    def fields(self) -> dict[str, Any]:
+        return {
+            "endpoint": self.options["endpoint"],
+            "service": self.options["service"],
+            "role": "engine",
+            "kind": self.options["kind"],
+            "data_centre": self.options["data_centre"],
+            "address": self.options["advertise"] or self.options["listen"],
+            "version_by_adapter": {**self.version_by_adapter, **self.claimed_by_adapter},
+            "load": {
+                "running": len(self.running),
+                "queued": self.waiting,
+                "capacity": self.options["capacity"],
+            },
+            "prefixes": self.prefixes[-32:],
+            "checks_fencing": self.options["checks_fencing"],
+        }
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        request_id = body["request_id"]
+        entry = {
+            "request_id": request_id,
+            "headers": {name.lower(): value for name, value in request.headers.items()},
+            "resumed_at": len(body["resume_tokens"]),
+            "made": 0,
+            "ended": "",
+        }
+        self.requests.append(entry)
+        if self.faults.get("refuse"):
+            entry["ended"] = "refused"
+            return web.json_response({"not_run": True}, status=503)
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.running.add(request_id)
+        try:
+            return await self._stream(request, body, entry)
+        finally:
+            self.running.discard(request_id)
+            self.slots.release()
+
+    async def _stream(
+        self, request: web.Request, body: dict[str, Any], entry: dict[str, Any]
+    ) -> web.StreamResponse:
+        request_id = body["request_id"]
+        told_id = request_id
+        if self.faults.get("cross", 0) > 0:
+            self.faults["cross"] -= 1
+            told_id = "another-request"
+        response = web.StreamResponse(headers={"X-Request-Id": told_id})
+        response.content_type = "application/x-ndjson"
+        self._cache(body["prompt"])
+        await response.prepare(request)
+        offset = len(body["resume_tokens"])
+        while offset < body["max_tokens"]:
+            await self._pace(CHUNK_TOKENS)
+            if request_id in self.cancelled:
+                entry["ended"] = "cancelled"
+                return response
+            count = min(CHUNK_TOKENS, body["max_tokens"] - offset)
+            line = self._line(told_id, body, offset, count)
+            entry["made"] += count
+            offset += count
+            self.offset_by_request[request_id] = offset
+            await self._write(response, line)
+            if entry["made"] >= self.faults.get("crash_after", 1 << 60):
+                os._exit(1)
+        if not self.faults.get("no_end_mark"):
+            await self._write(response, {"request_id": told_id, "done": True, "total": offset})
+        entry["ended"] = "done"
+        return response
+
+    async def _pace(self, count: int) -> None:
+        while self.faults.get("stall"):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(count * self.faults.get("slow", 1) / self.options["tokens_per_s"])
+
+    def _line(self, told_id: str, body: dict[str, Any], offset: int, count: int) -> dict[str, Any]:
+        tokens = [token_at(body["prompt"], offset + place) for place in range(count)]
+        adapter = body["adapter"]
+        version = self.version_by_adapter.get(adapter, self.version_by_adapter[""])
+        line = {
+            "request_id": told_id,
+            "offset": offset,
+            "tokens": tokens,
+            "text": "".join(f"{token} " for token in tokens),
+            "version": self.faults.get("lie_version", version),
+        }
+        if self.faults.get("omit_labels"):
+            del line["version"]
+        return line
+
+    async def _write(self, response: web.StreamResponse, line: dict[str, Any]) -> None:
+        import json
+
+        await response.write(json.dumps(line).encode() + b"\n")
+
+    def _cache(self, prompt: str) -> None:
+        digest = f"{zlib.crc32(prompt[:PREFIX_CHARACTERS].encode()):08x}"
+        if digest in self.prefixes:
+            self.prefixes.remove(digest)
+        self.prefixes.append(digest)
+
+    async def state(self, request: web.Request) -> web.Response:
+        request_id = request.match_info["request_id"]
+        known = request_id in self.offset_by_request or request_id in self.running
+        state = "running" if request_id in self.running else "done" if known else "unknown"
+        offset = self.offset_by_request.get(request_id, 0)
+        return web.json_response({"request_id": request_id, "state": state, "offset": offset})
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        self.cancelled.add(request.match_info["request_id"])
+        return web.json_response({})
+
+    async def order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if order["order_id"] in self.orders:
+            return web.json_response({"order_id": order["order_id"]}, status=200)
+        if self.options["checks_fencing"] and order["fencing"] < self.fencing:
+            return web.json_response({"order_id": order["order_id"]}, status=409)
+        self.fencing = max(self.fencing, order["fencing"])
+        self.orders[order["order_id"]] = order
+        if order["kind"] in ("load_version", "load_adapter"):
+            asyncio.get_running_loop().create_task(self._load(order))
+        if order["kind"] == "stop":
+            request.app["stopping"].set()
+        return web.json_response({"order_id": order["order_id"]}, status=202)
+
+    async def _load(self, order: dict[str, Any]) -> None:
+        adapter, version = order.get("adapter", ""), order["version"]
+        if order.get("weights_url"):
+            async with aiohttp.ClientSession() as session:
+                async with session.get(order["weights_url"]) as response:
+                    await response.read()
+                    if response.status != 200:
+                        order["failed"] = response.status
+                        return
+        await asyncio.sleep(self.options["load_s"])
+        if self.faults.get("load_fails"):
+            order["failed"] = "load"
+            return
+        if self.faults.get("load_lies"):
+            self.claimed_by_adapter[adapter] = version
+            return
+        self.version_by_adapter[adapter] = version
+
+    async def fault(self, request: web.Request) -> web.Response:
+        """`{"name": value, …}`; `announcing: false` mutes it, `crash` ends it, `swap` swaps now."""
+        asked = await request.json()
+        if asked.get("crash"):
+            os._exit(1)
+        if "announcing" in asked:
+            request.app["announcer"].muted = not asked.pop("announcing")
+        self.version_by_adapter.update(asked.pop("swap", {}))
+        self.faults.update(asked)
+        return web.json_response(self.faults)
+
+    async def log(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "requests": self.requests,
+                "orders": list(self.orders.values()),
+                "accepted_by": list(request.app["announcer"].accepted_by),
+            }
+        )
+
+
+@click.command()
+@click.option("--endpoint", required=True)
+@click.option("--service", default="scorer-lm")
+@click.option("--listen", required=True)
+@click.option("--advertise", default="", help="Announced address where a proxy stands before it.")
+@click.option("--entry", "entries", multiple=True, required=True, help="Entry's base URL.")
+@click.option("--data-centre", default="birmingham")
+@click.option("--kind", default="standard")
+@click.option("--version", default=1)
+@click.option("--tokens-per-s", default=400.0)
+@click.option("--capacity", default=8)
+@click.option("--load-s", default=0.1)
+@click.option("--checks-fencing/--ignores-fencing", default=False)
+def main(entries: tuple[str, ...], **options: Any) -> None:
+    """Run one fake engine."""
+    asyncio.run(run(entries, options))
+
+
+async def run(entries: tuple[str, ...], options: dict[str, Any]) -> None:
+    engine = Engine(**options)
+    announcer = Announcer(entries, engine.fields)
+
+    async def status(request: web.Request) -> web.Response:
+        return web.json_response(announcer.announcement())
+
+    app = web.Application(client_max_size=1 << 26)
+    app["announcer"] = announcer
+    app.add_routes(
+        [
+            web.post("/generate", engine.generate),
+            web.get("/requests/{request_id}", engine.state),
+            web.post("/requests/{request_id}/cancel", engine.cancel),
+            web.post("/orders", engine.order),
+            web.get("/status", status),
+            web.post("/fault", engine.fault),
+            web.get("/log", engine.log),
+        ]
+    )
+    await serve(app, options["listen"], announcer, lambda: not engine.running)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/integration/lone_entry.py
@@ -0,0 +1,155 @@
+"""
+An entry without control: the real entry services, with stand-ins for the lease and the control
+client, in a process of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from ibisspring_core.counters import Counters
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.logs import start_logging
+from ibisspring_core.messages.commands import ClaimKey, ClaimState, Done, SettleClaim
+from ibisspring_core.messages.views import EntryView
+from ibisspring_core.settings import EntrySettings, Settings
+from ibisspring_core.timer import TimerService
+from ibisspring_entry.claims import Claims
+from ibisspring_entry.http import HttpService
+from ibisspring_entry.proxy import Endpoints
+from ibisspring_entry.registry import Registry
+
+
+class OpenRules:
+    """Rules that allow the services given, in place of a parsed rules file."""
+
+    placement_by_service: dict[str, Any] = {}
+    timeout_s_by_service: dict[str, float] = {}
+
+    def __init__(self, services: list[str]) -> None:
+        self.services = services
+
+    def allows(self, client_account: str, service: str) -> bool:
+        return service in self.services
+
+    def is_idempotent(self, service: str, method: str, path: str) -> bool:
+        return method in ("GET", "HEAD") or path.startswith("/idempotent")
+
+
+class StandInLease:
+    """A lease that never lapses; a key is the name of its client account with `key-` before it."""
+
+    name = "lease"
+    incarnation = 1
+
+    def __init__(self, services: list[str]) -> None:
+        self._rules = OpenRules(services)
+
+    async def start(self, kernel: Kernel) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    def view(self) -> EntryView | Refusal:
+        return EntryView(index=1, rules_version=1, rules_text="")
+
+    def rules(self) -> Any:
+        return self._rules
+
+    def client_account_of(self, key: str) -> str | None:
+        return key.removeprefix("key-") if key.startswith("key-") else None
+
+    def subscribe(self, callback: Any) -> None:
+        pass
+
+
+class StandInControl:
+    """Claims of one entry, kept in memory."""
+
+    name = "control_client"
+
+    def __init__(self) -> None:
+        self.claim_by_key: dict[tuple[str, str], ClaimState] = {}
+        self.digest_by_key: dict[tuple[str, str], str] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    async def propose(self, command: Any, request_id: str) -> Any:
+        place = (command.client_account, command.key)
+        if isinstance(command, ClaimKey):
+            return self._claim(place, command)
+        if isinstance(command, SettleClaim):
+            return self._settle(place, command)
+        return Refusal(Reason.BAD_REQUEST, True)
+
+    def _claim(self, place: tuple[str, str], command: ClaimKey) -> ClaimState:
+        if place not in self.claim_by_key:
+            self.claim_by_key[place] = ClaimState("running", command.request_id)
+            self.digest_by_key[place] = command.digest
+            return ClaimState("granted", command.request_id)
+        if self.digest_by_key[place] != command.digest:
+            return ClaimState("conflict", command.request_id)
+        return self.claim_by_key[place]
+
+    def _settle(self, place: tuple[str, str], command: SettleClaim) -> ClaimState | Done:
+        if command.outcome == "not_run":
+            del self.claim_by_key[place]
+            return Done()
+        state = ClaimState(
+            command.outcome,
+            command.request_id,
+            "",
+            command.status,
+            command.answer,
+            command.content_type,
+            command.stored,
+        )
+        self.claim_by_key[place] = state
+        return state
+
+
+async def run(options: dict[str, Any]) -> None:
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    settings = Settings(
+        daemon="e1",
+        data_centre="birmingham",
+        roles=("entry",),
+        entry=EntrySettings(**options["entry"]),
+    )
+    kernel = Kernel.from_services(
+        (
+            TimerService(),
+            Counters.from_config(None),
+            StandInControl(),
+            StandInLease(options["services"]),
+            Registry.from_config(settings),
+            Endpoints.from_config(settings),
+            Claims.from_config(settings),
+            HttpService.from_config(settings),
+        )
+    )
+    await kernel.start()
+    await stopping.wait()
+    await kernel.stop()
+
+
+def main() -> None:
+    options = json.loads(Path(sys.argv[1]).read_text())
+    start_logging(options["log"])
+    asyncio.run(run(options))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/integration/lone_system.py
@@ -0,0 +1,144 @@
+"""One lone entry with fake endpoints, all real processes, and what callers ask of it."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from fakes.engine import token_at
+from integration.processes import (
+    Process,
+    free_address,
+    get_json,
+    http_answers,
+    python_module,
+    wait_until,
+)
+
+KEY = "key-stoke-foundry"
+MODEL = "scorer-lm"
+SERVICE = "archive-app"
+
+
+@dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    lines: list[dict[str, Any]] = field(default_factory=list)
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+    def error(self) -> dict[str, Any]:
+        return self.json()["error"]
+
+    def tokens(self) -> list[int]:
+        return [token for line in self.lines for token in line.get("tokens", ())]
+
+    def whole(self) -> bool:
+        return bool(self.lines) and self.lines[-1].get("done") is True
+
+
+def expected_tokens(prompt: str, count: int) -> list[int]:
+    """The answer that every fake engine gives."""
+    return [token_at(prompt, offset) for offset in range(count)]
+
+
+class LoneSystem:
+    """The processes by name."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.process_by_name: dict[str, Process] = {}
+        self.address_by_name: dict[str, str] = {}
+        self.url = ""
+
+    async def start_entry(self, **entry: Any) -> Process:
+        listen = free_address()
+        self.url = f"http://{listen}"
+        options = {
+            "services": [MODEL, SERVICE],
+            "log": str(self.folder / "log.jsonl"),
+            "entry": {
+                "listen_http": listen,
+                "listen_peer": free_address(),
+                "silence_s": 1.0,
+                "stop_wait_s": 0.2,
+                **entry,
+            },
+        }
+        path = self.folder / "entry.json"
+        path.write_text(json.dumps(options))
+        process = self._start("entry", "integration.lone_entry", str(path))
+        await wait_until(lambda: http_answers(f"{self.url}/readyz"), "the entry to be ready")
+        return process
+
+    async def start_engine(self, name: str, **options: Any) -> Process:
+        return await self._start_endpoint("fakes.engine", name, options)
+
+    async def start_plain(self, name: str, **options: Any) -> Process:
+        return await self._start_endpoint("fakes.plain", name, options)
+
+    async def _start_endpoint(self, module: str, name: str, options: dict[str, Any]) -> Process:
+        listen = options.pop("listen", free_address())
+        self.address_by_name[name] = listen
+        arguments = ["--endpoint", name, "--listen", listen, "--entry", self.url]
+        for option, value in options.items():
+            arguments += [f"--{option.replace('_', '-')}", str(value)]
+        process = self._start(name, module, *arguments)
+
+        async def known() -> bool:
+            try:
+                return self.url in (await self.log(name))["accepted_by"]
+            except (aiohttp.ClientError, OSError):
+                return False
+
+        await wait_until(known, f"{name} to be known to the entry")
+        return process
+
+    def _start(self, name: str, module: str, *arguments: str) -> Process:
+        process = Process(name, python_module(module, *arguments), self.folder / f"{name}.txt")
+        process.start()
+        self.process_by_name[name] = process
+        return process
+
+    async def log(self, name: str) -> dict[str, Any]:
+        """What a fake endpoint saw."""
+        return await get_json(f"http://{self.address_by_name[name]}/log")
+
+    async def fault(self, name: str, **faults: Any) -> None:
+        """Switch faults of a fake endpoint."""
+        url = f"http://{self.address_by_name[name]}/fault"
+        async with aiohttp.ClientSession() as session, session.post(url, json=faults) as response:
+            await response.read()
+
+    async def generate(self, prompt: str, max_tokens: int, **body: Any) -> Answer:
+        """A generation, streamed where not said otherwise."""
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": True, **body}
+        answer = await self.ask("POST", "/v1/generate", json=body)
+        if answer.status == 200 and body["stream"]:
+            answer.lines = [json.loads(line) for line in answer.body.splitlines()]
+        return answer
+
+    async def ask(
+        self, method: str, path: str, headers: dict[str, str] | None = None, **rest: Any
+    ) -> Answer:
+        headers = {"Authorization": f"Bearer {KEY}", **(headers or {})}
+        async with aiohttp.ClientSession() as session:
+            async with session.request(
+                method, self.url + path, headers=headers, **rest
+            ) as response:
+                body = await response.read()
+                return Answer(response.status, response.headers, body)
+
+    def stop_all(self) -> None:
+        for process in self.process_by_name.values():
+            process.kill()
--- /dev/null
+++ b/tests/unit/entry/registry/test_table.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import dataclasses
+
+from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
+from ibisspring_entry.registry.peer_wire import pack, take_all
+from ibisspring_entry.registry.table import EndpointTable
+
+TTL_S = 5.0
+FIRST = EndpointRecord(
+    endpoint="scorer-1",
+    incarnation=1,
+    sequence=1,
+    service="scorer-lm",
+    role="engine",
+    kind="standard",
+    data_centre="derby",
+    address="127.0.0.1:9",
+)
+
+
+def after(record: EndpointRecord, **changes: object) -> EndpointRecord:
+    """The next announcement of the same start."""
+    return dataclasses.replace(record, sequence=record.sequence + 1, **changes)
+
+
+def serves(table: EndpointTable, now: float) -> bool:
+    return bool(table.serving("scorer-lm", now))
+
+
+def test_leaving_is_final_until_the_next_start() -> None:
+    # A lorry's ticket is sent to a service that said it leaves: its "serving" had been sent before,
+    # went through another entry and arrived late, or it was confused and said it again.
+    table = EndpointTable(TTL_S)
+    leaving = after(FIRST, state="leaving")
+    table.take(leaving, 10.0)
+
+    assert table.take(FIRST, 10.1) != ""
+    assert table.take(after(leaving, state="serving"), 10.2) != ""
+    assert not serves(table, 10.2)
+    assert table.take(dataclasses.replace(FIRST, incarnation=2), 10.3) == ""
+    assert serves(table, 10.3)
+
+
+def test_rumour_does_not_keep_a_dead_endpoint_alive() -> None:
+    # An engine dies. Two entries go on telling each other that they heard of it, and callers are
+    # sent to a dead machine until the entries are restarted.
+    tables = [EndpointTable(TTL_S), EndpointTable(TTL_S)]
+    tables[0].take(FIRST, 0.0)
+
+    for step in range(1, 40):
+        now = step * 0.25
+        for teller, told in (tables, tables[::-1]):
+            take_all(told, *pack(teller.heard(), now), now)
+            told.expire(now)
+
+    assert not any(serves(table, 10.0) for table in tables)
+    assert not any(serves(table, TTL_S + 0.1) for table in tables)
+
+
+def test_gone_endpoint_that_was_only_cut_off_comes_back() -> None:
+    table = EndpointTable(TTL_S)
+    table.take(FIRST, 0.0)
+
+    assert table.expire(TTL_S + 1) == ("scorer-1",)
+    table.take(after(FIRST), TTL_S + 2)
+
+    assert serves(table, TTL_S + 2)
+
+
+def test_load_alone_is_not_told_to_the_leader_unless_it_leaves() -> None:
+    table = EndpointTable(TTL_S)
+    table.take(FIRST, 0.0)
+    table.changed.clear()
+
+    busy = after(FIRST, load=EndpointLoad(running=3))
+    table.take(busy, 0.5)
+    assert not table.changed
+
+    leaving = after(busy, state="leaving")
+    table.take(leaving, 1.0)
+    table.changed.clear()
+    table.take(after(leaving, load=EndpointLoad(running=0)), 1.5)
+    assert table.changed == {"scorer-1"}
+
+
+def test_equal_tables_have_equal_digests_whatever_their_order() -> None:
+    second = dataclasses.replace(FIRST, endpoint="scorer-2")
+    tables = [EndpointTable(TTL_S), EndpointTable(TTL_S)]
+    for table, records in zip(tables, [(FIRST, second), (second, after(FIRST))], strict=True):
+        for record in records:
+            table.take(record, 0.0)
+
+    assert tables[0].digest() == tables[1].digest()
+    tables[1].take(after(after(FIRST), state="leaving"), 0.1)
+    assert tables[0].digest() != tables[1].digest()
