--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/orders.py
@@ -0,0 +1,231 @@
+"""Orders to the platform and to engines: committed first, then sent under the lease."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from ibisspring_control.in_charge.guarded_http import (
+    HttpAnswer,
+    HttpRequest,
+    NoAnswer,
+    send_guarded,
+)
+from ibisspring_control.in_charge.proposals import commit
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.messages.commands import IntentRecorded, OrderIntent, OrderResolved
+
+if TYPE_CHECKING:
+    from ibisspring_control.in_charge.duty_state import OpenOrder
+    from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
+    from ibisspring_core.counters import Counters
+
+PLATFORM = "platform"
+HTTP_OK = 200
+HTTP_ACCEPTED = 202
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+
+
+@dataclass(frozen=True)
+class OrderEnd:
+    """
+    The known end of an order.
+
+    :param outcome: `done`, `refused`, `unavailable` or `unknown`.
+    :param detail: what the receiver said.
+    """
+
+    outcome: str
+    detail: str = ""
+
+
+@dataclass(frozen=True)
+class OrderSettings:
+    """
+    How orders are sent.
+
+    :param sender: this daemon's id, for the receiver's log.
+    :param platform_url: base URL of the platform.
+    :param timeout_s: longest wait for an answer.
+    :param least_lease_s: seconds of lease that must be left when bytes are written.
+    """
+
+    sender: str
+    platform_url: str
+    timeout_s: float
+    least_lease_s: float
+
+
+UrlOf = Callable[[str], str | None]
+
+
+def wire_body(body: bytes, fencing: int) -> bytes:
+    """
+    Put the fencing number into an order's body.
+
+    The number is known only once the intent is committed, so the log holds the body without it.
+    Both stand in the log, so every leader sends the same bytes under an order id.
+
+    :param body: a JSON object as committed.
+    :param fencing: the committed fencing number.
+    :return: the bytes on the wire.
+    """
+    separator = b"" if body[1:2] == b"}" else b","
+    return b'{"fencing":%d%s%s' % (fencing, separator, body[1:])
+
+
+class Orders:
+    """Commits, sends and resolves orders, one at a time for each receiver."""
+
+    def __init__(
+        self,
+        consensus: Any,
+        watch: TenureWatch,
+        counters: Counters,
+        settings: OrderSettings,
+        url_of: UrlOf,
+    ) -> None:
+        self._consensus = consensus
+        self._watch = watch
+        self._counters = counters
+        self._settings = settings
+        self._url_of = url_of
+        # A receiver that checks fencing numbers refuses a lower one after a higher one, so the
+        # orders to one receiver go out in the order of their numbers.
+        self._lock_by_receiver: dict[str, asyncio.Lock] = {}
+
+    async def send(
+        self, tenure: Tenure, receiver: str, order_id: str, order: dict[str, Any]
+    ) -> OrderEnd | Refusal:
+        """
+        Commit an order's intent, send it and record its end.
+
+        :param tenure: the tenure under which it is sent.
+        :param receiver: `platform` or `endpoint:<id>`.
+        :param order_id: its idempotency key, unique for ever.
+        :param order: the order's fields but for `fencing`.
+        :return: its end, or a refusal; after `MAY_HAVE_RUN` the intent stays open and is resolved
+            by `resume`.
+        """
+        body = json.dumps({"order_id": order_id, **order}, separators=(",", ":")).encode()
+        intent = OrderIntent(order_id, receiver, body)
+        async with self._lock(receiver):
+            recorded = await commit(self._consensus, intent, f"intent-{order_id}")
+            if isinstance(recorded, Refusal):
+                return recorded
+            if not isinstance(recorded, IntentRecorded):
+                return Refusal(Reason.CONFLICT, not_run=True, detail=str(recorded))
+            return await self._send_committed(tenure, intent, recorded.fencing)
+
+    async def resume(self, tenure: Tenure, order: OpenOrder) -> OrderEnd | Refusal:
+        """
+        Find the end of an order that was left open, under its own id.
+
+        :param tenure: the tenure under which it is asked about or sent again.
+        :param order: the open order.
+        :return: as for `send`.
+        """
+        async with self._lock(order.intent.receiver):
+            if order.intent.receiver == PLATFORM:
+                end = await self._ask(tenure, order.intent.order_id)
+                if isinstance(end, Refusal):
+                    return end
+                if end is not None:
+                    return await self._resolve(order.intent, end)
+            self._counters.retried(Reason.MAY_HAVE_RUN)
+            return await self._send_committed(tenure, order.intent, order.fencing)
+
+    def _lock(self, receiver: str) -> asyncio.Lock:
+        return self._lock_by_receiver.setdefault(receiver, asyncio.Lock())
+
+    async def _send_committed(
+        self, tenure: Tenure, intent: OrderIntent, fencing: int
+    ) -> OrderEnd | Refusal:
+        base_url = self._url_of(intent.receiver)
+        if base_url is None:
+            return await self._resolve(intent, OrderEnd("unknown", "the receiver is gone"))
+        headers = {
+            "Content-Type": "application/json",
+            "Idempotency-Key": intent.order_id,
+            "X-Sender": f"{self._settings.sender}/{tenure.term}",
+        }
+        body = wire_body(intent.body, fencing)
+        answer = await self._exchange(
+            tenure, HttpRequest("POST", f"{base_url}/orders", body, headers)
+        )
+        if isinstance(answer, NoAnswer):
+            return self._unanswered(intent, answer)
+        end = read_end(answer)
+        if end is None:
+            return self._unanswered(intent, NoAnswer(True, f"HTTP {answer.status}"))
+        return await self._resolve(intent, end)
+
+    async def _ask(self, tenure: Tenure, order_id: str) -> OrderEnd | Refusal | None:
+        url = f"{self._settings.platform_url}/orders/{order_id}"
+        answer = await self._exchange(tenure, HttpRequest("GET", url))
+        if isinstance(answer, NoAnswer):
+            self._counters.retried(Reason.TIMEOUT)
+            return Refusal(Reason.MAY_HAVE_RUN, not_run=False, detail=answer.detail)
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        end = read_end(answer)
+        if end is None:
+            return Refusal(Reason.MAY_HAVE_RUN, not_run=False, detail=f"HTTP {answer.status}")
+        return end
+
+    async def _exchange(self, tenure: Tenure, request: HttpRequest) -> HttpAnswer | NoAnswer:
+        return await send_guarded(
+            request,
+            lambda: self._watch.lease_left_s(tenure),
+            self._settings.least_lease_s,
+            self._settings.timeout_s,
+        )
+
+    def _unanswered(self, intent: OrderIntent, answer: NoAnswer) -> Refusal:
+        reason = Reason.MAY_HAVE_RUN if answer.sent else Reason.LEASE_LAPSED
+        self._counters.refused(reason)
+        eliot.log_message(
+            "order:unanswered", order=intent.order_id, sent=answer.sent, detail=answer.detail
+        )
+        return Refusal(reason, not_run=not answer.sent, detail=answer.detail)
+
+    async def _resolve(self, intent: OrderIntent, end: OrderEnd) -> OrderEnd | Refusal:
+        outcome = "refused" if end.outcome == "unavailable" else end.outcome
+        command = OrderResolved(intent.order_id, outcome, end.detail)
+        result = await commit(self._consensus, command, f"resolved-{intent.order_id}")
+        eliot.log_message("order:ended", order=intent.order_id, outcome=end.outcome)
+        if isinstance(result, Refusal):
+            return result
+        return end
+
+
+def read_end(answer: HttpAnswer) -> OrderEnd | None:
+    """
+    Read a receiver's answer.
+
+    :param answer: from the platform or an engine.
+    :return: the order's end; None where the answer does not tell it.
+    """
+    if answer.status == HTTP_CONFLICT:
+        return OrderEnd("refused", "the receiver saw a higher fencing number")
+    if answer.status not in (HTTP_OK, HTTP_ACCEPTED):
+        return None
+    try:
+        fields = json.loads(answer.body or b"{}")
+    except ValueError:
+        return None
+    if not isinstance(fields, dict):
+        return None
+    outcome = fields.get("outcome", "done")
+    if outcome not in ("done", "refused", "unavailable"):
+        return None
+    return OrderEnd(outcome, str(fields.get("detail", "")))
+
+
+__all__ = ["PLATFORM", "OrderEnd", "OrderSettings", "Orders", "read_end", "wire_body"]
--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/proposals.py
@@ -0,0 +1,31 @@
+"""Commits the leader's own commands."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ibisspring_core.clock import wall_now
+from ibisspring_core.errors import Refusal
+from ibisspring_core.messages.codec import encode
+from ibisspring_core.messages.commands import COMMANDS, RESULTS, Envelope
+
+
+async def commit(consensus: Any, command: Any, request_id: str) -> Any | Refusal:
+    """
+    Commit one command through this replica.
+
+    :param consensus: the service `consensus`.
+    :param command: a command of `COMMANDS`.
+    :param request_id: its idempotency key; a repetition after `MAY_HAVE_RUN` uses the same one.
+    :return: the state machine's result, or a refusal.
+    """
+    envelope = Envelope(request_id, wall_now(), msgspec.Raw(COMMANDS.encode(command)))
+    committed = await consensus.propose(encode(envelope))
+    if isinstance(committed, Refusal):
+        return committed
+    return RESULTS.decode(committed.result)
+
+
+__all__ = ["commit"]
--- /dev/null
+++ b/tests/unit/control/in_charge/test_orders.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from ibisspring_control.in_charge.orders import OrderEnd, Orders, OrderSettings
+from ibisspring_core.errors import Reason, Refusal
+
+START = {"data_centre": "derby", "service": "scorer-lm", "kind": "cheap", "action": "start"}
+
+
+@pytest.fixture
+def orders(control, watch, counters, platform_url) -> Orders:
+    settings = OrderSettings("c1", platform_url, timeout_s=20.0, least_lease_s=0.4)
+    return Orders(control, watch, counters, settings, lambda receiver: platform_url)
+
+
+async def test_the_intent_is_committed_before_the_order_is_sent(
+    control, orders, tenure, fake_platform
+) -> None:
+    sent_at_commit = []
+    control.on_commit = lambda command: sent_at_commit.append(len(fake_platform.sent))
+
+    end = await orders.send(tenure, "platform", "o1", START)
+
+    assert end == OrderEnd("done")
+    assert sent_at_commit == [0, 1]
+    assert [(sent.order_id, sent.fencing, sent.sender) for sent in fake_platform.sent] == [
+        ("o1", 1, "c1/1")
+    ]
+    assert not control.open_by_id
+
+
+async def test_an_order_is_not_sent_on_a_lease_that_does_not_outlast_it(
+    control, orders, tenure, fake_platform
+) -> None:
+    control.lease_s = 0.3
+
+    refusal = await orders.send(tenure, "platform", "o1", START)
+
+    assert isinstance(refusal, Refusal)
+    assert (refusal.reason, refusal.not_run) == (Reason.LEASE_LAPSED, True)
+    assert fake_platform.sent == []
+    assert list(control.open_by_id) == ["o1"]
+
+
+async def test_an_order_whose_answer_was_lost_ends_under_its_own_id_and_bytes(
+    control, orders, tenure, fake_platform
+) -> None:
+    # The platform carries an order out and its answer is lost; the order stays open in the log.
+    # A new attempt under a new id, or with other bytes, would start a second endpoint.
+    fake_platform.faults.drop_answer = True
+    refusal = await orders.send(tenure, "platform", "o1", START)
+    assert refusal.reason is Reason.MAY_HAVE_RUN
+
+    fake_platform.faults.drop_answer = False
+    (open_order,) = control.open_orders()
+    end = await orders.resume(tenure, open_order)
+
+    assert end == OrderEnd("done")
+    assert len(fake_platform.started) == 1
+    assert not control.open_by_id
+
+
+async def test_an_order_that_never_arrived_is_sent_again_byte_for_byte(
+    control, orders, tenure, fake_platform
+) -> None:
+    control.lease_s = 0.0
+    await orders.send(tenure, "platform", "o1", START)
+    control.lease_s = 10.0
+    (open_order,) = control.open_orders()
+
+    await orders.resume(tenure, open_order)
+
+    (sent,) = fake_platform.sent
+    assert json.loads(open_order.intent.body) == {"order_id": "o1", **START}
+    assert sent.order == {"fencing": 1, "order_id": "o1", **START}
+
+
+async def test_an_unavailable_kind_is_a_known_end(control, orders, tenure, fake_platform) -> None:
+    fake_platform.faults.unavailable = ["derby/cheap"]
+
+    end = await orders.send(tenure, "platform", "o1", START)
+
+    assert end == OrderEnd("unavailable", "derby/cheap")
+    assert control.commands[-1].outcome == "refused"
--- /dev/null
+++ b/tests/unit/control/in_charge/test_tenure.py
@@ -0,0 +1,22 @@
+from __future__ import annotations
+
+from ibisspring_control.in_charge.tenure import TenureWatch
+
+
+def test_a_new_leader_waits_out_its_predecessor(control) -> None:
+    watch = TenureWatch(control, wait_s=2.8)
+
+    assert watch.current(100.0) is None
+    assert watch.current(102.7) is None
+    assert watch.current(102.8).term == 1
+
+
+def test_a_replica_that_leads_again_waits_again(control) -> None:
+    watch = TenureWatch(control, wait_s=2.8)
+    watch.current(100.0)
+    old = watch.current(103.0)
+
+    control.term = 3
+
+    assert watch.current(103.1) is None
+    assert watch.lease_left_s(old) == 0.0
