--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -116,15 +116,17 @@
 
     async def start_endpoints(self) -> None:
         """Start engines, a plain service and a scorer; they announce themselves."""
-        announce = ["--announce", self.cluster.url("e1"), "--announce", self.cluster.url("e2")]
+        entries = ["--entry", self.cluster.url("e1"), "--entry", self.cluster.url("e2")]
         for name, module, service, data_centre in (
             ("engine-1", "fakes.engine", "scorer-lm", "birmingham"),
             ("engine-2", "fakes.engine", "scorer-lm", "derby"),
             ("archive-1", "fakes.plain", "archive-app", "birmingham"),
             ("scorer-1", "fakes.scorer", "reader-scores", "derby"),
         ):
-            arguments = ["--endpoint", name, "--listen", free_address(), "--service", service]
-            arguments += ["--data-centre", data_centre, *announce]
+            arguments = ["--listen", free_address(), "--service", service]
+            if module != "fakes.scorer":
+                arguments += ["--endpoint", name]
+            arguments += ["--data-centre", data_centre, *entries]
             self.cluster.start_other(name, python_module(module, *arguments))
         say("four endpoints announce themselves; no list of them stands anywhere")
 
@@ -228,7 +230,7 @@
 
     async def reported() -> Any:
         answer = await get_json(f"http://{demo.usage}/log")
-        return [entry for entry in answer if entry["lines"]]
+        return [report for report in answer["reports"] if report["lines"]]
 
     windows = await wait_until(reported, "a usage report")
     for line in windows[0]["lines"]:
