Add the replicated state machine

Ruled out: keeping every result by request id (AddUsage alone would hold 380/s x 600 s = 228,000 of them); evicting by dict order after a restore (replicas would forget different claims); evicting young claims when the table is full (a resend would run twice: new claims are refused).

--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/state/drains.py
@@ -0,0 +1,61 @@
+"""Endpoints that operators drain."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ibisspring_core.errors import Reason
+from ibisspring_core.messages.commands import Done, DrainEndpoint, Refused
+
+if TYPE_CHECKING:
+    from ibisspring_control.state.moment import Moment
+
+# More than all endpoints; every entry is handed the whole list.
+MAX_DRAINS = 1_000
+
+
+@dataclass(frozen=True)
+class Drain:
+    """A drain that is asked for and not lifted."""
+
+    endpoint: str
+    operator: str
+    index: int
+    stamped_s: float
+
+
+@dataclass(frozen=True)
+class DrainsSnapshot:
+    """All drains, sorted by endpoint."""
+
+    drains: tuple[Drain, ...] = ()
+
+
+class Drains:
+    """Drains by endpoint."""
+
+    def __init__(self, snapshot: DrainsSnapshot) -> None:
+        self.drain_by_endpoint = {drain.endpoint: drain for drain in snapshot.drains}
+
+    def snapshot(self) -> DrainsSnapshot:
+        """Everything, sorted."""
+        by_endpoint = self.drain_by_endpoint
+        return DrainsSnapshot(tuple(by_endpoint[endpoint] for endpoint in sorted(by_endpoint)))
+
+    def apply(self, command: DrainEndpoint, moment: Moment) -> Done | Refused:
+        """Start or lift a drain; repeating it changes nothing."""
+        if command.cancel:
+            self.drain_by_endpoint.pop(command.endpoint, None)
+            return Done()
+        if command.endpoint in self.drain_by_endpoint:
+            return Done()
+        if len(self.drain_by_endpoint) >= MAX_DRAINS:
+            return Refused(Reason.QUEUE_FULL.value, f"{MAX_DRAINS} endpoints are draining already")
+        self.drain_by_endpoint[command.endpoint] = Drain(
+            command.endpoint, command.operator, moment.index, moment.stamped_s
+        )
+        return Done()
+
+
+__all__ = ["Drain", "Drains", "DrainsSnapshot"]
--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/state/machine.py
@@ -0,0 +1,223 @@
+"""
+The replicated state machine.
+
+Deterministic: it reads no clock, no file and no random number, so that replicas which apply the
+same log hold the same bytes, also when some of them started from a snapshot. What a snapshot does
+not keep, such as the order of a dict, must not decide anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import xxhash
+
+from ibisspring_control.state.claims import Claims, ClaimsSnapshot
+from ibisspring_control.state.drains import Drains, DrainsSnapshot
+from ibisspring_control.state.moment import Moment
+from ibisspring_control.state.orders import Orders, OrdersSnapshot
+from ibisspring_control.state.requests import (
+    RequestResult,
+    RequestResults,
+    RequestsSnapshot,
+)
+from ibisspring_control.state.rule_versions import RulesSnapshot, RuleVersions
+from ibisspring_control.state.steps import Steps, StepsSnapshot
+from ibisspring_control.state.trainers import Trainers, TrainersSnapshot
+from ibisspring_control.state.usage import Usage, UsageSnapshot
+from ibisspring_core.errors import Reason
+from ibisspring_core.messages import commands
+from ibisspring_core.messages.codec import decode
+from ibisspring_core.messages.commands import COMMANDS, RESULTS, Envelope, Refused
+from ibisspring_core.messages.views import EntryView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ibisspring_core.kernel import Kernel
+
+KEYED_BY_REQUEST_ID = (commands.ApplyRules, commands.DrainEndpoint)
+CHANGES_VIEW = (commands.ApplyRules, commands.DrainEndpoint, commands.PublishVersion)
+_CANONICAL = msgspec.msgpack.Encoder(order="sorted")
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """The whole state."""
+
+    applied_index: int = 0
+    view_index: int = 0
+    requests: RequestsSnapshot = field(default_factory=RequestsSnapshot)
+    rules: RulesSnapshot = field(default_factory=RulesSnapshot)
+    trainers: TrainersSnapshot = field(default_factory=TrainersSnapshot)
+    drains: DrainsSnapshot = field(default_factory=DrainsSnapshot)
+    claims: ClaimsSnapshot = field(default_factory=ClaimsSnapshot)
+    usage: UsageSnapshot = field(default_factory=UsageSnapshot)
+    orders: OrdersSnapshot = field(default_factory=OrdersSnapshot)
+    steps: StepsSnapshot = field(default_factory=StepsSnapshot)
+
+
+class StateMachine:
+    """The service `state`; only consensus applies to it, others read."""
+
+    name = "state"
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self._load(snapshot)
+        self._run_by_type: dict[type[Any], Callable[[Any, Moment], Any]] = {
+            commands.ApplyRules: lambda command, at: self.rules.apply(command, at),
+            commands.ClaimKey: lambda command, at: self.claims.claim(command, at),
+            commands.SettleClaim: lambda command, at: self.claims.settle(command),
+            commands.AddUsage: lambda command, at: self.usage.add(command),
+            commands.CloseWindow: lambda command, at: self.usage.close(command, at),
+            commands.WindowReported: lambda command, at: self.usage.reported(command),
+            commands.OrderIntent: lambda command, at: self.orders.intend(command, at),
+            commands.OrderResolved: lambda command, at: self.orders.resolve(command),
+            commands.DrainEndpoint: lambda command, at: self.drains.apply(command, at),
+            commands.PublishVersion: self._publish,
+            commands.OpenStep: self._open_step,
+            commands.DeliverBatch: self._deliver,
+            commands.AckStep: lambda command, at: self.steps.acknowledge(command),
+        }
+
+    @classmethod
+    def empty(cls) -> StateMachine:
+        """
+        Build the state before the first log entry.
+
+        :return: the state machine.
+        """
+        return cls(Snapshot())
+
+    async def start(self, kernel: Kernel) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def apply(self, index: int, data: bytes) -> bytes:
+        """
+        Apply one committed command.
+
+        :param index: its log index, above every index before it.
+        :param data: an `Envelope`, encoded.
+        :return: the result, encoded by RESULTS.
+        """
+        if index <= self.applied_index:
+            raise ValueError(f"log index {index} was applied already")
+        self.applied_index = index
+        try:
+            envelope = decode(data, Envelope)
+            command = COMMANDS.decode(bytes(envelope.command))
+        except msgspec.DecodeError as error:
+            # Every replica refuses the same bytes alike; raising would stop them all for good at
+            # this entry.
+            return RESULTS.encode(Refused(Reason.BAD_REQUEST.value, str(error)))
+        moment = Moment(index, envelope.stamped_s)
+        if not isinstance(command, KEYED_BY_REQUEST_ID):
+            return RESULTS.encode(self._run(command, moment))
+        return self._run_once(envelope, command, moment)
+
+    def _run_once(self, envelope: Envelope, command: Any, moment: Moment) -> bytes:
+        digest = xxhash.xxh3_64_intdigest(bytes(envelope.command))
+        known = self.requests.result_by_id.get(envelope.request_id)
+        if known is not None and known.command_digest != digest:
+            detail = "this request id was used for another command"
+            return RESULTS.encode(Refused(Reason.CONFLICT.value, detail))
+        if known is not None:
+            return known.result
+        refused = self.requests.check(envelope.request_id, moment)
+        if refused is not None:
+            return RESULTS.encode(refused)
+        result = RESULTS.encode(self._run(command, moment))
+        self.requests.keep(RequestResult(envelope.request_id, moment.index, digest, result), moment)
+        return result
+
+    def _run(self, command: Any, moment: Moment) -> Any:
+        result = self._run_by_type[type(command)](command, moment)
+        if isinstance(command, CHANGES_VIEW) and isinstance(
+            result, commands.RulesApplied | commands.Done
+        ):
+            self.view_index = moment.index
+        return result
+
+    def _publish(self, command: commands.PublishVersion, moment: Moment) -> Any:
+        return self.trainers.publish(command, self.rules.rules, moment)
+
+    def _open_step(self, command: commands.OpenStep, moment: Moment) -> Any:
+        self.claims.see(command.daemon, command.incarnation)
+        return self.steps.open(command, self.rules.rules)
+
+    def _deliver(self, command: commands.DeliverBatch, moment: Moment) -> Any:
+        version = self.trainers.version_of(command.trainer)
+        return self.steps.deliver(command, self.rules.rules, version)
+
+    def first_index_of(self, request_id: str) -> int | None:
+        """
+        Find where a command that is keyed by its request id was applied first.
+
+        :return: its log index, or None where no result is kept.
+        """
+        known = self.requests.result_by_id.get(request_id)
+        return known.index if known is not None else None
+
+    def entry_view(self) -> EntryView:
+        """
+        Build what entries act on; the live entries are the lease keeper's to add.
+
+        :return: the view at `view_index`.
+        """
+        versions = self.trainers.version_by_trainer
+        return EntryView(
+            index=self.view_index,
+            rules_version=self.rules.current.version,
+            rules_text=self.rules.current.text,
+            version_by_trainer={name: versions[name].version for name in sorted(versions)},
+            draining=tuple(sorted(self.drains.drain_by_endpoint)),
+        )
+
+    def snapshot(self) -> bytes:
+        """
+        Encode the whole state; replicas at one index give the same bytes.
+
+        :return: msgpack with sorted keys.
+        """
+        return _CANONICAL.encode(
+            Snapshot(
+                applied_index=self.applied_index,
+                view_index=self.view_index,
+                requests=self.requests.snapshot(),
+                rules=self.rules.snapshot(),
+                trainers=self.trainers.snapshot(),
+                drains=self.drains.snapshot(),
+                claims=self.claims.snapshot(),
+                usage=self.usage.snapshot(),
+                orders=self.orders.snapshot(),
+                steps=self.steps.snapshot(),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """
+        Replace the whole state.
+
+        :param data: bytes from `snapshot`; raises `msgspec.DecodeError` where they are broken.
+        """
+        self._load(decode(data, Snapshot))
+
+    def _load(self, snapshot: Snapshot) -> None:
+        self.applied_index = snapshot.applied_index
+        self.view_index = snapshot.view_index
+        self.requests = RequestResults(snapshot.requests)
+        self.rules = RuleVersions(snapshot.rules)
+        self.trainers = Trainers(snapshot.trainers)
+        self.drains = Drains(snapshot.drains)
+        self.claims = Claims(snapshot.claims)
+        self.usage = Usage(snapshot.usage)
+        self.orders = Orders(snapshot.orders)
+        self.steps = Steps(snapshot.steps)
+
+
+__all__ = ["Snapshot", "StateMachine"]
--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/state/rule_versions.py
@@ -0,0 +1,111 @@
+"""Versions of the rules file, put in force by compare-and-set."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ibisspring_core.errors import Reason
+from ibisspring_core.messages.commands import (
+    ApplyRules,
+    Refused,
+    RulesApplied,
+    RulesConflict,
+)
+from ibisspring_core.rules import Rules, parse_rules
+
+if TYPE_CHECKING:
+    from ibisspring_control.state.moment import Moment
+
+# Enough for an operator who left a file open over lunch on a day of 260 changes.
+KEPT_VERSIONS = 20
+MAX_CHANGED_LINES = 40
+MAX_FINDINGS = 20
+
+
+@dataclass(frozen=True)
+class RulesVersion:
+    """
+    One accepted rules file.
+
+    :param index: log index at which it came into force.
+    """
+
+    version: int
+    index: int
+    stamped_s: float
+    operator: str
+    text: str
+
+
+@dataclass(frozen=True)
+class RulesSnapshot:
+    """The newest versions, oldest first."""
+
+    versions: tuple[RulesVersion, ...] = (RulesVersion(0, 0, 0.0, "", ""),)
+
+
+class RuleVersions:
+    """The rules in force and the few versions before them."""
+
+    def __init__(self, snapshot: RulesSnapshot) -> None:
+        self.versions = list(snapshot.versions)
+        self.rules = self._parse(self.current.text)
+
+    @property
+    def current(self) -> RulesVersion:
+        """The version in force; version 0 is empty."""
+        return self.versions[-1]
+
+    def snapshot(self) -> RulesSnapshot:
+        """The kept versions."""
+        return RulesSnapshot(tuple(self.versions))
+
+    def apply(self, command: ApplyRules, moment: Moment) -> RulesApplied | RulesConflict | Refused:
+        """Put a file in force unless another came first or it has findings."""
+        if command.base != self.current.version:
+            return self._conflict(command.base)
+        rules = parse_rules(command.text)
+        if not isinstance(rules, Rules):
+            detail = "\n".join(str(finding) for finding in rules[:MAX_FINDINGS])
+            return Refused(Reason.BAD_REQUEST.value, detail)
+        version = self.current.version + 1
+        self.versions.append(
+            RulesVersion(version, moment.index, moment.stamped_s, command.operator, command.text)
+        )
+        del self.versions[:-KEPT_VERSIONS]
+        self.rules = rules
+        return RulesApplied(version)
+
+    def _conflict(self, base: int) -> RulesConflict:
+        current = self.current
+        for version in self.versions:
+            if version.version == base:
+                changed = _changed_lines(version.text, current.text)
+                return RulesConflict(current.version, current.operator, changed)
+        note = f"(base {base} is unknown or too old to compare)"
+        return RulesConflict(current.version, current.operator, (note,))
+
+    @staticmethod
+    def _parse(text: str) -> Rules:
+        rules = parse_rules(text)
+        # A file accepted by an older release may have findings in a newer one. Replicas must still
+        # agree, so a snapshot with such a file fails the start instead of running without rules.
+        if not isinstance(rules, Rules):
+            raise ValueError(f"the rules in the snapshot do not parse: {rules[0]}")
+        return rules
+
+
+def _changed_lines(old: str, new: str) -> tuple[str, ...]:
+    old_lines = old.splitlines()
+    new_lines = new.splitlines()
+    removed = [f"- {line}" for line in old_lines if line not in set(new_lines)]
+    added = [f"+ {line}" for line in new_lines if line not in set(old_lines)]
+    changed = removed + added
+    if len(changed) > MAX_CHANGED_LINES:
+        rest = len(changed) - MAX_CHANGED_LINES
+        changed = [*changed[:MAX_CHANGED_LINES], f"(and {rest} more lines)"]
+    return tuple(changed)
+
+
+__all__ = ["RuleVersions", "RulesSnapshot", "RulesVersion"]
--- a/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
@@ -1,11 +1,11 @@
 """
 Commands to the replicated state machine and their results.
 
-Every command travels in an `Envelope`, whose request id makes it idempotent: the state machine
-keeps the result of
-recent request ids and answers a command that is sent again with the first result. A refusal by the
-state machine is
-the result `Refused`.
+Every command is idempotent. Most have a key of their own (usage sequence, order id, window, claim,
+step and epoch) and may be proposed under any request id; the state machine answers a repetition
+from what it holds under that key. `ApplyRules` and `DrainEndpoint` have none: for them the
+`Envelope`'s request id is the key, made by `ibisspring_core.request_ids.new_request_id`. A refusal
+by the state machine is the result `Refused`.
 """
 
 from __future__ import annotations
@@ -216,10 +216,15 @@
 
 @dataclass(frozen=True)
 class DrainEndpoint:
-    """An operator asks that an endpoint gets no new work and is stopped when idle."""
+    """
+    An operator asks that an endpoint gets no new work and is stopped when idle.
+
+    :param cancel: lifts an earlier drain; also proposed once the endpoint was stopped.
+    """
 
     endpoint: str
     operator: str
+    cancel: bool = False
 
 
 @dataclass(frozen=True)
@@ -242,6 +247,8 @@
     :param samples: how many samples make the batch.
     :param daemon: entry that gathers the samples.
     :param incarnation: start of that entry.
+    :param replace_lost: open a delivered step again, because the payload was lost with its entry;
+        the delivered sample ids are never delivered again.
     """
 
     trainer: str
@@ -251,6 +258,7 @@
     samples: int
     daemon: str
     incarnation: int
+    replace_lost: bool = False
 
 
 @dataclass(frozen=True)
