--- a/packages/ibisspring-core/src/ibisspring_core/errors.py
+++ b/packages/ibisspring-core/src/ibisspring_core/errors.py
@@ -30,6 +30,7 @@
     MISMATCHED_ANSWER = "mismatched_answer"
     TOO_LARGE = "too_large"
     STALE = "stale"
+    OWNER_LOST = "owner_lost"
     TIMEOUT = "timeout"
     INTERNAL = "internal"
 
--- a/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
@@ -242,6 +242,10 @@
     :param samples: how many samples make the batch.
     :param daemon: entry that gathers the samples.
     :param incarnation: start of that entry.
+    :param take_over_epoch: epoch that the proposer found with a lost owner and replaces; another
+        owner keeps the step unless this is its epoch. 0 only opens. A delivered step that is
+        taken over is open again: its batch went with the owner and its sample ids are never
+        delivered again.
     """
 
     trainer: str
@@ -251,6 +255,7 @@
     samples: int
     daemon: str
     incarnation: int
+    take_over_epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -309,10 +314,16 @@
 
 @dataclass(frozen=True)
 class AckStep:
-    """The trainer holds the batch; its payload may go."""
+    """
+    The trainer holds the batch; its payload may go.
+
+    :param batch_digest: the batch that it holds; one that was replaced is a conflict. Empty takes
+        any.
+    """
 
     trainer: str
     step: int
+    batch_digest: str = ""
 
 
 @dataclass(frozen=True)
