--- a/packages/ibisspring-control/src/ibisspring_control/state/steps.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/steps.py
@@ -106,11 +106,10 @@
     def _open_again(self, step: Step, command: OpenStep) -> StepState:
         if step.digest != command.digest:
             return dataclasses.replace(_state_of(step), state=CONFLICT)
-        owner = (step.daemon, step.incarnation)
-        if owner == (command.daemon, command.incarnation) and not command.replace_lost:
-            return _state_of(step)
-        lost_batch = step.state == DELIVERED and command.replace_lost
-        if step.state != OPEN and not lost_batch:
+        # Only the state machine orders two entries that both found the owner lost: the second one
+        # comes with an epoch that is over and gets the new owner's name.
+        taken_over = command.take_over_epoch == step.epoch and step.state != ACKNOWLEDGED
+        if not taken_over:
             return _state_of(step)
         step = dataclasses.replace(
             step,
@@ -171,6 +170,8 @@
         step = self.step_by_key.get((command.trainer, command.step))
         if step is None or step.state == OPEN:
             return Refused(Reason.CONFLICT.value, f"step {command.step} has no delivered batch")
+        if command.batch_digest not in ("", step.batch_digest):
+            return dataclasses.replace(_state_of(step), state=CONFLICT)
         step = dataclasses.replace(step, state=ACKNOWLEDGED)
         self.step_by_key[(step.trainer, step.step)] = step
         self._forget_old(step.trainer)
--- a/packages/ibisspring-control/src/ibisspring_control/state/usage.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/usage.py
@@ -56,6 +56,11 @@
     closed_s: float = 0.0
     reported: bool = False
 
+    @property
+    def closed(self) -> bool:
+        """Whether the figures are fixed."""
+        return self.closed_index > 0
+
 
 @dataclass(frozen=True)
 class UsageSequence:
@@ -97,10 +102,9 @@
 
     def snapshot(self) -> UsageSnapshot:
         """Everything, sorted."""
-        open_windows = [
-            UsageWindow(window, _sorted(lines)) for window, lines in self.lines_by_window.items()
-        ]
-        windows = sorted([*self.closed_by_window.values(), *open_windows], key=_window_index)
+        windows = sorted(
+            [*self.closed_by_window.values(), *self._open_windows()], key=_window_index
+        )
         sequences = sorted(self.sequence_by_start.values(), key=_start_of)
         return UsageSnapshot(self.closed_through, tuple(windows), tuple(sequences))
 
@@ -160,9 +164,13 @@
         return Done()
 
     def unreported(self) -> tuple[UsageWindow, ...]:
-        """Closed windows that the usage interface has not acknowledged, oldest first."""
-        windows = [window for window in self.closed_by_window.values() if not window.reported]
-        return tuple(sorted(windows, key=_window_index))
+        """Windows that are open, or closed and not acknowledged, oldest first."""
+        closed = [window for window in self.closed_by_window.values() if not window.reported]
+        return tuple(sorted([*closed, *self._open_windows()], key=_window_index))
+
+    def _open_windows(self) -> list[UsageWindow]:
+        by_window = self.lines_by_window
+        return [UsageWindow(window, _sorted(lines)) for window, lines in by_window.items()]
 
     def _forget_reported(self) -> None:
         reported = [window for window in self.closed_by_window.values() if window.reported]
--- a/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
@@ -227,6 +227,14 @@
     cancel: bool = False
 
 
+@dataclass(frozen=True)
+class DaemonStarted:
+    """A daemon started: requests that an earlier start of it had claimed may have run."""
+
+    daemon: str
+    incarnation: int
+
+
 @dataclass(frozen=True)
 class PublishVersion:
     """A trainer has new weights in the weight store; versions of a trainer only rise."""
@@ -247,8 +255,10 @@
     :param samples: how many samples make the batch.
     :param daemon: entry that gathers the samples.
     :param incarnation: start of that entry.
-    :param replace_lost: open a delivered step again, because the payload was lost with its entry;
-        the delivered sample ids are never delivered again.
+    :param take_over_epoch: epoch that the proposer found with a lost owner and replaces; another
+        owner keeps the step unless this is its epoch. 0 only opens. A delivered step that is
+        taken over is open again: its batch went with the owner and its sample ids are never
+        delivered again.
     """
 
     trainer: str
@@ -258,7 +268,7 @@
     samples: int
     daemon: str
     incarnation: int
-    replace_lost: bool = False
+    take_over_epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -317,10 +327,16 @@
 
 @dataclass(frozen=True)
 class AckStep:
-    """The trainer holds the batch; its payload may go."""
+    """
+    The trainer holds the batch; its payload may go.
+
+    :param batch_digest: the batch that it holds; one that was replaced is a conflict. Empty takes
+        any.
+    """
 
     trainer: str
     step: int
+    batch_digest: str = ""
 
 
 @dataclass(frozen=True)
@@ -354,6 +370,7 @@
     OpenStep,
     DeliverBatch,
     AckStep,
+    DaemonStarted,
 )
 
 RESULTS = KindCodec.from_types(
@@ -378,6 +395,7 @@
     "ClaimKey",
     "ClaimState",
     "CloseWindow",
+    "DaemonStarted",
     "DeliverBatch",
     "Done",
     "DrainEndpoint",
