Add the control client, the service Control, entry leases and the entry's lease

Ruled out: granting under the leader's own lease alone (a fresh leader could hand out a view from before it caught up); one quorum round per renewal (shared by all that came in before it began); a long poll (it holds calls as long as a silent connection). Change: leases counted from sending; the leader notes a grant before its answer leaves, waits out its predecessor's, and answers ApplyRules after wait_in_force in polls of 1 s; client with own connection pools, hints, resends under one request id; RenewRequest.peers_digest, RenewReply .peers_digest/.detail; DaemonStarted after the first lease. Conclusion: tests/unit/control, tests/unit/entry/lease green.

--- /dev/null
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/control_service.py
@@ -0,0 +1,119 @@
+"""The gRPC service `Control`: commands, reads and renewals from entries and operators."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ibisspring_control.rpc.queries import QUERY_BY_NAME, QueryContext
+from ibisspring_core.clock import wall_now
+from ibisspring_core.errors import Refusal
+from ibisspring_core.messages.codec import encode
+from ibisspring_core.messages.commands import COMMANDS, RESULTS, Envelope, RulesApplied
+from ibisspring_core.pb import control_pb2, control_pb2_grpc
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+
+# The client asks again under the same request id, so that no call is held as long as a silent
+# connection.
+IN_FORCE_POLL_S = 1.0
+MAX_REQUEST_ID = 200
+
+
+class ControlService(control_pb2_grpc.ControlServicer):
+    """Answers on the leader; every other replica names the leader it knows."""
+
+    def __init__(self, consensus: Any, state: Any, leases: Any, counters: Any) -> None:
+        self._consensus = consensus
+        self._state = state
+        self._leases = leases
+        self._counters = counters
+
+    @classmethod
+    def from_kernel(cls, kernel: Kernel) -> ControlService:
+        """
+        Build the service.
+
+        :param kernel: holds consensus, state, entry_leases and counters.
+        :return: the servicer.
+        """
+        return cls(
+            kernel.find("consensus"),
+            kernel.find("state"),
+            kernel.find("entry_leases"),
+            kernel.find("counters"),
+        )
+
+    async def Propose(  # noqa: N802
+        self, request: control_pb2.ProposeRequest, context: Any
+    ) -> control_pb2.ProposeReply:
+        """Commit one command; `ApplyRules` is answered once it is in force everywhere."""
+        fault = _fault_of(request)
+        if fault:
+            return control_pb2.ProposeReply(status=control_pb2.INVALID, detail=fault)
+        envelope = Envelope(request.request_id, wall_now(), msgspec.Raw(request.command))
+        committed = await self._consensus.propose(encode(envelope))
+        if isinstance(committed, Refusal):
+            return self._refused(committed)
+        index = committed.index
+        if isinstance(RESULTS.decode(committed.result), RulesApplied):
+            # A resend finds the first result; what has to be in force is the first index.
+            index = self._state.first_index_of(request.request_id) or index
+            waited = await self._leases.wait_in_force(index, IN_FORCE_POLL_S)
+            if isinstance(waited, Refusal):
+                return control_pb2.ProposeReply(status=control_pb2.UNKNOWN, detail=waited.detail)
+        return control_pb2.ProposeReply(status=control_pb2.OK, result=committed.result, index=index)
+
+    async def Read(  # noqa: N802
+        self, request: control_pb2.ReadRequest, context: Any
+    ) -> control_pb2.ReadReply:
+        """Answer a query from state that a quorum confirmed after the question came."""
+        query = QUERY_BY_NAME.get(request.query)
+        if query is None:
+            known = ", ".join(sorted(QUERY_BY_NAME))
+            detail = f"unknown query {request.query!r}; known: {known}"
+            return control_pb2.ReadReply(status=control_pb2.INVALID, detail=detail)
+        confirmed = await self._consensus.confirm_read()
+        if isinstance(confirmed, Refusal):
+            hint = self._consensus.leader_hint or ""
+            return control_pb2.ReadReply(
+                status=control_pb2.NOT_LEADER, leader_hint=hint, detail=confirmed.detail
+            )
+        try:
+            arguments = msgspec.msgpack.decode(request.arguments, type=dict[str, Any])
+        except msgspec.DecodeError as error:
+            return control_pb2.ReadReply(status=control_pb2.INVALID, detail=str(error))
+        answer = query(QueryContext(self._consensus, self._state, self._leases), arguments)
+        return control_pb2.ReadReply(status=control_pb2.OK, answer=json.dumps(answer).encode())
+
+    async def Renew(  # noqa: N802
+        self, request: control_pb2.RenewRequest, context: Any
+    ) -> control_pb2.RenewReply:
+        """Renew an entry's lease."""
+        return await self._leases.renew(request)
+
+    def _refused(self, refusal: Refusal) -> control_pb2.ProposeReply:
+        self._counters.refused(refusal.reason)
+        if not refusal.not_run:
+            return control_pb2.ProposeReply(status=control_pb2.UNKNOWN, detail=refusal.detail)
+        return control_pb2.ProposeReply(
+            status=control_pb2.NOT_LEADER,
+            leader_hint=self._consensus.leader_hint or "",
+            detail=refusal.detail,
+        )
+
+
+def _fault_of(request: control_pb2.ProposeRequest) -> str:
+    if not request.request_id or len(request.request_id) > MAX_REQUEST_ID:
+        return f"a request id has 1 to {MAX_REQUEST_ID} characters"
+    try:
+        COMMANDS.decode(request.command)
+    except msgspec.DecodeError as error:
+        return f"not a command: {error}"
+    return ""
+
+
+__all__ = ["ControlService"]
--- /dev/null
+++ b/tests/unit/control/test_entry_leases.py
@@ -0,0 +1,177 @@
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+import pytest
+
+from ibisspring_control.entry_leases import EntryLeases
+from ibisspring_control.state import StateMachine
+from ibisspring_core.clock import wall_now
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.messages.codec import decode, encode
+from ibisspring_core.messages.commands import COMMANDS, ApplyRules, Envelope
+from ibisspring_core.messages.endpoints import EndpointRecord
+from ibisspring_core.messages.views import EntryView
+from ibisspring_core.pb import control_pb2
+from ibisspring_core.request_ids import new_request_id
+from ibisspring_core.timer import TimerService
+
+LEASE_S = 0.4
+LONG_S = 30.0
+RULES = "client_account forge rate 1/s weight 1  # asked: archive desk, ticket 118\n"
+
+
+@dataclass
+class _Consensus:
+    """Stand-in: leads, and confirms at once."""
+
+    name = "consensus"
+    is_leader: bool = True
+    term: int = 1
+    leader_hint: str = "c1"
+    confirms: int = 0
+
+    async def start(self, kernel: Kernel) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    async def confirm_read(self) -> int | Refusal:
+        self.confirms += 1
+        await asyncio.sleep(0.01)
+        return 1 if self.is_leader else Refusal(Reason.NO_LEADER, True)
+
+
+class _System:
+    def __init__(self) -> None:
+        self.consensus = _Consensus()
+        self.state = StateMachine.empty()
+        self.leases = EntryLeases(LEASE_S, 60.0)
+        services = (TimerService(), self.consensus, self.state, self.leases)
+        self.kernel = Kernel.from_services(services)
+
+    def apply_rules(self) -> int:
+        index = self.state.applied_index + 1
+        command = ApplyRules(self.state.rules.current.version, RULES, "ana")
+        raw = msgspec.Raw(COMMANDS.encode(command))
+        self.state.apply(index, encode(Envelope(new_request_id(), wall_now(), raw)))
+        return index
+
+    async def renew(self, daemon: str, view_index: int, **fields) -> control_pb2.RenewReply:
+        request = control_pb2.RenewRequest(
+            daemon=daemon, incarnation=1, view_index=view_index, peer_address="p", **fields
+        )
+        return await self.leases.renew(request)
+
+
+@pytest.fixture
+async def system():
+    system = _System()
+    await system.kernel.start()
+    yield system
+    await system.kernel.stop()
+
+
+async def test_a_change_is_in_force_once_every_live_entry_acts_on_it(system) -> None:
+    """
+    An operator withdraws a key; one entry has the new rules, another has not renewed yet.
+
+    Answered after the commit alone, "accepted" would be said while the second still takes the key.
+    """
+    await system.renew("e1", 0)
+    await system.renew("e2", 0)
+    index = system.apply_rules()
+    await system.renew("e1", index)
+    waiting = asyncio.create_task(system.leases.wait_in_force(index, LONG_S))
+
+    reply = await system.renew("e2", 0)
+    assert decode(reply.view, EntryView).index == index
+    refused = await system.leases.wait_in_force(index, 0.0)
+    assert refused.reason is Reason.IN_PROGRESS and "e2" in refused.detail
+
+    await system.renew("e2", index)
+    assert await waiting == index
+
+
+async def test_a_silent_entry_is_waited_for_until_its_lease_has_lapsed(system) -> None:
+    await system.renew("e1", 0)
+    lapses_s = system.leases.live()[0].lapses_s
+    index = system.apply_rules()
+
+    assert await system.leases.wait_in_force(index, LONG_S) == index
+
+    assert system.kernel.find("timer").now() >= lapses_s
+
+
+async def test_a_new_leader_waits_out_leases_that_it_never_heard_of(system) -> None:
+    """
+    The old leader granted a lease, died, and the new one has heard from no entry yet.
+
+    Asked right then, an empty table would look as if no entry were behind.
+    """
+    index = system.apply_rules()
+    assert await system.leases.wait_in_force(index, LONG_S) == index
+    system.consensus.term = 2
+
+    refused = await system.leases.wait_in_force(index, 0.0)
+
+    assert refused.reason is Reason.IN_PROGRESS
+    assert await system.leases.wait_in_force(index, LONG_S) == index
+
+
+async def test_a_replica_without_its_quorum_grants_nothing(system) -> None:
+    system.consensus.is_leader = False
+
+    reply = await system.renew("e1", 0)
+
+    assert (reply.status, reply.leader_hint) == (control_pb2.NOT_LEADER, "c1")
+    assert not system.leases.live()
+
+
+async def test_a_grant_needs_a_quorum_round_begun_after_its_renewal(system) -> None:
+    """
+    A renewal comes in while a round of an earlier one is under way.
+
+    That round proves nothing about the time after it began: a new leader may have risen since.
+    """
+    first = asyncio.create_task(system.renew("e1", 0))
+    await asyncio.sleep(0)
+    later = [asyncio.create_task(system.renew(f"e{number}", 0)) for number in range(2, 9)]
+    await asyncio.gather(first, *later)
+
+    assert system.consensus.confirms == 2
+
+
+async def test_an_entry_that_is_ahead_of_the_state_gets_no_lease(system) -> None:
+    reply = await system.renew("e1", 7)
+
+    assert reply.status == control_pb2.INVALID
+
+
+async def test_the_view_is_sent_when_the_state_or_the_live_entries_changed(system) -> None:
+    first = await system.renew("e1", 0)
+    assert list(decode(first.view, EntryView).peer_by_daemon) == ["e1"]
+    unchanged = await system.renew("e1", 0, peers_digest=first.peers_digest)
+    assert not unchanged.view
+
+    await system.renew("e2", 0)
+    again = await system.renew("e1", 0, peers_digest=first.peers_digest)
+
+    assert list(decode(again.view, EntryView).peer_by_daemon) == ["e1", "e2"]
+
+
+async def test_the_leader_knows_the_endpoints_that_entries_speak_of(system) -> None:
+    def record(sequence: int, state: str = "serving") -> bytes:
+        return encode(
+            EndpointRecord("engine-1", 1, sequence, "m", "engine", "cheap", "derby", "a", state)
+        )
+
+    reply = await system.renew("e1", 0, endpoints=[record(5)])
+    assert reply.want_all_endpoints
+    await system.renew("e2", 0, endpoints=[record(4, "gone"), b"\xc1"])
+    assert system.leases.endpoint_by_id["engine-1"].sequence == 5
+
+    await system.renew("e2", 0, endpoints=[record(6, "gone")])
+    assert not system.leases.endpoint_by_id
