--- a/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
@@ -1,11 +1,11 @@
 """
 Commands to the replicated state machine and their results.
 
-Every command travels in an `Envelope`, whose request id makes it idempotent: the state machine
-keeps the result of
-recent request ids and answers a command that is sent again with the first result. A refusal by the
-state machine is
-the result `Refused`.
+Every command is idempotent. Most have a key of their own (usage sequence, order id, window, claim,
+step and epoch) and may be proposed under any request id; the state machine answers a repetition
+from what it holds under that key. `ApplyRules` and `DrainEndpoint` have none: for them the
+`Envelope`'s request id is the key, made by `ibisspring_core.request_ids.new_request_id`. A refusal
+by the state machine is the result `Refused`.
 """
 
 from __future__ import annotations
@@ -216,10 +216,23 @@
 
 @dataclass(frozen=True)
 class DrainEndpoint:
-    """An operator asks that an endpoint gets no new work and is stopped when idle."""
+    """
+    An operator asks that an endpoint gets no new work and is stopped when idle.
+
+    :param cancel: lifts an earlier drain; also proposed once the endpoint was stopped.
+    """
 
     endpoint: str
     operator: str
+    cancel: bool = False
+
+
+@dataclass(frozen=True)
+class DaemonStarted:
+    """A daemon started: requests that an earlier start of it had claimed may have run."""
+
+    daemon: str
+    incarnation: int
 
 
 @dataclass(frozen=True)
@@ -242,6 +255,10 @@
     :param samples: how many samples make the batch.
     :param daemon: entry that gathers the samples.
     :param incarnation: start of that entry.
+    :param take_over_epoch: epoch that the proposer found with a lost owner and replaces; another
+        owner keeps the step unless this is its epoch. 0 only opens. A delivered step that is
+        taken over is open again: its batch went with the owner and its sample ids are never
+        delivered again.
     """
 
     trainer: str
@@ -251,6 +268,7 @@
     samples: int
     daemon: str
     incarnation: int
+    take_over_epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -309,10 +327,16 @@
 
 @dataclass(frozen=True)
 class AckStep:
-    """The trainer holds the batch; its payload may go."""
+    """
+    The trainer holds the batch; its payload may go.
+
+    :param batch_digest: the batch that it holds; one that was replaced is a conflict. Empty takes
+        any.
+    """
 
     trainer: str
     step: int
+    batch_digest: str = ""
 
 
 @dataclass(frozen=True)
@@ -346,6 +370,7 @@
     OpenStep,
     DeliverBatch,
     AckStep,
+    DaemonStarted,
 )
 
 RESULTS = KindCodec.from_types(
@@ -370,6 +395,7 @@
     "ClaimKey",
     "ClaimState",
     "CloseWindow",
+    "DaemonStarted",
     "DeliverBatch",
     "Done",
     "DrainEndpoint",
