Wire the control role and offer Control where its services exist

Cause: the role still imported its parts only if present; the consensus tests' replica has no entry leases, so the server could not start (4 tests failed waiting for c1 to answer: find('entry_leases') raised). Change: plain imports in the role; the server asks the kernel, not the file system.

--- a/packages/ibisspring-control/src/ibisspring_control/role.py
+++ b/packages/ibisspring-control/src/ibisspring_control/role.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
-from importlib.util import find_spec
 from typing import TYPE_CHECKING
 
+from ibisspring_control.consensus import ConsensusNode
+from ibisspring_control.entry_leases import EntryLeases
+from ibisspring_control.in_charge import InCharge
+from ibisspring_control.rpc.server import ControlRpc
+from ibisspring_control.state import StateMachine
+
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Service
     from ibisspring_core.settings import Settings
@@ -17,25 +22,13 @@
     :param settings: checked settings.
     :return: the services.
     """
-    from ibisspring_control.consensus import ConsensusNode
-    from ibisspring_control.rpc.server import ControlRpc
-
-    services: list[Service] = []
-    if find_spec("ibisspring_control.state") is not None:
-        from ibisspring_control.state import StateMachine
-
-        services.append(StateMachine.from_config(settings))
-    services.append(ConsensusNode.from_config(settings))
-    if find_spec("ibisspring_control.entry_leases") is not None:
-        from ibisspring_control.entry_leases import EntryLeases
-
-        services.append(EntryLeases.from_config(settings))
-    if find_spec("ibisspring_control.in_charge") is not None:
-        from ibisspring_control.in_charge import InCharge
-
-        services.append(InCharge.from_config(settings))
-    services.append(ControlRpc.from_config(settings))
-    return tuple(services)
+    return (
+        StateMachine.from_config(settings),
+        ConsensusNode.from_config(settings),
+        EntryLeases.from_config(settings),
+        InCharge.from_config(settings),
+        ControlRpc.from_config(settings),
+    )
 
 
 __all__ = ["build_services"]
--- a/packages/ibisspring-control/src/ibisspring_control/rpc/server.py
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import importlib.util
 from typing import TYPE_CHECKING
 
 import grpc
@@ -57,7 +56,8 @@
         consensus_pb2_grpc.add_ConsensusServicer_to_server(
             ConsensusService.from_kernel(kernel), self._server
         )
-        if importlib.util.find_spec("ibisspring_control.rpc.control_service") is not None:
+        # A replica without a state machine of ours, as in the tests of the consensus, has no Control.
+        if kernel.find_optional("entry_leases") is not None:
             from ibisspring_control.rpc.control_service import ControlService
 
             control_pb2_grpc.add_ControlServicer_to_server(
