--- a/packages/ibisspring-control/src/ibisspring_control/state/machine.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/machine.py
@@ -17,7 +17,7 @@
 from ibisspring_control.state.claims import Claims, ClaimsSnapshot
 from ibisspring_control.state.drains import Drains, DrainsSnapshot
 from ibisspring_control.state.moment import Moment
-from ibisspring_control.state.orders import Orders, OrdersSnapshot
+from ibisspring_control.state.orders import Order, Orders, OrdersSnapshot
 from ibisspring_control.state.requests import (
     RequestResult,
     RequestResults,
@@ -26,7 +26,7 @@
 from ibisspring_control.state.rule_versions import RulesSnapshot, RuleVersions
 from ibisspring_control.state.steps import Steps, StepsSnapshot
 from ibisspring_control.state.trainers import Trainers, TrainersSnapshot
-from ibisspring_control.state.usage import Usage, UsageSnapshot
+from ibisspring_control.state.usage import Usage, UsageSnapshot, UsageWindow
 from ibisspring_core.errors import Reason
 from ibisspring_core.messages import commands
 from ibisspring_core.messages.codec import decode
@@ -80,6 +80,7 @@
             commands.OpenStep: self._open_step,
             commands.DeliverBatch: self._deliver,
             commands.AckStep: lambda command, at: self.steps.acknowledge(command),
+            commands.DaemonStarted: self._see_start,
         }
 
     @classmethod
@@ -147,13 +148,40 @@
         return self.trainers.publish(command, self.rules.rules, moment)
 
     def _open_step(self, command: commands.OpenStep, moment: Moment) -> Any:
-        self.claims.see(command.daemon, command.incarnation)
         return self.steps.open(command, self.rules.rules)
 
     def _deliver(self, command: commands.DeliverBatch, moment: Moment) -> Any:
         version = self.trainers.version_of(command.trainer)
         return self.steps.deliver(command, self.rules.rules, version)
 
+    def _see_start(self, command: commands.DaemonStarted, moment: Moment) -> commands.Done:
+        self.claims.see(command.daemon, command.incarnation)
+        return commands.Done()
+
+    def unreported_windows(self) -> tuple[UsageWindow, ...]:
+        """
+        Find usage that is not reported yet.
+
+        :return: windows that are open, or closed and not acknowledged, oldest first.
+        """
+        return self.usage.unreported()
+
+    def open_orders(self) -> tuple[Order, ...]:
+        """
+        Find orders without a known end.
+
+        :return: them, by rising fencing number.
+        """
+        return self.orders.open_orders()
+
+    def draining_endpoints(self) -> tuple[str, ...]:
+        """
+        Find endpoints that an operator asked to drain.
+
+        :return: their ids, sorted.
+        """
+        return tuple(sorted(self.drains.drain_by_endpoint))
+
     def first_index_of(self, request_id: str) -> int | None:
         """
         Find where a command that is keyed by its request id was applied first.
@@ -175,7 +203,7 @@
             rules_version=self.rules.current.version,
             rules_text=self.rules.current.text,
             version_by_trainer={name: versions[name].version for name in sorted(versions)},
-            draining=tuple(sorted(self.drains.drain_by_endpoint)),
+            draining=self.draining_endpoints(),
         )
 
     def snapshot(self) -> bytes:
--- a/packages/ibisspring-control/src/ibisspring_control/state/orders.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/orders.py
@@ -41,6 +41,11 @@
     outcome: str = ""
     detail: str = ""
 
+    @property
+    def intent(self) -> OrderIntent:
+        """The order as it was proposed, for sending it again."""
+        return OrderIntent(self.order_id, self.receiver, self.body)
+
 
 @dataclass(frozen=True)
 class OrdersSnapshot:
--- a/packages/ibisspring-control/src/ibisspring_control/state/steps.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/steps.py
@@ -106,11 +106,10 @@
     def _open_again(self, step: Step, command: OpenStep) -> StepState:
         if step.digest != command.digest:
             return dataclasses.replace(_state_of(step), state=CONFLICT)
-        # Compare-and-set on the epoch: of two entries that both found the owner lost, and of one
-        # whose answer was lost and who asks again, only the first changes hands. Without it a
-        # trainer that resends its request through another entry would throw away what a live owner
-        # has gathered.
-        if step.epoch != command.take_over_epoch or step.state == ACKNOWLEDGED:
+        # Only the state machine orders two entries that both found the owner lost: the second one
+        # comes with an epoch that is over and gets the new owner's name.
+        taken_over = command.take_over_epoch == step.epoch and step.state != ACKNOWLEDGED
+        if not taken_over:
             return _state_of(step)
         step = dataclasses.replace(
             step,
@@ -172,7 +171,7 @@
         if step is None or step.state == OPEN:
             return Refused(Reason.CONFLICT.value, f"step {command.step} has no delivered batch")
         if command.batch_digest not in ("", step.batch_digest):
-            return Refused(Reason.CONFLICT.value, f"step {command.step} has another batch")
+            return dataclasses.replace(_state_of(step), state=CONFLICT)
         step = dataclasses.replace(step, state=ACKNOWLEDGED)
         self.step_by_key[(step.trainer, step.step)] = step
         self._forget_old(step.trainer)
--- a/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
@@ -227,6 +227,14 @@
     cancel: bool = False
 
 
+@dataclass(frozen=True)
+class DaemonStarted:
+    """A daemon started: requests that an earlier start of it had claimed may have run."""
+
+    daemon: str
+    incarnation: int
+
+
 @dataclass(frozen=True)
 class PublishVersion:
     """A trainer has new weights in the weight store; versions of a trainer only rise."""
@@ -362,6 +370,7 @@
     OpenStep,
     DeliverBatch,
     AckStep,
+    DaemonStarted,
 )
 
 RESULTS = KindCodec.from_types(
@@ -386,6 +395,7 @@
     "ClaimKey",
     "ClaimState",
     "CloseWindow",
+    "DaemonStarted",
     "DeliverBatch",
     "Done",
     "DrainEndpoint",
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
@@ -185,6 +185,8 @@
         result = await self._commands.acknowledge(trainer, step, digest)
         if isinstance(result, Refusal):
             return result
+        if result.state != "acknowledged":
+            return _conflict("the step has another batch")
         owned = self._step_by_key.pop((trainer, step), None)
         if owned is not None:
             await owned.stop()
