--- a/packages/ibisspring-core/src/ibisspring_core/control_channels.py
+++ b/packages/ibisspring-core/src/ibisspring_core/control_channels.py
@@ -37,18 +37,43 @@
 
     def stub(self, address: str) -> ControlStub:
         """
-        Get the stub of a control daemon; its channel is opened at the first call.
+        Get the stub of a control daemon.
 
         :param address: IP:port.
         :return: the stub.
         """
         from ibisspring_core.pb.control_pb2_grpc import ControlStub
 
+        return ControlStub(self._channel(address))
+
+    async def connect(self, address: str, timeout_s: float) -> bool:
+        """
+        Connect before a call, so that a call which found no connection is known not to have left.
+
+        :param address: IP:port.
+        :param timeout_s: longest wait.
+        :return: True once the connection stands.
+        """
+        try:
+            return await asyncio.wait_for(self._connected(self._channel(address)), timeout_s)
+        except TimeoutError:
+            return False
+
+    async def _connected(self, channel: grpc.aio.Channel) -> bool:
+        while True:
+            state = channel.get_state(try_to_connect=True)
+            if state is grpc.ChannelConnectivity.READY:
+                return True
+            if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                return False
+            await channel.wait_for_state_change(state)
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channel_by_address.get(address)
         if channel is None:
             channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
             self._channel_by_address[address] = channel
-        return ControlStub(channel)
+        return channel
 
     def replace(self, address: str) -> None:
         """
--- a/packages/ibisspring-core/src/ibisspring_core/control_client.py
+++ b/packages/ibisspring-core/src/ibisspring_core/control_client.py
@@ -32,6 +32,7 @@
 RENEW_TOTAL_S = 2.0
 RETRY_PAUSE_S = 0.1
 HINT_PAUSE_S = 0.01
+MIN_TIMEOUT_S = 0.05
 # A leader that froze is still named by the others until they elect a new one.
 SUSPECT_S = 2.0
 RETRY_AFTER_S = 1.0
@@ -162,18 +163,28 @@
             await self._pause(Reason.NO_LEADER, end)
 
     async def _try(self, address: str, method: str, request: Any, timeout_s: float) -> Attempt:
+        start = boot_now()
+        if not await self._channels.connect(address, timeout_s):
+            self._give_up(address)
+            return Attempt(None)
         try:
             call = getattr(self._channels.stub(address), method)
-            return Attempt(await call(request, timeout=timeout_s))
+            left_s = max(MIN_TIMEOUT_S, timeout_s - (boot_now() - start))
+            return Attempt(await call(request, timeout=left_s))
         except grpc.aio.AioRpcError as error:
-            self._forget_leader(address)
             if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
-                self._suspect_until_by_address[address] = boot_now() + SUSPECT_S
+                self._give_up(address)
                 self._channels.replace(address)
                 return Attempt(None, Reason.TIMEOUT, sent=True)
+            self._forget_leader(address)
             # grpc does not tell whether bytes left before the connection broke.
             return Attempt(None, Reason.NO_LEADER, sent=True)
 
+    def _give_up(self, address: str) -> None:
+        """Ask the other replicas first for a while."""
+        self._forget_leader(address)
+        self._suspect_until_by_address[address] = boot_now() + SUSPECT_S
+
     def _next_address(self) -> str:
         if self._leader_address is not None:
             return self._leader_address
--- /dev/null
+++ b/tests/unit/core/test_control_client.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import grpc
+import pytest
+
+from ibisspring_core import control_client
+from ibisspring_core.control_client import ControlClient
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.messages.commands import RESULTS, Done, DrainEndpoint
+from ibisspring_core.pb import control_pb2, control_pb2_grpc
+
+DRAIN = DrainEndpoint("engine-1", "ana")
+DONE = control_pb2.ProposeReply(status=control_pb2.OK, result=RESULTS.encode(Done()))
+
+
+class _Replica(control_pb2_grpc.ControlServicer):
+    """Answers with the given replies, the last one again and again."""
+
+    def __init__(self, *replies: control_pb2.ProposeReply) -> None:
+        self.replies = list(replies)
+        self.request_ids: list[str] = []
+
+    async def Propose(self, request, context):
+        self.request_ids.append(request.request_id)
+        return self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
+
+
+@asynccontextmanager
+async def _served(*replicas: _Replica):
+    servers = []
+    ports = []
+    for replica in replicas:
+        server = grpc.aio.server()
+        control_pb2_grpc.add_ControlServicer_to_server(replica, server)
+        ports.append(server.add_insecure_port("127.0.0.1:0"))
+        await server.start()
+        servers.append(server)
+    client = ControlClient({f"c{n}": f"127.0.0.1:{port}" for n, port in enumerate(ports)})
+    try:
+        yield client
+    finally:
+        await client.stop()
+        for server in servers:
+            await server.stop(None)
+
+
+@asynccontextmanager
+async def _silent_address():
+    """A server that accepts connections and bytes and never answers."""
+    writers = []
+
+    async def accept(reader, writer):
+        writers.append(writer)
+        while await reader.read(1024):
+            pass
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    finally:
+        for writer in writers:
+            writer.close()
+        server.close()
+
+
+def _not_leader(hint: str) -> control_pb2.ProposeReply:
+    return control_pb2.ProposeReply(status=control_pb2.NOT_LEADER, leader_hint=hint)
+
+
+async def test_the_leader_is_found_by_its_hint_and_remembered() -> None:
+    follower = _Replica(_not_leader("c1"))
+    leader = _Replica(DONE)
+    async with _served(follower, leader) as client:
+        client._rotation = 1
+
+        assert await client.propose(DRAIN, "r1") == Done()
+        assert await client.propose(DRAIN, "r2") == Done()
+
+    assert follower.request_ids == ["r1"]
+    assert leader.request_ids == ["r1", "r2"]
+
+
+async def test_an_unknown_outcome_is_asked_again_under_the_same_request_id() -> None:
+    unknown = control_pb2.ProposeReply(status=control_pb2.UNKNOWN)
+    replica = _Replica(unknown, _not_leader(""), DONE)
+    async with _served(replica) as client:
+        assert await client.propose(DRAIN, "r1") == Done()
+
+    assert replica.request_ids == ["r1"] * 3
+
+
+async def test_a_silent_replica_does_not_hold_up_a_command(monkeypatch) -> None:
+    """
+    The connection to one control VM accepts bytes and returns nothing for ever.
+
+    Without a deadline of each try the entry's lease would lapse beside a healthy leader.
+    """
+    monkeypatch.setattr(control_client, "TRY_S", 0.3)
+    async with _served(_Replica(DONE)) as client, _silent_address() as silent:
+        client.address_by_daemon["silent"] = silent
+        client._leader_address = silent
+
+        assert await client.propose(DRAIN, "r1") == Done()
+
+
+@pytest.mark.parametrize("unknown", [False, True])
+async def test_not_run_is_said_only_when_nothing_can_have_been_committed(unknown) -> None:
+    """
+    An operator drains an endpoint; the one answer says that the outcome is unknown, then the
+    leader is gone.
+
+    Told "not run" the operator would take the drain for undone while it may be in the log.
+    """
+    status = control_pb2.UNKNOWN if unknown else control_pb2.NOT_LEADER
+    replica = _Replica(control_pb2.ProposeReply(status=status), _not_leader(""))
+    async with _served(replica) as client:
+        refusal = await client.propose(DRAIN, "r1", total_s=0.5)
+
+    assert refusal == Refusal(Reason.NO_LEADER, not unknown, 1.0, "no control daemon answered")
+
+
+async def test_a_refused_connection_is_known_not_to_have_run() -> None:
+    client = ControlClient({"c1": "127.0.0.1:1"})
+
+    refusal = await client.propose(DRAIN, "r1", total_s=0.5)
+
+    assert refusal.not_run
+    await client.stop()
