--- a/packages/ibisspring-control/src/ibisspring_control/role.py
+++ b/packages/ibisspring-control/src/ibisspring_control/role.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ibisspring_control.consensus import ConsensusNode
+from ibisspring_control.engine_orders import EngineOrders
 from ibisspring_control.entry_leases import EntryLeases
 from ibisspring_control.in_charge import InCharge
 from ibisspring_control.rpc.server import ControlRpc
@@ -27,6 +28,7 @@
         ConsensusNode.from_config(settings),
         EntryLeases.from_config(settings),
         InCharge.from_config(settings),
+        EngineOrders.from_config(settings),
         ControlRpc.from_config(settings),
     )
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/role.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/role.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-import importlib
 from typing import TYPE_CHECKING
 
 from ibisspring_entry.claims import Claims
 from ibisspring_entry.http import HttpService
+from ibisspring_entry.lease import Lease
 from ibisspring_entry.proxy import Endpoints
 from ibisspring_entry.registry import Registry
+from ibisspring_entry.rollouts import Rollouts
+from ibisspring_entry.usage_meter import UsageMeter
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Service
@@ -25,24 +27,15 @@
     :param settings: checked settings.
     :return: the services.
     """
-    services = [
-        _optional("lease", "Lease", settings),
+    return (
+        Lease.from_config(settings),
         Registry.from_config(settings),
-        _optional("usage_meter", "UsageMeter", settings),
+        UsageMeter.from_config(settings),
         Endpoints.from_config(settings),
         Claims.from_config(settings),
-        _optional("rollouts", "Rollouts", settings),
+        Rollouts.from_config(settings),
         HttpService.from_config(settings),
-    ]
-    return tuple(service for service in services if service is not None)
-
-
-def _optional(module: str, name: str, settings: Settings) -> Service | None:
-    try:
-        found = importlib.import_module(f"ibisspring_entry.{module}")
-    except ModuleNotFoundError:
-        return None
-    return getattr(found, name).from_config(settings)
+    )
 
 
 __all__ = ["build_services"]
