--- a/packages/ibisspring-control/src/ibisspring_control/rpc/__init__.py
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/__init__.py
@@ -1,3 +1,3 @@
-"""The gRPC services of the control role."""
+"""The gRPC server of the control daemons."""
 
 from __future__ import annotations
