--- a/tests/integration/proxy.py
+++ b/tests/integration/proxy.py
@@ -57,6 +57,10 @@
                 await self.changed.wait_for(
                     lambda: self.mode_by_direction[direction] is not Mode.HOLD
                 )
+            # A sender that reset its connection has thrown its bytes away: its TCP has nothing to
+            # retransmit when the partition heals.
+            if reader.exception() is not None:
+                raise reader.exception()
             if self.mode_by_direction[direction] is Mode.SILENT:
                 continue
             writer.write(data)
@@ -68,7 +72,7 @@
         """End both sides with RST."""
         for _, writer in (self.client, self.target):
             connection = writer.get_extra_info("socket")
-            if connection is not None:
+            if connection is not None and connection.fileno() >= 0:
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
