--- /dev/null
+++ b/tests/unit/decisions/test_capacity.py
@@ -0,0 +1,159 @@
+from __future__ import annotations
+
+from ibisspring_decisions.capacity import (
+    CHEAP,
+    STANDARD,
+    Capacity,
+    Place,
+    Running,
+    Start,
+    Stop,
+    Wanted,
+)
+
+DATA_CENTRES = ("birmingham", "derby", "stoke")
+WANTED = Wanted(DATA_CENTRES, count=5, cheap_share=0.6)
+START_S = 20.0
+
+
+class _Fleet:
+    """Applies the plan; an endpoint serves `START_S` after its order, a stopped one is gone."""
+
+    def __init__(self, wanted: Wanted) -> None:
+        self.wanted = wanted
+        self.capacity = Capacity()
+        self.now = 0.0
+        self.serving: dict[str, Place] = {}
+        self.starting: list[tuple[float, Place]] = []
+        self.unavailable: set[Place] = set()
+        self.orders = 0
+        self.refused = 0
+        self.stopped = 0
+        self.least_serving = 0
+
+    def run(self, span_s: float) -> None:
+        """Plan once a second; `least_serving` is the worst that callers saw in this span."""
+        self.least_serving = len(self.serving)
+        for _ in range(int(span_s)):
+            self.now += 1.0
+            self._announce_started()
+            running = tuple(Running(name, place) for name, place in sorted(self.serving.items()))
+            pending = tuple(place for _, place in self.starting)
+            for step in self.capacity.plan("lm", self.wanted, running, pending, self.now):
+                self._apply(step)
+            self.least_serving = min(self.least_serving, len(self.serving))
+
+    def _announce_started(self) -> None:
+        for started in list(self.starting):
+            if self.now - started[0] < START_S:
+                continue
+            self.starting.remove(started)
+            self.serving[f"{started[1].data_centre}-{self.now:.0f}-{len(self.serving)}"] = started[
+                1
+            ]
+
+    def _apply(self, step: Start | Stop) -> None:
+        self.orders += 1
+        if isinstance(step, Stop):
+            self.stopped += 1
+            del self.serving[step.endpoint]
+        elif step.place in self.unavailable:
+            self.refused += 1
+            self.capacity.note_unavailable(step.place, self.now)
+        else:
+            self.starting.append((self.now, step.place))
+
+    def reclaim(self, data_centre: str) -> None:
+        """Another service lost a cheap endpoint there in the same moment."""
+        place = Place(data_centre, CHEAP)
+        self.capacity.note_lost(place, self.now)
+        for name in [name for name, at in self.serving.items() if at == place]:
+            del self.serving[name]
+            self.capacity.note_lost(place, self.now)
+
+    def count(self, kind: str) -> int:
+        return sum(1 for place in self.serving.values() if place.kind == kind)
+
+    def data_centres(self, kind: str) -> list[str]:
+        return sorted(place.data_centre for place in self.serving.values() if place.kind == kind)
+
+
+def _settled(wanted: Wanted = WANTED) -> _Fleet:
+    fleet = _Fleet(wanted)
+    fleet.run(60)
+    return fleet
+
+
+def test_the_fleet_is_as_the_rule_says_and_stays() -> None:
+    fleet = _settled()
+
+    assert (fleet.count(CHEAP), fleet.count(STANDARD)) == (3, 2)
+    assert fleet.data_centres(CHEAP) == ["birmingham", "derby", "stoke"]
+    fleet.run(600)
+    assert fleet.orders == 5
+
+
+def test_a_reclaim_costs_one_endpoint_and_is_replaced_by_the_standard_kind() -> None:
+    # All cheap endpoints of derby are reclaimed at once. Callers lose one of five; asking derby
+    # for the cheap kind again would lose the replacement as well.
+    fleet = _settled()
+
+    fleet.reclaim("derby")
+    fleet.run(40)
+
+    assert fleet.least_serving == 4
+    assert len(fleet.serving) == 5
+    assert fleet.data_centres(CHEAP) == ["birmingham", "stoke"]
+
+
+def test_the_move_back_to_the_cheap_kind_never_costs_service() -> None:
+    fleet = _settled()
+    fleet.reclaim("derby")
+    fleet.run(40)
+
+    fleet.run(900)
+
+    assert fleet.least_serving == 5
+    assert (fleet.count(CHEAP), fleet.count(STANDARD)) == (3, 2)
+    assert fleet.stopped == 1
+
+
+def test_an_unavailable_cheap_kind_falls_back_to_the_standard_one_without_a_storm() -> None:
+    fleet = _Fleet(WANTED)
+    fleet.unavailable = {Place(data_centre, CHEAP) for data_centre in DATA_CENTRES}
+
+    fleet.run(300)
+
+    assert (fleet.count(CHEAP), fleet.count(STANDARD)) == (0, 5)
+    assert fleet.refused <= 3 * 6
+
+
+def test_an_unavailable_standard_kind_never_breaks_the_cheap_bound() -> None:
+    fleet = _Fleet(WANTED)
+    fleet.unavailable = {Place(data_centre, STANDARD) for data_centre in DATA_CENTRES}
+
+    fleet.run(300)
+
+    assert (fleet.count(CHEAP), fleet.count(STANDARD)) == (3, 0)
+
+
+def test_an_endpoint_too_many_for_a_moment_is_not_stopped() -> None:
+    # A late announcement makes a dead endpoint look alive for some seconds.
+    fleet = _settled()
+    fleet.serving["ghost"] = Place("derby", STANDARD)
+    fleet.run(30)
+    del fleet.serving["ghost"]
+    fleet.run(120)
+
+    assert fleet.stopped == 0
+
+
+def test_a_changed_rule_moves_the_fleet_without_a_gap() -> None:
+    fleet = _settled()
+
+    fleet.wanted = Wanted(("birmingham", "stoke"), count=5, cheap_share=0.2)
+    fleet.run(1200)
+
+    assert fleet.least_serving == 5
+    assert (fleet.count(CHEAP), fleet.count(STANDARD)) == (1, 4)
+    assert "derby" not in fleet.data_centres(CHEAP) + fleet.data_centres(STANDARD)
