--- a/packages/ibisspring-control/src/ibisspring_control/rpc/server.py
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/server.py
@@ -56,7 +56,8 @@
         consensus_pb2_grpc.add_ConsensusServicer_to_server(
             ConsensusService.from_kernel(kernel), self._server
         )
-        # A replica without a state machine of ours, as in the tests of the consensus, has no Control.
+        # A replica without our state machine, as in the tests of the consensus, has no
+        # Control.
         if kernel.find_optional("entry_leases") is not None:
             from ibisspring_control.rpc.control_service import ControlService
 
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/capacity.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/capacity.py
@@ -7,8 +7,8 @@
 
 Without it: an operator's fixed fleet is either all standard, and costs the most, or lost at once
 with the reclaim. Replacing reclaimed endpoints by cheap ones in the same data centre has them
-reclaimed again; asking an unavailable kind again every second is a storm of refused orders; stopping
-at the first sight of one endpoint too many makes the fleet go up and down with every late
+reclaimed again; asking an unavailable kind again every second is a storm of refused orders;
+stopping at the first sight of one endpoint too many makes the fleet go up and down with every late
 announcement.
 
 Grounds of the figures: a reclaim takes back what the data centre needs for hours, so the cheap kind
