--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -96,35 +96,34 @@
             cluster.start_other(name, python_module(f"fakes.{name}", "--listen", listen))
         cluster.start_all()
         say(f"started {', '.join(cluster.settings_by_daemon)}; every process is a real one")
-        members = [name for name in cluster.settings_by_daemon if name.startswith("c")]
-        await self.bootstrap(members)
+        await self.bootstrap()
         for entry in ("e1", "e2"):
             await cluster.wait_ready(entry)
         say("both entries hold a lease and are ready")
 
-    async def bootstrap(self, members: list[str]) -> None:
+    async def bootstrap(self) -> None:
         """Found the control cluster, once its daemons listen."""
 
         async def founded() -> bool:
-            result = command_line(
-                *self.control_options, "control", "bootstrap", "--members", ",".join(members)
-            )
+            result = command_line(*self.control_options, "control", "bootstrap")
             return result.returncode == 0
 
-        say(f"$ ibisspring control bootstrap --members {','.join(members)}")
+        say("$ ibisspring control bootstrap")
         await wait_until(founded, "the bootstrap")
 
     async def start_endpoints(self) -> None:
         """Start engines, a plain service and a scorer; they announce themselves."""
-        announce = ["--announce", self.cluster.url("e1"), "--announce", self.cluster.url("e2")]
+        entries = ["--entry", self.cluster.url("e1"), "--entry", self.cluster.url("e2")]
         for name, module, service, data_centre in (
             ("engine-1", "fakes.engine", "scorer-lm", "birmingham"),
             ("engine-2", "fakes.engine", "scorer-lm", "derby"),
             ("archive-1", "fakes.plain", "archive-app", "birmingham"),
             ("scorer-1", "fakes.scorer", "reader-scores", "derby"),
         ):
-            arguments = ["--endpoint", name, "--listen", free_address(), "--service", service]
-            arguments += ["--data-centre", data_centre, *announce]
+            arguments = ["--listen", free_address(), "--service", service]
+            if module != "fakes.scorer":
+                arguments += ["--endpoint", name]
+            arguments += ["--data-centre", data_centre, *entries]
             self.cluster.start_other(name, python_module(module, *arguments))
         say("four endpoints announce themselves; no list of them stands anywhere")
 
@@ -228,7 +227,7 @@
 
     async def reported() -> Any:
         answer = await get_json(f"http://{demo.usage}/log")
-        return [entry for entry in answer if entry["lines"]]
+        return [report for report in answer["reports"] if report["lines"]]
 
     windows = await wait_until(reported, "a usage report")
     for line in windows[0]["lines"]:
--- a/packages/ibisspring-entry/src/ibisspring_entry/role.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/role.py
@@ -4,6 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from ibisspring_entry.claims import Claims
+from ibisspring_entry.http import HttpService
+from ibisspring_entry.lease import Lease
+from ibisspring_entry.proxy import Endpoints
+from ibisspring_entry.registry import Registry
+from ibisspring_entry.rollouts import Rollouts
+from ibisspring_entry.usage_meter import UsageMeter
+
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Service
     from ibisspring_core.settings import Settings
@@ -13,10 +21,21 @@
     """
     Build the services of this role in start order.
 
+    `http` starts last, when all routes are known, and stops first, so that running requests finish
+    while everything that they need still works.
+
     :param settings: checked settings.
     :return: the services.
     """
-    return ()
+    return (
+        Lease.from_config(settings),
+        Registry.from_config(settings),
+        UsageMeter.from_config(settings),
+        Endpoints.from_config(settings),
+        Claims.from_config(settings),
+        Rollouts.from_config(settings),
+        HttpService.from_config(settings),
+    )
 
 
 __all__ = ["build_services"]
