--- a/tests/integration/training_system.py
+++ b/tests/integration/training_system.py
@@ -65,7 +65,7 @@
             "weight_store", python_module("fakes.weight_store", "--listen", listen)
         )
         self.cluster.start_all()
-        await self.until_done("control", "bootstrap", "--members", ",".join(self.controls))
+        await self.until_done("control", "bootstrap")
         path = self.cluster.folder / "rules.txt"
         path.write_text(rules)
         for entry in self.entries:
