--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -96,22 +96,19 @@
             cluster.start_other(name, python_module(f"fakes.{name}", "--listen", listen))
         cluster.start_all()
         say(f"started {', '.join(cluster.settings_by_daemon)}; every process is a real one")
-        members = [name for name in cluster.settings_by_daemon if name.startswith("c")]
-        await self.bootstrap(members)
+        await self.bootstrap()
         for entry in ("e1", "e2"):
             await cluster.wait_ready(entry)
         say("both entries hold a lease and are ready")
 
-    async def bootstrap(self, members: list[str]) -> None:
+    async def bootstrap(self) -> None:
         """Found the control cluster, once its daemons listen."""
 
         async def founded() -> bool:
-            result = command_line(
-                *self.control_options, "control", "bootstrap", "--members", ",".join(members)
-            )
+            result = command_line(*self.control_options, "control", "bootstrap")
             return result.returncode == 0
 
-        say(f"$ ibisspring control bootstrap --members {','.join(members)}")
+        say("$ ibisspring control bootstrap")
         await wait_until(founded, "the bootstrap")
 
     async def start_endpoints(self) -> None:
--- a/packages/ibisspring-cli/src/ibisspring_cli/main.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/main.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import importlib
-
 import click
 
+from ibisspring_cli.control import control
 from ibisspring_cli.endpoints import endpoint
 from ibisspring_cli.keys import key
 from ibisspring_cli.options import Options
@@ -52,11 +51,7 @@
     context.default_map = {"control": {"addresses": addresses, "as_json": as_json}}
 
 
-for command in (endpoint, key, rules, settings, status, usage):
+for command in (control, endpoint, key, rules, settings, status, usage):
     main.add_command(command)
-try:
-    main.add_command(importlib.import_module("ibisspring_cli.control").control)
-except ModuleNotFoundError:
-    pass
 
 __all__ = ["main"]
--- a/packages/ibisspring-control/src/ibisspring_control/state/machine.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/machine.py
@@ -37,6 +37,7 @@
     from collections.abc import Callable
 
     from ibisspring_core.kernel import Kernel
+    from ibisspring_core.settings import Settings
 
 KEYED_BY_REQUEST_ID = (commands.ApplyRules, commands.DrainEndpoint)
 CHANGES_VIEW = (commands.ApplyRules, commands.DrainEndpoint, commands.PublishVersion)
@@ -92,6 +93,16 @@
         """
         return cls(Snapshot())
 
+    @classmethod
+    def from_config(cls, settings: Settings) -> StateMachine:
+        """
+        Build the state before the first log entry; no setting changes what is replicated.
+
+        :param settings: checked settings.
+        :return: the state machine.
+        """
+        return cls.empty()
+
     async def start(self, kernel: Kernel) -> None:
         """Nothing to start."""
 
