--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -66,6 +66,7 @@
             "headers": {name.lower(): value for name, value in request.headers.items()},
             "resumed_at": len(body["resume_tokens"]),
             "made": 0,
+            "versions": [],
             "ended": "",
         }
         self.requests.append(entry)
@@ -105,6 +106,7 @@
             count = min(CHUNK_TOKENS, body["max_tokens"] - offset)
             line = self._line(told_id, body, offset, count)
             entry["made"] += count
+            entry["versions"] += [self.version_of(body["adapter"])] * count
             offset += count
             self.offset_by_request[request_id] = offset
             await self._write(response, line)
@@ -120,10 +122,13 @@
             await asyncio.sleep(0.05)
         await asyncio.sleep(count * self.faults.get("slow", 1) / self.options["tokens_per_s"])
 
+    def version_of(self, adapter: str) -> int:
+        """The version that truly makes the tokens now."""
+        return self.version_by_adapter.get(adapter, self.version_by_adapter[""])
+
     def _line(self, told_id: str, body: dict[str, Any], offset: int, count: int) -> dict[str, Any]:
         tokens = [token_at(body["prompt"], offset + place) for place in range(count)]
-        adapter = body["adapter"]
-        version = self.version_by_adapter.get(adapter, self.version_by_adapter[""])
+        version = self.version_of(body["adapter"])
         line = {
             "request_id": told_id,
             "offset": offset,
--- a/tests/integration/training_system.py
+++ b/tests/integration/training_system.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -133,6 +135,20 @@
         await wait_until(whole, f"the batch of step {step}")
         return found[0]
 
+    async def true_versions(self, *engines: str) -> dict[str, list[int]]:
+        """By sample id, the version that truly made each token, from the engines' own records."""
+        versions_by_sample: dict[str, list[int]] = {}
+        for name in engines:
+            for request in (await self.log(name))["requests"]:
+                sample = request["request_id"].rpartition(".")[0]
+                made = versions_by_sample.setdefault(sample, [])
+                made[request["resumed_at"] :] = request["versions"]
+        return versions_by_sample
+
+    async def ready(self, step: int, body: Any, entry: int = 0) -> int:
+        """How many samples of a step are there, asked without fetching."""
+        return (await self.trainer.open_step(step, body, entry))[1].get("ready", 0)
+
     async def announced(self, name: str) -> dict[str, int]:
         """What an engine says that it uses, by adapter."""
         status = await get_json(f"http://{self.address_by_name[name]}/status")
@@ -142,6 +158,14 @@
         self.cluster.stop_all()
 
 
+def told_versions(sample: Any) -> list[int]:
+    """The version of each token as the sample's label runs tell it."""
+    versions: list[int] = []
+    for run in sample["runs"]:
+        versions += [run["version"]] * (run["to"] - run["from"])
+    return versions
+
+
 def versions_of(batch: Any) -> set[int]:
     """All weight versions in a batch."""
     return {run["version"] for sample in batch["samples"] for run in sample["runs"]}
@@ -150,3 +174,14 @@
 def ids_of(batch: Any) -> set[str]:
     """The sample ids of a batch."""
     return {sample["sample"] for sample in batch["samples"]}
+
+
+@asynccontextmanager
+async def training_system(folder: Path, **control: Any) -> AsyncIterator[TrainingSystem]:
+    """A running system that ends with the block."""
+    system = TrainingSystem.lay_out(folder, **control)
+    try:
+        await system.start()
+        yield system
+    finally:
+        system.stop_all()
