--- a/tests/unit/core/test_control_client.py
+++ b/tests/unit/core/test_control_client.py
@@ -11,6 +11,7 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.commands import RESULTS, Done, DrainEndpoint
 from ibisspring_core.pb import control_pb2, control_pb2_grpc
+from integration.proxy import FaultProxy, Mode
 
 DRAIN = DrainEndpoint("engine-1", "ana")
 DONE = control_pb2.ProposeReply(status=control_pb2.OK, result=RESULTS.encode(Done()))
@@ -106,6 +107,27 @@
         assert await client.propose(DRAIN, "r1") == Done()
 
 
+async def test_a_connection_that_went_silent_is_replaced_while_new_ones_work(monkeypatch) -> None:
+    """
+    The leader's connection goes silent for good: its VM is well, a firewall between has lost the
+    flow.
+
+    A client that keeps the channel would send every later command into the same silence.
+    """
+    monkeypatch.setattr(control_client, "TRY_S", 0.3)
+    replica = _Replica(DONE)
+    async with _served(replica) as client:
+        proxy = await FaultProxy.before(client.address_by_daemon["c0"])
+        client.address_by_daemon["c0"] = proxy.address
+        assert await client.propose(DRAIN, "r1") == Done()
+        await proxy.set_modes_of_open(Mode.SILENT, Mode.SILENT)
+
+        assert await client.propose(DRAIN, "r2") == Done()
+
+        assert proxy.accepted == 2
+        await proxy.stop()
+
+
 @pytest.mark.parametrize("unknown", [False, True])
 async def test_not_run_is_said_only_when_nothing_can_have_been_committed(unknown) -> None:
     """
