Keep generations under an Idempotency-Key to one run, and bound silent callers

A caller that went silent in its request head, body or answer held its request for ever.

Change: every call with an Idempotency-Key is claimed; a generation under one runs apart from its caller and its answer is stored; replayed answers are not billed. New setting `caller_silence_s`: bounds head, body and each piece of an answer, and is the TCP_USER_TIMEOUT of callers' connections.

--- a/packages/ibisspring-core/src/ibisspring_core/settings/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/model.py
@@ -64,6 +64,8 @@
     :param announce_ttl_s: seconds of silence after which an endpoint is taken as gone.
     :param silence_s: longest silence on a connection to an endpoint before it is checked over a new
         one.
+    :param caller_silence_s: longest time that a caller may send nothing of its request or take
+        nothing of its answer.
     :param request_timeout_s: longest time of one caller's request.
     :param stop_wait_s: seconds between turning not ready and refusing, so that the balancer
         notices.
@@ -77,6 +79,7 @@
     renew_every_s: float = 0.5
     announce_ttl_s: float = 5.0
     silence_s: float = 5.0
+    caller_silence_s: float = 30.0
     request_timeout_s: float = 120.0
     stop_wait_s: float = 1.0
     drain_s: float = 30.0
--- a/packages/ibisspring-entry/src/ibisspring_entry/claims/__init__.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/claims/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from ibisspring_entry.claims.service import Claims
+from ibisspring_entry.claims.service import Claims, KeyedCall
 
-__all__ = ["Claims"]
+__all__ = ["Claims", "KeyedCall"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/claims/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/claims/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -26,6 +27,33 @@
 Run = Callable[[], Awaitable[PlainAnswer | Refusal]]
 
 
+@dataclass(frozen=True)
+class KeyedCall:
+    """
+    A call under a caller's Idempotency-Key.
+
+    :param digest: digest of what is asked, so that a key used for something else is refused.
+    """
+
+    client_account: str
+    key: str
+    digest: str
+    request_id: str
+
+    @classmethod
+    def from_parts(
+        cls, client_account: str, key: str, request_id: str, parts: tuple[str | bytes, ...]
+    ) -> KeyedCall:
+        """
+        Build a call.
+
+        :param parts: what is asked; two calls are the same where these are.
+        :return: the call.
+        """
+        digest = xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(parts))
+        return cls(client_account, key, digest, request_id)
+
+
 class Claims:
     """Sends each call under an idempotency key once at most, whichever entry the caller asks."""
 
@@ -58,42 +86,40 @@
 
     async def call(self, request: PlainRequest, key: str) -> PlainAnswer | Refusal:
         """
-        Send a call that is not idempotent under the caller's key.
+        Send a call of a plain service under the caller's key.
 
         :param request: the call.
         :param key: the caller's Idempotency-Key.
         :return: the answer, also when an earlier call under the key got it, or a refusal.
         """
-        return await self.run_once(
-            request, digest_of(request), key, lambda: self._endpoints.call(request)
-        )
+        parts = (request.service, request.method, request.path, request.body)
+        keyed = KeyedCall.from_parts(request.client_account, key, request.request_id, parts)
+        return await self.run_once(keyed, lambda: self._endpoints.call(request))
 
-    async def run_once(
-        self, request: PlainRequest, digest: str, key: str, run: Run
-    ) -> PlainAnswer | Refusal:
+    async def run_once(self, call: KeyedCall, run: Run) -> PlainAnswer | Refusal:
         """
         Claim the key, run, settle.
 
-        :param digest: digest of what is asked, so that a key used for something else is refused.
+        :param call: what is claimed.
         :param run: sends the request; called once at most, and only with the claim committed.
         :return: the answer or a refusal.
         """
-        if not 0 < len(key) <= MAX_KEY:
+        if not 0 < len(call.key) <= MAX_KEY:
             detail = f"Idempotency-Key must have 1 to {MAX_KEY} characters"
             return Refusal(Reason.BAD_REQUEST, True, None, detail)
         claim = ClaimKey(
-            client_account=request.client_account,
-            key=key,
-            digest=digest,
-            request_id=request.request_id,
+            client_account=call.client_account,
+            key=call.key,
+            digest=call.digest,
+            request_id=call.request_id,
             daemon=self._daemon,
             incarnation=self._lease.incarnation,
         )
-        state = await self._control.propose(claim, f"claim-{request.request_id}")
+        state = await self._control.propose(claim, f"claim-{call.request_id}")
         if not isinstance(state, ClaimState):
             return unclaimed(state)
         if state.state != "granted":
-            return answer_of(request, state)
+            return answer_of(call, state)
         # The caller may leave now; what was claimed is sent and settled all the same, or the claim
         # would stay "running" for a call of which nobody knows whether it ran.
         work = asyncio.create_task(self._run_claimed(claim, run))
@@ -107,17 +133,6 @@
         return answer
 
 
-def digest_of(request: PlainRequest) -> str:
-    """
-    Digest what is asked.
-
-    :param request: the call.
-    :return: hexadecimal digest of service, method, path and body.
-    """
-    asked = (request.service, request.method, request.path, request.body)
-    return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(asked))
-
-
 def settlement_of(claim: ClaimKey, answer: PlainAnswer | Refusal) -> SettleClaim:
     """
     Decide how a claim ends.
@@ -149,11 +164,11 @@
     return Refusal(result.reason, True, retry_after_s, result.detail)
 
 
-def answer_of(request: PlainRequest, state: ClaimState) -> PlainAnswer | Refusal:
+def answer_of(call: KeyedCall, state: ClaimState) -> PlainAnswer | Refusal:
     """
     Answer a call whose key was claimed before.
 
-    :param request: the call.
+    :param call: the call.
     :param state: what became of the earlier one.
     :return: its stored answer, or why there is none.
     """
@@ -165,11 +180,11 @@
         return Refusal(Reason.CONFLICT, True, None, detail)
     if state.state == "done" and state.stored:
         headers = (("content-type", state.content_type),) if state.content_type else ()
-        return PlainAnswer(request.request_id, state.status, state.answer, headers)
+        return PlainAnswer(call.request_id, state.status, state.answer, headers, replayed=True)
     if state.state == "done":
         detail = f"the first call ran (status {state.status}); its answer was too large to store"
         return Refusal(Reason.CONFLICT, False, None, detail)
     return Refusal(Reason.MAY_HAVE_RUN, False, None, "the first call may have run")
 
 
-__all__ = ["Claims", "answer_of", "digest_of", "settlement_of", "unclaimed"]
+__all__ = ["Claims", "KeyedCall", "answer_of", "settlement_of", "unclaimed"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/announce.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/announce.py
@@ -16,20 +16,20 @@
 if TYPE_CHECKING:
 
     from ibisspring_core.kernel import Kernel
-
-MAX_BYTES = 65_536
+    from ibisspring_core.settings import EntrySettings
 
 
 class AnnounceResource:
     """Takes announcements; no key is asked for, see docs/how-to/endpoints.md."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, settings: EntrySettings) -> None:
+        self._settings = settings
         self._registry = kernel.find("registry")
         self._counters = kernel.find("counters")
 
     async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Take one announcement."""
-        data = await read_body(request, MAX_BYTES)
+        data = await read_body(request, self._settings)
         record = data if isinstance(data, Refusal) else parse_announcement(data)
         if isinstance(record, tuple):
             self._counters.add("announcement_broken")
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/bodies.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -11,25 +12,35 @@
 if TYPE_CHECKING:
     import falcon.asgi
 
+    from ibisspring_core.settings import EntrySettings
+
 BodyT = TypeVar("BodyT")
 
 
-async def read_body(request: falcon.asgi.Request, max_bytes: int) -> bytes | Refusal:
+async def read_body(request: falcon.asgi.Request, settings: EntrySettings) -> bytes | Refusal:
     """
     Read a whole body.
 
+    A caller whose connection went silent in the middle of its body would hold the request for ever,
+    so the whole body has `caller_silence_s`.
+
     :param request: the request.
-    :param max_bytes: the largest body that is taken.
-    :return: the body, or the refusal of a larger one, of which no more than `max_bytes` was read.
+    :param settings: the largest body that is taken, and the time for it.
+    :return: the body, or the refusal of one that is too large or too slow; not run in either case.
     """
+    max_bytes = settings.max_body_bytes
     too_large = Refusal(Reason.TOO_LARGE, True, None, f"the body is over {max_bytes} bytes")
     if (request.content_length or 0) > max_bytes:
         return too_large
     body = bytearray()
-    async for chunk in request.stream:
-        body.extend(chunk)
-        if len(body) > max_bytes:
-            return too_large
+    try:
+        async with asyncio.timeout(settings.caller_silence_s):
+            async for chunk in request.stream:
+                body.extend(chunk)
+                if len(body) > max_bytes:
+                    return too_large
+    except TimeoutError:
+        return Refusal(Reason.TIMEOUT, True, None, "the body did not come in time")
     return bytes(body)
 
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/callers_connection.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/callers_connection.py
@@ -11,17 +11,11 @@
 Send = Callable[[Event], Awaitable[None]]
 Application = Callable[[Event, Receive, Send], Awaitable[None]]
 
-SEND_S = 30.0
-"""
-Longest time that a caller may take nothing of a stream: its connection may have been forgotten by
-something in between, and the engine's work for it would go on and be billed.
-"""
-
 HTTP = "http"
 DISCONNECT = "http.disconnect"
 
 
-def end_with_caller(application: Application, send_s: float = SEND_S) -> Application:
+def end_with_caller(application: Application, silence_s: float) -> Application:
     """
     Wrap an application so that a request is cancelled when its caller leaves.
 
@@ -29,7 +23,8 @@
     nobody. Cancelling reaches the stream's own clean-up, which cancels the engine's work.
 
     :param application: the ASGI application.
-    :param send_s: longest time for one piece of an answer.
+    :param silence_s: longest time that a caller may take nothing of its answer; its connection may
+        have been forgotten by something in between, and the work for it would go on and be billed.
     :return: the wrapped application.
     """
 
@@ -40,7 +35,7 @@
         body = _Body(receive)
 
         async def send_in_time(event: Event) -> None:
-            async with asyncio.timeout(send_s):
+            async with asyncio.timeout(silence_s):
                 await send(event)
 
         work = asyncio.ensure_future(application(scope, body.receive, send_in_time))
@@ -87,4 +82,4 @@
                 self._gone.set()
 
 
-__all__ = ["SEND_S", "Application", "end_with_caller"]
+__all__ = ["Application", "end_with_caller"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
@@ -3,44 +3,32 @@
 from __future__ import annotations
 
 from contextlib import aclosing
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import eliot
 import falcon
 import falcon.asgi
-import msgspec
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_entry.http.access import allowed_rules
 from ibisspring_entry.http.bodies import parse_body, read_body
-from ibisspring_entry.http.callers import Caller, identify
-from ibisspring_entry.http.refusals import error_body, refuse
+from ibisspring_entry.http.callers import identify
+from ibisspring_entry.http.generate_wire import NDJSON, GenerateBody, line_of, whole_answer
+from ibisspring_entry.http.keyed_generation import KeyedGeneration
+from ibisspring_entry.http.refusals import refuse
+from ibisspring_entry.http.usage import bill
 from ibisspring_entry.proxy.messages import End, Failed, GenerateRequest, TokenRun
 
 if TYPE_CHECKING:
-
     from collections.abc import AsyncIterator
 
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import EntrySettings
+    from ibisspring_entry.http.callers import Caller
 
 MAX_TOKENS = 1_000_000
 
 
-@dataclass(frozen=True)
-class GenerateBody:
-    """The body of a generation; docs/API.md."""
-
-    model: str
-    prompt: str
-    max_tokens: int
-    stream: bool = False
-    adapter: str = ""
-    deadline_s: float = 60.0
-
-
 class GenerateResource:
     """Generations for callers."""
 
@@ -57,6 +45,10 @@
             refuse(response, asked, request.context.request_id, self._counters)
             return
         body, wanted = asked
+        key = request.get_header("Idempotency-Key")
+        if key is not None:
+            await self._once(response, KeyedGeneration(self._kernel, body, wanted), wanted, key)
+            return
         answers = self._kernel.find("endpoints").generate(wanted)
         if body.stream:
             await self._stream(response, wanted, answers)
@@ -66,10 +58,8 @@
     async def _read(
         self, request: falcon.asgi.Request, caller: Caller
     ) -> tuple[GenerateBody, GenerateRequest] | Refusal:
-        data = await read_body(request, self._settings.max_body_bytes)
-        if isinstance(data, Refusal):
-            return data
-        body = parse_body(data, GenerateBody)
+        data = await read_body(request, self._settings)
+        body = data if isinstance(data, Refusal) else parse_body(data, GenerateBody)
         if isinstance(body, Refusal):
             return body
         if not 0 < body.max_tokens <= MAX_TOKENS or not body.deadline_s > 0:
@@ -90,6 +80,25 @@
         )
         return body, wanted
 
+    async def _once(
+        self,
+        response: falcon.asgi.Response,
+        generation: KeyedGeneration,
+        wanted: GenerateRequest,
+        key: str,
+    ) -> None:
+        answer = await generation.start(key)
+        if answer is None:
+            response.content_type = NDJSON
+            response.stream = generation.lines()
+            return
+        if isinstance(answer, Refusal):
+            refuse(response, answer, wanted.request_id, self._counters)
+            return
+        response.data = answer.body
+        for name, value in answer.headers:
+            response.set_header(name, value)
+
     async def _stream(
         self,
         response: falcon.asgi.Response,
@@ -100,10 +109,9 @@
         began = boot_now()
         first = await anext(answers)
         if isinstance(first, Failed):
-            self._meter(wanted, 0, began)
             refuse(response, first.refusal, wanted.request_id, self._counters)
             return
-        response.content_type = "application/x-ndjson"
+        response.content_type = NDJSON
         response.stream = self._lines(wanted, first, answers, began)
 
     async def _lines(
@@ -114,32 +122,18 @@
         began: float,
     ) -> AsyncIterator[bytes]:
         total = 0
+        answer: TokenRun | End | Failed | None = first
         try:
             async with aclosing(answers):
-                yield self._line(wanted, first)
-                total += len(getattr(first, "tokens", ()))
-                async for answer in answers:
-                    total += len(getattr(answer, "tokens", ()))
-                    yield self._line(wanted, answer)
+                while answer is not None:
+                    if isinstance(answer, TokenRun):
+                        total += len(answer.tokens)
+                    if isinstance(answer, Failed):
+                        self._counters.refused(answer.refusal.reason)
+                    yield line_of(wanted.request_id, answer)
+                    answer = await anext(answers, None)
         finally:
-            self._meter(wanted, total, began)
-
-    def _line(self, wanted: GenerateRequest, answer: TokenRun | End | Failed) -> bytes:
-        if isinstance(answer, TokenRun):
-            line = {
-                "request_id": wanted.request_id,
-                "offset": answer.offset,
-                "tokens": answer.tokens,
-                "text": answer.text,
-                "version": answer.version,
-            }
-        elif isinstance(answer, End):
-            line = {"request_id": wanted.request_id, "done": True, "total": answer.total}
-        else:
-            self._counters.refused(answer.refusal.reason)
-            error = error_body(answer.refusal, wanted.request_id)
-            line = {"request_id": wanted.request_id, **error}
-        return msgspec.json.encode(line) + b"\n"
+            self._bill(wanted, total, began)
 
     async def _whole(
         self,
@@ -149,61 +143,29 @@
     ) -> None:
         runs: list[TokenRun] = []
         began = boot_now()
-        try:
-            async with aclosing(answers):
-                async for answer in answers:
-                    if isinstance(answer, TokenRun):
-                        runs.append(answer)
-                        continue
-                    if isinstance(answer, Failed):
-                        refuse(response, answer.refusal, wanted.request_id, self._counters)
-                        return
-        finally:
-            self._meter(wanted, sum(len(run.tokens) for run in runs), began)
+        async with aclosing(answers):
+            async for answer in answers:
+                if isinstance(answer, TokenRun):
+                    runs.append(answer)
+                    continue
+                if isinstance(answer, Failed):
+                    refuse(response, answer.refusal, wanted.request_id, self._counters)
+                    return
+        self._bill(wanted, sum(len(run.tokens) for run in runs), began)
         response.content_type = falcon.MEDIA_JSON
-        response.data = msgspec.json.encode(whole_answer(wanted.request_id, runs))
-
-    def _meter(self, wanted: GenerateRequest, tokens: int, began: float) -> None:
-        """Record the usage: what the engines made and the caller was sent, once."""
-        eliot.log_message(
-            "generate:ended",
-            request_id=wanted.request_id,
-            correlation_id=wanted.correlation_id,
-            client_account=wanted.client_account,
-            tokens=tokens,
-        )
-        meter = self._kernel.find_optional("usage_meter")
-        if meter is None or tokens == 0:
+        response.data = whole_answer(wanted.request_id, runs)
+
+    def _bill(self, wanted: GenerateRequest, tokens: int, began: float) -> None:
+        if tokens == 0:
             return
-        meter.record(
-            wanted.client_account, wanted.model, tokens, 1, boot_now() - began, wanted.request_id
+        bill(
+            self._kernel,
+            wanted.client_account,
+            wanted.model,
+            tokens,
+            boot_now() - began,
+            wanted.request_id,
         )
 
 
-def whole_answer(request_id: str, runs: list[TokenRun]) -> dict[str, object]:
-    """
-    Build the answer of a generation that was not streamed.
-
-    :param request_id: the request's id.
-    :param runs: its token runs in order.
-    :return: the JSON object of docs/API.md; neighbouring runs of one version are joined.
-    """
-    tokens: list[int] = []
-    labels: list[dict[str, object]] = []
-    for run in runs:
-        start = len(tokens)
-        tokens.extend(run.tokens)
-        if labels and labels[-1]["version"] == run.version:
-            labels[-1]["to"] = len(tokens)
-            continue
-        labels.append({"version": run.version, "from": start, "to": len(tokens)})
-    return {
-        "request_id": request_id,
-        "tokens": tokens,
-        "text": "".join(run.text for run in runs),
-        "runs": labels,
-        "total": len(tokens),
-    }
-
-
-__all__ = ["GenerateBody", "GenerateResource", "whole_answer"]
+__all__ = ["GenerateResource"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import TYPE_CHECKING
 
 import h11
@@ -15,10 +16,10 @@
 from ibisspring_entry.http.refusals import error_body
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Iterator
 
     from ibisspring_core.counters import Counters
+    from ibisspring_core.settings import EntrySettings
     from ibisspring_entry.http.callers_connection import Application
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -44,15 +45,32 @@
         yield
 
 
-def make_protocol(counters: Counters) -> type[H11Protocol]:
+def make_protocol(counters: Counters, silence_s: float) -> type[H11Protocol]:
     """
-    Make the connection class, which counts what is not HTTP and answers it with a typed refusal.
+    Make the connection class.
+
+    It counts what is not HTTP and answers it with a typed refusal, and ends connections of callers
+    that went silent: the kernel notices those that acknowledge nothing, a timer those that never
+    send a whole request head.
 
     :param counters: the process's counters.
+    :param silence_s: longest silence of a caller.
     :return: the class for uvicorn's configuration.
     """
 
-    class CountingProtocol(H11Protocol):
+    class CallerConnection(H11Protocol):
+        def connection_made(self, transport: asyncio.Transport) -> None:
+            super().connection_made(transport)
+            connection = transport.get_extra_info("socket")
+            silence_ms = max(1, round(silence_s * 1000))
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+            self.loop.call_later(silence_s, self.close_without_request)
+
+        def close_without_request(self) -> None:
+            if self.cycle is None and not self.transport.is_closing():
+                counters.add("caller_sent_no_request")
+                self.transport.close()
+
         def send_400_response(self, msg: str) -> None:
             counters.refused(Reason.BAD_REQUEST)
             refusal = Refusal(Reason.BAD_REQUEST, True, None, msg)
@@ -75,24 +93,26 @@
                 pass
             self.transport.close()
 
-    return CountingProtocol
+    return CallerConnection
 
 
-def make_server(application: Application, listen: str, counters: Counters) -> EmbeddedServer:
+def make_server(
+    application: Application, settings: EntrySettings, counters: Counters
+) -> EmbeddedServer:
     """
     Configure the server.
 
     :param application: the ASGI application.
-    :param listen: IP:port.
+    :param settings: where to listen and how long a caller may be silent.
     :param counters: the process's counters.
     :return: a server that is not started.
     """
-    host, _, port = listen.rpartition(":")
+    host, _, port = settings.listen_http.rpartition(":")
     config = uvicorn.Config(
         application,
         host=host.strip("[]"),
         port=int(port),
-        http=make_protocol(counters),
+        http=make_protocol(counters, settings.caller_silence_s),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
@@ -61,13 +61,15 @@
         add_error_handlers(app, counters)
         app.add_route("/healthz", HealthResource())
         app.add_route("/readyz", ReadyResource(kernel, self))
-        app.add_route("/v1/announce", AnnounceResource(kernel))
+        app.add_route("/v1/announce", AnnounceResource(kernel, self._settings))
         app.add_route("/v1/generate", GenerateResource(kernel, self._settings))
         services = ServicesResource(kernel, self._settings)
         app.add_route("/v1/services/{service}/{path:path}", services)
         for path, resource in self._resource_by_path.items():
             app.add_route(path, resource)
-        self._server = make_server(end_with_caller(app), self._settings.listen_http, counters)
+        self._server = make_server(
+            end_with_caller(app, self._settings.caller_silence_s), self._settings, counters
+        )
         self._serving = asyncio.create_task(self._server.serve())
         listening = asyncio.ensure_future(self._server.listening.wait())
         await asyncio.wait({listening, self._serving}, return_when=asyncio.FIRST_COMPLETED)
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
@@ -13,6 +13,7 @@
 from ibisspring_entry.http.bodies import read_body
 from ibisspring_entry.http.callers import Caller, identify
 from ibisspring_entry.http.refusals import refuse
+from ibisspring_entry.http.usage import bill
 from ibisspring_entry.proxy.messages import PlainAnswer, PlainRequest
 from ibisspring_entry.proxy.plain_wire import request_headers
 
@@ -49,7 +50,17 @@
         if isinstance(answer, Refusal):
             refuse(response, answer, request.context.request_id, self._counters)
             return
-        self._meter(wanted, boot_now() - began)
+        # A stored answer is the one of an earlier call, which was billed then.
+        if not answer.replayed:
+            seconds = boot_now() - began
+            bill(
+                self._kernel,
+                wanted.client_account,
+                wanted.service,
+                0,
+                seconds,
+                wanted.request_id,
+            )
         response.status = falcon.code_to_http_status(answer.status)
         response.data = answer.body
         for name, value in answer.headers:
@@ -68,7 +79,7 @@
         rules = allowed_rules(self._kernel, caller.client_account, service)
         if isinstance(rules, Refusal):
             return rules
-        body = await read_body(request, self._settings.max_body_bytes)
+        body = await read_body(request, self._settings)
         if isinstance(body, Refusal):
             return body
         path = raw_path(request)
@@ -93,15 +104,10 @@
         )
 
     async def _send(self, wanted: PlainRequest, key: str | None) -> PlainAnswer | Refusal:
-        if key is None or wanted.idempotent:
+        if key is None:
             return await self._kernel.find("endpoints").call(wanted)
         return await self._kernel.find("claims").call(wanted, key)
 
-    def _meter(self, wanted: PlainRequest, endpoint_s: float) -> None:
-        meter = self._kernel.find_optional("usage_meter")
-        if meter is not None:
-            meter.record(wanted.client_account, wanted.service, 0, 1, endpoint_s, wanted.request_id)
-
 
 def raw_path(request: falcon.asgi.Request) -> str:
     """
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
@@ -109,13 +109,19 @@
 
 @dataclass(frozen=True)
 class PlainAnswer:
-    """The whole answer of a plain service; `headers` are those that may go on to the caller."""
+    """
+    A whole answer.
+
+    :param headers: those that may go on to the caller.
+    :param replayed: whether it is the stored answer of an earlier call, which was billed already.
+    """
 
     request_id: str
     status: int
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
     endpoint: str = ""
+    replayed: bool = False
 
 
 __all__ = ["End", "Failed", "GenerateRequest", "PlainAnswer", "PlainRequest", "TokenRun"]
