Race idempotent calls, settle claims beside the answer, stop a prompt that kills engines

Cause: an idempotent lookup that hung was abandoned after silence_s and tried again one by one, so a slow but good answer was thrown away; a settlement that control could not take was lost and held the caller; a prompt that kills its engine was taken to up to five of them.

Change: idempotent calls are hedged after silence_s, the first whole answer wins; settlements go on beside the answer until they are committed; a generation ends after three tries without a new token; going on after a lost engine is not charged to the retry budget, because that engine does the work no more.

--- a/packages/ibisspring-entry/src/ibisspring_entry/claims/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/claims/service.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 import xxhash
@@ -23,7 +23,11 @@
 """Largest answer that is stored in the replicated state."""
 
 IN_PROGRESS_RETRY_S = 1.0
+SETTLE_WAIT_S = 0.5
+SETTLE_TRIES = 20
+SETTLE_PAUSE_S = 0.5
 
+ResultT = TypeVar("ResultT")
 Run = Callable[[], Awaitable[PlainAnswer | Refusal]]
 
 
@@ -61,7 +65,7 @@
 
     def __init__(self, daemon: str) -> None:
         self._daemon = daemon
-        self._running: set[asyncio.Task[PlainAnswer | Refusal]] = set()
+        self._running: set[asyncio.Task[Any]] = set()
 
     @classmethod
     def from_config(cls, settings: Settings) -> Claims:
@@ -78,6 +82,7 @@
         self._endpoints = kernel.find("endpoints")
         self._control = kernel.find("control_client")
         self._lease = kernel.find("lease")
+        self._counters = kernel.find("counters")
 
     async def stop(self) -> None:
         """Let what was sent be settled."""
@@ -116,22 +121,41 @@
             incarnation=self._lease.incarnation,
         )
         state = await self._control.propose(claim, f"claim-{call.request_id}")
+        if isinstance(state, Refusal) and not state.not_run:
+            # The claim may be committed all the same: it is released, or the caller's next try
+            # would be told for minutes that a call runs which never was sent.
+            self._keep(self._settle(settlement_of(claim, unclaimed(state))))
         if not isinstance(state, ClaimState):
             return unclaimed(state)
         if state.state != "granted":
             return answer_of(call, state)
         # The caller may leave now; what was claimed is sent and settled all the same, or the claim
         # would stay "running" for a call of which nobody knows whether it ran.
-        work = asyncio.create_task(self._run_claimed(claim, run))
-        self._running.add(work)
-        work.add_done_callback(self._running.discard)
-        return await asyncio.shield(work)
+        return await asyncio.shield(self._keep(self._run_claimed(claim, run)))
+
+    def _keep(self, work: Coroutine[Any, Any, ResultT]) -> asyncio.Task[ResultT]:
+        task = asyncio.create_task(work)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return task
 
     async def _run_claimed(self, claim: ClaimKey, run: Run) -> PlainAnswer | Refusal:
         answer = await run()
-        await self._control.propose(settlement_of(claim, answer), f"settle-{claim.request_id}")
+        settling = self._keep(self._settle(settlement_of(claim, answer)))
+        # While control has no leader the caller need not wait for it: the answer is its own, and
+        # until it is stored another try under the key is told that the call runs.
+        await asyncio.wait({settling}, timeout=SETTLE_WAIT_S)
         return answer
 
+    async def _settle(self, settlement: SettleClaim) -> None:
+        """Propose until it is committed: it is safe to resend, only the first counts."""
+        for _ in range(SETTLE_TRIES):
+            request_id = f"settle-{settlement.request_id}"
+            if not isinstance(await self._control.propose(settlement, request_id), Refusal):
+                return
+            await asyncio.sleep(SETTLE_PAUSE_S)
+        self._counters.add("claim_not_settled")
+
 
 def settlement_of(claim: ClaimKey, answer: PlainAnswer | Refusal) -> SettleClaim:
     """
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import eliot
@@ -17,9 +18,22 @@
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_entry.proxy.service import Endpoints
 
-MAX_TRIES = 5
-"""Tries of one generation: with one in a hundred failing, five in a row fail once in 10^10."""
+MAX_TRIES = 10
+"""Tries of one generation, each of which got further than the one before."""
 
+MAX_FRUITLESS = 3
+"""
+Tries in a row without a new token: a prompt that kills the engine which works on it must not be
+taken through the whole fleet.
+"""
+
+RESUME_WAIT_S = 10.0
+"""
+Seconds that a generation which the caller holds in part waits for an engine to come back: reclaimed
+ones are replaced or swaps end within that, and an answer in part is of no use to the caller.
+"""
+
+RESUME_POLL_S = 0.1
 RETRY_AFTER_S = 1.0
 
 
@@ -31,6 +45,7 @@
         self._request = request
         self._held: list[int] = []
         self._tries = 0
+        self._fruitless = 0
         self._failed_on: set[str] = set()
         self._not_run = True
         self._deadline = boot_now() + request.deadline_s
@@ -43,17 +58,12 @@
         """
         record: EndpointRecord | None = None
         while True:
-            if record is None:
-                record = self._endpoints.pick(
-                    self._request.model,
-                    self._request.prompt,
-                    self._request.avoid,
-                    frozenset(self._failed_on),
-                )
+            record = record or await self._pick()
             if record is None:
                 yield self._failed(Reason.NO_ENDPOINT)
                 return
             self._tries += 1
+            held = len(self._held)
             attempt = self._open_try(record)
             with self._endpoints.work_on(record):
                 try:
@@ -66,12 +76,26 @@
             if outcome.reason is None:
                 yield End(self._request.request_id, len(self._held), record.endpoint, self._tries)
                 return
+            self._fruitless = 0 if len(self._held) > held else self._fruitless + 1
             self._note(record, outcome)
             if not self._may_try_again(outcome):
                 yield self._failed(outcome.reason)
                 return
             record = record if outcome.same_engine else None
 
+    async def _pick(self) -> EndpointRecord | None:
+        waited_until = min(boot_now() + RESUME_WAIT_S, self._deadline)
+        while True:
+            record = self._endpoints.pick(
+                self._request.model,
+                self._request.prompt,
+                self._request.avoid,
+                frozenset(self._failed_on),
+            )
+            if record is not None or not self._held or boot_now() >= waited_until:
+                return record
+            await asyncio.sleep(RESUME_POLL_S)
+
     def _open_try(self, record: EndpointRecord) -> EngineTry:
         return EngineTry(
             self._endpoints.session,
@@ -103,9 +127,12 @@
     def _may_try_again(self, outcome: TryOutcome) -> bool:
         if outcome.reason is Reason.TIMEOUT or boot_now() >= self._deadline:
             return False
-        if self._tries >= MAX_TRIES:
+        if self._tries >= MAX_TRIES or self._fruitless >= MAX_FRUITLESS:
             return False
-        return self._endpoints.may_retry(outcome.reason)
+        # A lost engine or connection does this work no more, so that going on elsewhere adds no
+        # load; the budget is for tries beside an engine that may only be slow.
+        charged = outcome.reason is not Reason.ENDPOINT_FAILED and not outcome.same_engine
+        return self._endpoints.may_retry(outcome.reason, charged)
 
     def _failed(self, reason: Reason) -> Failed:
         retry_after_s = None if reason is Reason.TIMEOUT else RETRY_AFTER_S
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -12,7 +12,7 @@
 from ibisspring_decisions.routing import Candidate, Router
 from ibisspring_entry.proxy.connections import open_session
 from ibisspring_entry.proxy.generation import Generation
-from ibisspring_entry.proxy.plain_call import call_plain
+from ibisspring_entry.proxy.plain_call import PlainCall
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Coroutine, Iterator
@@ -88,7 +88,7 @@
         :return: its whole answer or a refusal.
         """
         self._budget.request(boot_now())
-        return await call_plain(self, request)
+        return await PlainCall(self, request).answer()
 
     def pick(
         self, service: str, prompt: str, avoid: tuple[str, ...], failed_on: frozenset[str]
@@ -149,14 +149,15 @@
         """
         self._router.failed(endpoint, boot_now())
 
-    def may_retry(self, reason: Reason) -> bool:
+    def may_retry(self, reason: Reason, charged: bool = True) -> bool:
         """
-        Take one retry out of the budget.
+        Ask for one more try, and count it.
 
         :param reason: why the try before failed.
-        :return: whether there is one.
+        :param charged: whether it adds load and so has to come out of the budget.
+        :return: whether it may be sent.
         """
-        if not self._budget.take(boot_now()):
+        if charged and not self._budget.take(boot_now()):
             self._counters.add("retry_budget_empty")
             return False
         self._counters.retried(reason)
