Wire drains and capacity into the leader's duties

Cause: the pure modules decided and nobody carried their steps out; and two faults of the sending of orders were found on the way. Ruled out: planning at once as a new leader (its endpoint table is empty and the whole fleet would be ordered anew: it waits until entries had time to fill it, and for one live entry); a fresh id for a repeated stop order (ids follow from the replicated state, so the next leader goes on with it). Change: in_charge.drains and .fleet; settings drain_settle_s, drain_deadline_s; tries against a silent receiver are spaced out; a window in conflict no longer holds up later ones; an order to a receiver waits until the earlier one has its end, and a resumed order is looked at again behind the lock. Seen failing without the guards: test_an_order_that_ended_while_it_waited_is_not_sent_again (KeyError: the order was resolved twice), test_a_new_order_does_not_overtake_an_open_one (MAY_HAVE_RUN in place of IN_PROGRESS: it was sent). Conclusion: real processes next.

--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/orders.py
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/orders.py
@@ -21,7 +21,7 @@
 from ibisspring_core.messages.commands import IntentRecorded, OrderIntent, OrderResolved
 
 if TYPE_CHECKING:
-    from ibisspring_control.in_charge.duty_state import OpenOrder
+    from ibisspring_control.in_charge.duty_state import DutyState, OpenOrder
     from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
     from ibisspring_core.counters import Counters
 
@@ -86,12 +86,14 @@
     def __init__(
         self,
         consensus: Any,
+        state: DutyState,
         watch: TenureWatch,
         counters: Counters,
         settings: OrderSettings,
         url_of: UrlOf,
     ) -> None:
         self._consensus = consensus
+        self._state = state
         self._watch = watch
         self._counters = counters
         self._settings = settings
@@ -111,11 +113,16 @@
         :param order_id: its idempotency key, unique for ever.
         :param order: the order's fields but for `fencing`.
         :return: its end, or a refusal; after `MAY_HAVE_RUN` the intent stays open and is resolved
-            by `resume`.
+            by `resume`; `IN_PROGRESS` while an earlier order to this receiver has no end.
         """
+        if self._url_of(receiver) is None:
+            return Refusal(Reason.NO_ENDPOINT, not_run=True, detail=f"{receiver} is not known")
         body = json.dumps({"order_id": order_id, **order}, separators=(",", ":")).encode()
         intent = OrderIntent(order_id, receiver, body)
         async with self._lock(receiver):
+            if self._others_open(receiver, order_id):
+                self._counters.refused(Reason.IN_PROGRESS)
+                return Refusal(Reason.IN_PROGRESS, not_run=True, detail="an order has no end yet")
             recorded = await commit(self._consensus, intent, f"intent-{order_id}")
             if isinstance(recorded, Refusal):
                 return recorded
@@ -132,6 +139,8 @@
         :return: as for `send`.
         """
         async with self._lock(order.intent.receiver):
+            if not self._is_open(order.intent.order_id):
+                return OrderEnd("done", "it ended in the meantime")
             if order.intent.receiver == PLATFORM:
                 end = await self._ask(tenure, order.intent.order_id)
                 if isinstance(end, Refusal):
@@ -141,6 +150,21 @@
             self._counters.retried(Reason.MAY_HAVE_RUN)
             return await self._send_committed(tenure, order.intent, order.fencing)
 
+    def _is_open(self, order_id: str) -> bool:
+        return any(order.intent.order_id == order_id for order in self._state.open_orders())
+
+    def _others_open(self, receiver: str, order_id: str) -> bool:
+        """
+        Tell whether another order to a receiver is still open.
+
+        Sent now, the new one would overtake it under a higher fencing number, and a receiver that
+        checks would refuse the older one for good though it may have been needed.
+        """
+        return any(
+            order.intent.receiver == receiver and order.intent.order_id != order_id
+            for order in self._state.open_orders()
+        )
+
     def _lock(self, receiver: str) -> asyncio.Lock:
         return self._lock_by_receiver.setdefault(receiver, asyncio.Lock())
 
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/service.py
@@ -2,22 +2,33 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
+from ibisspring_control.in_charge.backoff import Backoff
+from ibisspring_control.in_charge.drains import Drains
+from ibisspring_control.in_charge.fleet import Fleet
 from ibisspring_control.in_charge.orders import PLATFORM, OrderEnd, Orders, OrderSettings
 from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
 from ibisspring_control.in_charge.usage_reports import ReportSettings, UsageReports
 from ibisspring_core.clock import boot_now, wall_now
 from ibisspring_core.errors import Reason, Refusal
+from ibisspring_decisions.drain import DrainLimits
 
 if TYPE_CHECKING:
-    from ibisspring_control.in_charge.duty_state import DutyState
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import Settings
 
 ORDERS_TICK_S = 0.25
 USAGE_TICK_S = 0.5
+ENDPOINTS_TICK_S = 1.0
+# Receivers that are asked about open orders at the same time; a silent one holds its place for a
+# whole order timeout.
+RESUMED_AT_A_TIME = 16
+# Longer than entries take to hand all their endpoints to a new leader.
+ABSENT_S = 30.0
 ENDPOINT_RECEIVER = "endpoint:"
+USAGE = "usage"
 
 
 class InCharge:
@@ -30,10 +41,10 @@
 
     name = "in_charge"
 
-    def __init__(self, settings: Settings, state: DutyState | None = None) -> None:
+    def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._state = state
         self._subscriptions: list[Any] = []
+        self._backoff = Backoff()
 
     @classmethod
     def from_config(cls, settings: Settings) -> InCharge:
@@ -47,32 +58,41 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe the duties to the timer."""
-        consensus = kernel.find("consensus")
-        counters = kernel.find("counters")
+        self._state = kernel.find("state")
+        self._leases = kernel.find("entry_leases")
+        self._build_duties(kernel.find("consensus"), kernel.find("counters"))
+        timer = kernel.find("timer")
+        control = self._settings.control
+        callback_by_name = {"orders": (ORDERS_TICK_S, self._resume_orders)}
+        if control.usage_url:
+            callback_by_name["usage"] = (USAGE_TICK_S, self._report_usage)
+        if control.platform_url:
+            callback_by_name["endpoints"] = (ENDPOINTS_TICK_S, self._keep_endpoints)
+        for name, (interval_s, callback) in callback_by_name.items():
+            subscription = timer.subscribe(f"in_charge:{name}", interval_s, callback)
+            self._subscriptions.append(subscription)
+
+    def _build_duties(self, consensus: Any, counters: Any) -> None:
         control = self._settings.control
-        self._entry_leases = kernel.find_optional("entry_leases")
-        if self._state is None:
-            self._state = kernel.find("state")
+        daemon = self._settings.daemon
+        state = self._state
         self._watch = TenureWatch.from_config(consensus, control)
         least_lease_s = min(control.order_timeout_s, control.leader_lease_s / 2)
         order_settings = OrderSettings(
-            self._settings.daemon, control.platform_url, control.order_timeout_s, least_lease_s
+            daemon, control.platform_url, control.order_timeout_s, least_lease_s
         )
-        self._orders = Orders(consensus, self._watch, counters, order_settings, self._url_of)
+        self._orders = Orders(consensus, state, self._watch, counters, order_settings, self._url_of)
         report_settings = ReportSettings(
-            self._settings.daemon,
+            daemon,
             control.usage_url,
             control.usage_window_s,
             control.order_timeout_s,
             least_lease_s,
         )
-        self._usage = UsageReports(consensus, self._state, self._watch, counters, report_settings)
-        timer = kernel.find("timer")
-        self._subscriptions = [timer.subscribe("in_charge:orders", ORDERS_TICK_S, self._tick)]
-        if control.usage_url:
-            self._subscriptions.append(
-                timer.subscribe("in_charge:usage", USAGE_TICK_S, self._tick_usage)
-            )
+        self._usage = UsageReports(consensus, state, self._watch, counters, report_settings)
+        limits = DrainLimits(control.drain_settle_s, control.drain_deadline_s)
+        self._drains = Drains(consensus, state, self._leases, self._orders, counters, limits)
+        self._fleet = Fleet(consensus, state, self._leases, self._orders, counters)
 
     async def stop(self) -> None:
         """End the duties; an order under way is aborted and stays open in the log."""
@@ -107,26 +127,49 @@
     def _url_of(self, receiver: str) -> str | None:
         if receiver == PLATFORM:
             return self._settings.control.platform_url or None
-        if self._entry_leases is None:
-            return None
         endpoint = receiver.removeprefix(ENDPOINT_RECEIVER)
-        record = self._entry_leases.endpoint_by_id.get(endpoint)
+        record = self._leases.endpoint_by_id.get(endpoint)
         if record is None:
             return None
         return f"http://{record.address}"
 
-    async def _tick(self, now: float) -> None:
+    async def _resume_orders(self, now: float) -> None:
         tenure = self._watch.current(now)
         if tenure is None:
             return
+        order_by_receiver: dict[str, Any] = {}
         for order in self._state.open_orders():
-            await self._orders.resume(tenure, order)
+            order_by_receiver.setdefault(order.intent.receiver, order)
+        limit = asyncio.Semaphore(RESUMED_AT_A_TIME)
+        await asyncio.gather(
+            *(self._resume(tenure, order, limit) for order in order_by_receiver.values())
+        )
+
+    async def _resume(self, tenure: Tenure, order: Any, limit: asyncio.Semaphore) -> None:
+        receiver = order.intent.receiver
+        now = boot_now()
+        if not self._backoff.ready(receiver, now):
+            return
+        # To a new leader, whose table of endpoints still fills, each receiver looks gone.
+        if self._url_of(receiver) is None and now < tenure.acts_from_s + ABSENT_S:
+            return
+        async with limit:
+            end = await self._orders.resume(tenure, order)
+        self._backoff.note(receiver, isinstance(end, Refusal), boot_now())
+
+    async def _report_usage(self, now: float) -> None:
+        tenure = self._watch.current(now)
+        if tenure is None or not self._backoff.ready(USAGE, now):
+            return
+        whole = await self._usage.run(tenure, wall_now())
+        self._backoff.note(USAGE, not whole, boot_now())
 
-    async def _tick_usage(self, now: float) -> None:
+    async def _keep_endpoints(self, now: float) -> None:
         tenure = self._watch.current(now)
         if tenure is None:
             return
-        await self._usage.run(tenure, wall_now())
+        await self._drains.run(tenure, now, wall_now())
+        await self._fleet.run(tenure, now, wall_now())
 
 
 __all__ = ["InCharge"]
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/usage_reports.py
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/usage_reports.py
@@ -59,13 +59,15 @@
         self._watch = watch
         self._counters = counters
         self._settings = settings
+        self._conflicts: set[int] = set()
 
-    async def run(self, tenure: Tenure, wall_s: float) -> None:
+    async def run(self, tenure: Tenure, wall_s: float) -> bool:
         """
         Close the windows that are over and report the closed ones.
 
         :param tenure: the tenure under which reports are sent.
         :param wall_s: wall-clock seconds.
+        :return: False when a report or a commit has to be tried again.
         """
         for window in self._state.unreported_windows():
             if window.closed:
@@ -76,12 +78,13 @@
                 self._consensus, CloseWindow(window.window), f"close-{window.window}"
             )
             if isinstance(closed, Refusal):
-                return
+                return False
         for window in self._state.unreported_windows():
-            if not window.closed:
+            if not window.closed or window.window in self._conflicts:
                 continue
             if not await self._report(tenure, window):
-                return
+                return False
+        return True
 
     async def _report(self, tenure: Tenure, window: UsageWindow) -> bool:
         answer = await send_guarded(
@@ -95,10 +98,12 @@
             eliot.log_message("usage:unanswered", window=window.window, detail=answer.detail)
             return False
         if answer.status == HTTP_CONFLICT:
-            # Only a report from outside this log can have got there first: a person must look.
+            # Only a report from outside this log can have got there first. A person must look;
+            # it stays unreported in `ibisspring usage show` and does not hold up the others.
+            self._conflicts.add(window.window)
             self._counters.refused(Reason.CONFLICT)
             eliot.log_message("usage:conflict", window=window.window)
-            return False
+            return True
         if answer.status != HTTP_OK:
             self._counters.retried(Reason.ENDPOINT_REFUSED)
             return False
--- a/packages/ibisspring-core/src/ibisspring_core/settings/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/model.py
@@ -34,6 +34,9 @@
     :param order_timeout_s: longest time that one order to the platform or an engine may be under
         way.
     :param usage_window_s: seconds that one usage window spans.
+    :param drain_settle_s: seconds after which an endpoint that announces no work on it is stopped,
+        counted from when no entry gives it new work.
+    :param drain_deadline_s: seconds after which a draining endpoint is stopped with work on it.
     :param weight_store_url: base URL of the weight store, handed to engines in load orders.
     :param weight_store_concurrency: loads from the weight store at a time, its rate limit.
     """
@@ -48,6 +51,8 @@
     usage_url: str = ""
     order_timeout_s: float = 2.0
     usage_window_s: float = 60.0
+    drain_settle_s: float = 10.0
+    drain_deadline_s: float = 120.0
     weight_store_url: str = ""
     weight_store_concurrency: int = 2
 
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/capacity.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/capacity.py
@@ -7,17 +7,17 @@
 
 Without it: an operator's fixed fleet is either all standard, and costs the most, or lost at once
 with the reclaim. Replacing reclaimed endpoints by cheap ones in the same data centre has them
-reclaimed again; asking an unavailable kind again every second is a storm of refused orders; stopping
-at the first sight of one endpoint too many makes the fleet go up and down with every late
+reclaimed again; asking an unavailable kind again every second is a storm of refused orders;
+stopping at the first sight of one endpoint too many makes the fleet go up and down with every late
 announcement.
 
 Grounds of the figures: a reclaim takes back what the data centre needs for hours, so the cheap kind
 is left alone there for `RECLAIM_PAUSE_S` (10 min). An unavailable kind is asked for again after
-`UNAVAILABLE_PAUSE_S` (60 s): sooner is a storm, and the other kind serves in the meantime. A surplus
-is only stopped after `SURPLUS_HOLD_S` (60 s), longer than an endpoint's silence until it is taken as
-gone (5 s) and than its start. A move back to the cheap kind takes one endpoint at a time, its
-replacement first, so that it never costs service. Two or more cheap endpoints of a data centre that
-are gone within `RECLAIM_SPAN_S` (10 s) are a reclaim; one alone may be a crash.
+`UNAVAILABLE_PAUSE_S` (60 s): sooner is a storm, and the other kind serves in the meantime. A
+surplus is only stopped after `SURPLUS_HOLD_S` (60 s), longer than an endpoint's silence until it is
+taken as gone (5 s) and than its start. A move back to the cheap kind takes one endpoint at a time,
+its replacement first, so that it never costs service. Two or more cheap endpoints of a data centre
+that are gone within `RECLAIM_SPAN_S` (10 s) are a reclaim; one alone may be a crash.
 """
 
 from __future__ import annotations
--- a/packages/ibisspring-entry/src/ibisspring_entry/usage_meter/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/usage_meter/service.py
@@ -9,8 +9,8 @@
 import eliot
 
 from ibisspring_core.clock import boot_now, wall_now
-from ibisspring_core.errors import Refusal
-from ibisspring_core.messages.commands import UsageRecord
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.messages.commands import Refused, UsageRecord
 from ibisspring_core.messages.views import EntryView
 from ibisspring_entry.usage_meter.ledger import Ledger
 
@@ -112,6 +112,10 @@
         if isinstance(result, Refusal):
             self._counters.retried(result.reason)
             return False
+        if isinstance(result, Refused):
+            # Only for a start of this daemon that was forgotten: sending it again cannot help.
+            self._counters.refused(Reason(result.reason))
+            eliot.log_message("usage:refused", sequence=batch.sequence, detail=result.detail)
         self._ledger.confirm(batch.sequence)
         return True
 
--- a/tests/unit/control/in_charge/test_orders.py
+++ b/tests/unit/control/in_charge/test_orders.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
 
 from ibisspring_control.in_charge.orders import OrderEnd, Orders, OrderSettings
 from ibisspring_core.errors import Reason, Refusal
+from integration.processes import wait_until
 
 START = {"data_centre": "derby", "service": "scorer-lm", "kind": "cheap", "action": "start"}
 
@@ -13,7 +15,7 @@
 @pytest.fixture
 def orders(control, watch, counters, platform_url) -> Orders:
     settings = OrderSettings("c1", platform_url, timeout_s=20.0, least_lease_s=0.4)
-    return Orders(control, watch, counters, settings, lambda receiver: platform_url)
+    return Orders(control, control, watch, counters, settings, lambda receiver: platform_url)
 
 
 async def test_the_intent_is_committed_before_the_order_is_sent(
@@ -85,3 +87,31 @@
 
     assert end == OrderEnd("unavailable", "derby/cheap")
     assert control.commands[-1].outcome == "refused"
+
+
+async def test_a_new_order_does_not_overtake_an_open_one(control, orders, tenure, fake_platform):
+    # The first order's answer is lost. Sent now, a second one would carry a higher fencing number,
+    # and a platform that checks would refuse the first for good when it is resolved.
+    fake_platform.faults.drop_answer = True
+    await orders.send(tenure, "platform", "o1", START)
+
+    refusal = await orders.send(tenure, "platform", "o2", START)
+
+    assert (refusal.reason, refusal.not_run) == (Reason.IN_PROGRESS, True)
+    assert [sent.order_id for sent in fake_platform.sent] == ["o1"]
+
+
+async def test_an_order_that_ended_while_it_waited_is_not_sent_again(
+    control, orders, tenure, fake_platform
+) -> None:
+    # The tick that resumes open orders sees one that `send` has under way: without a second look
+    # behind the lock it would go out twice.
+    fake_platform.faults.answer_late_s = 0.3
+    sending = asyncio.create_task(orders.send(tenure, "platform", "o1", START))
+    await wait_until(lambda: fake_platform.sent, "the order to arrive")
+    (open_order,) = control.open_orders()
+
+    await orders.resume(tenure, open_order)
+
+    assert await sending == OrderEnd("done")
+    assert len(fake_platform.sent) == 1
