--- a/tests/unit/control/consensus/test_core_fuzz.py
+++ b/tests/unit/control/consensus/test_core_fuzz.py
@@ -26,7 +26,8 @@
     """
     A VM's new disk is lost again while it is taking the old one's place, and nothing commits.
 
-    The replacement was added as a fourth voter before the old one was removed, so two of four were lost with one VM.
+    The replacement was added as a fourth voter before the old one was removed, so two of four were
+    lost with one VM.
     """
     run(seed, count, 3 * STEPS)
 
