--- a/packages/ibisspring-cli/src/ibisspring_cli/main.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/main.py
@@ -13,6 +13,10 @@
 from ibisspring_cli.status import status
 from ibisspring_cli.usage import usage
 
+# "Accepted" waits for the lease of an entry that went silent, and after a change of leader for a
+# whole lease; with the longest settings that still lies under the 15 s that a change may take.
+TIMEOUT_S = 30.0
+
 
 @click.group()
 @click.option(
@@ -23,8 +27,18 @@
     help="IP:port of a control daemon; give all of them, or set IBISSPRING_CONTROL (with spaces).",
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON; also taken after any command.")
+@click.option(
+    "--timeout",
+    "timeout_s",
+    type=click.FloatRange(min=0.1),
+    default=TIMEOUT_S,
+    show_default=True,
+    help="Longest time in seconds for an answer; an apply may wait for an entry that went silent.",
+)
 @click.pass_context
-def main(context: click.Context, addresses: tuple[str, ...], as_json: bool) -> None:
+def main(
+    context: click.Context, addresses: tuple[str, ...], as_json: bool, timeout_s: float
+) -> None:
     """
     Operate an ibisspring system.
 
@@ -46,7 +60,7 @@
       4  unknown: it may have been done; run the printed command again
       5  conflict: somebody else changed the rules first
     """
-    context.obj = Options.from_command_line(addresses, as_json)
+    context.obj = Options.from_command_line(addresses, as_json, timeout_s)
     # The group `control` has these options of its own; given before it they count as well.
     context.default_map = {"control": {"addresses": addresses, "as_json": as_json}}
 
--- a/packages/ibisspring-cli/src/ibisspring_cli/options.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/options.py
@@ -20,22 +20,27 @@
 
     :param addresses: IP:port of the control daemons.
     :param as_json: print one JSON object instead of text.
+    :param timeout_s: longest time for an answer.
     """
 
     addresses: tuple[str, ...]
     as_json: bool
+    timeout_s: float
 
     @classmethod
-    def from_command_line(cls, addresses: tuple[str, ...], as_json: bool) -> Options:
+    def from_command_line(
+        cls, addresses: tuple[str, ...], as_json: bool, timeout_s: float
+    ) -> Options:
         """
         Build the options.
 
         :param addresses: each one IP:port, or several with spaces or commas between.
         :param as_json: whether JSON was asked for.
+        :param timeout_s: longest time for an answer.
         :return: the options.
         """
         split = [part for text in addresses for part in text.replace(",", " ").split()]
-        return cls(tuple(split), as_json)
+        return cls(tuple(split), as_json, timeout_s)
 
 
 def with_options(command: Callable[..., Any]) -> Callable[..., Any]:
--- a/packages/ibisspring-cli/src/ibisspring_cli/session.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/session.py
@@ -22,9 +22,6 @@
 EXIT_UNREACHABLE = 3
 EXIT_UNKNOWN = 4
 EXIT_CONFLICT = 5
-# "Accepted" waits for the lease of an entry that went silent, and after a change of leader for a
-# whole lease; with the longest settings that still lies under the 15 s that a change may take.
-TOTAL_S = 30.0
 
 
 def read(options: Options, query: str, **arguments: Any) -> dict[str, Any]:
@@ -37,7 +34,7 @@
     """
 
     async def ask(client: ControlClient) -> Any:
-        return await client.read(query, total_s=TOTAL_S, **arguments)
+        return await client.read(query, total_s=options.timeout_s, **arguments)
 
     answer = _run(options, ask)
     if isinstance(answer, Refusal):
@@ -56,7 +53,7 @@
     """
 
     async def ask(client: ControlClient) -> Any:
-        return await client.propose(command, request_id, total_s=TOTAL_S)
+        return await client.propose(command, request_id, total_s=options.timeout_s)
 
     result = _run(options, ask)
     if isinstance(result, Refusal):
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/queueing.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/queueing.py
@@ -197,8 +197,8 @@
             if late_s > 0.0:
                 shed.append(Shed(item, False, self._promise_s(line, item, late_s, now)))
                 continue
-            # An account that was idle is charged from where the others are now; without it, saved-up
-            # turns would give it all slots for as long as it was idle.
+            # An account that was idle is charged from where the others are now: turns saved up
+            # while it was idle would give it all slots for as long.
             self._virtual = max(self._virtual, line.charged)
             line.charged = self._virtual + item.cost_s / line.weight
             return Turn(item, tuple(shed))
--- a/tests/integration/rules_system.py
+++ b/tests/integration/rules_system.py
@@ -50,6 +50,11 @@
         """Run the command line beside the event loop."""
         return await asyncio.to_thread(command_line, *self.options, *arguments)
 
+    @staticmethod
+    def command(*arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the command line with other `--control` options than the system's."""
+        return command_line(*arguments)
+
     async def found(self) -> None:
         """Start all daemons, found the cluster and wait until every entry is ready."""
         self.cluster.start_all()
--- /dev/null
+++ b/tests/integration/test_rules_operators.py
@@ -0,0 +1,104 @@
+"""Operators who race under one base and who send again after a lost answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from ibisspring_core.control_client import ControlClient
+from ibisspring_core.errors import Refusal
+from integration.processes import wait_until
+from integration.proxy import FaultProxy, Mode
+from integration.rules_system import ASKED, RulesSystem, rules_text
+
+EXIT_UNKNOWN = 4
+EXIT_CONFLICT = 5
+
+
+@pytest.fixture
+async def system(tmp_path):
+    system = RulesSystem.from_counts(tmp_path, controls=3, entries=1)
+    try:
+        await system.found()
+        yield system
+    finally:
+        system.stop_all()
+
+
+async def test_of_two_operators_under_one_base_one_wins_and_the_other_is_told(system) -> None:
+    """
+    Two operators edit version 0 and apply different files at the same moment.
+
+    Without the compare-and-set in the log both would be told "accepted" and one change would be
+    gone without a word.
+    """
+    lines = {name: f"timeout service-of-{name} 2 s {ASKED}" for name in ("ana", "bor")}
+    results = await asyncio.gather(
+        *(
+            system.apply(rules_text(line), 0, "--operator", name, "--json")
+            for name, line in lines.items()
+        )
+    )
+
+    assert sorted(result.returncode for result in results) == [0, EXIT_CONFLICT]
+    winner, loser = ("ana", "bor") if results[0].returncode == 0 else ("bor", "ana")
+    lost = next(result for result in results if result.returncode == EXIT_CONFLICT)
+    error = json.loads(lost.stdout)["error"]
+    assert (error["version"], error["operator"]) == (1, winner)
+    assert f"+ {lines[winner]}" in error["changed_lines"]
+    shown = await system.ask("rules", "show")
+    assert shown["version"] == 1
+    assert lines[winner] in shown["text"] and lines[loser] not in shown["text"]
+
+
+@pytest.mark.parametrize("leader_dies", [False, True])
+async def test_a_resend_after_a_lost_answer_gets_the_first_answer(system, leader_dies) -> None:
+    """
+    An operator applies a file; it is committed, its answer is lost; the operator sends it again as
+    the error says, in the second case to the leader that rose after the first one died.
+
+    Applied a second time, or compared with the base again, the operator would be told of a
+    conflict with himself.
+    """
+    leader = await system.leader()
+    proxy = await FaultProxy.before(system.cluster.settings_by_daemon[leader]["control"]["listen"])
+    path = system.folder / "rules.txt"
+    path.write_text(rules_text())
+    entry = system.cluster.process_by_name["e1"]
+
+    # A frozen entry holds the answer back until its lease has lapsed: time to cut the way back.
+    entry.freeze()
+    arguments = ("rules", "apply", str(path), "--base", "0")
+    running = asyncio.to_thread(
+        system.command, f"--control={proxy.address}", "--timeout=8", "--json", *arguments
+    )
+    applying = asyncio.create_task(running)
+    await wait_until(lambda: _version(system), "the commit")
+    await proxy.set_modes(Mode.PASS, Mode.SILENT)
+    lost = await applying
+    entry.thaw()
+    await proxy.stop()
+    assert lost.returncode == EXIT_UNKNOWN, lost.stdout + lost.stderr
+    error = json.loads(lost.stdout)["error"]
+    assert f"--request-id {error['request_id']}" in error["message"]
+    if leader_dies:
+        system.cluster.process_by_name[leader].kill()
+        await system.leader(but=leader)
+
+    again = await system.apply(rules_text(), 0, "--request-id", error["request_id"])
+    anew = await system.apply(rules_text(), 0)
+
+    assert again.returncode == 0, again.stdout + again.stderr
+    assert anew.returncode == EXIT_CONFLICT
+    assert (await system.ask("rules", "show"))["version"] == 1
+
+
+async def _version(system: RulesSystem) -> int:
+    """The version in the log, by a client that stays connected."""
+    listens = [option.removeprefix("--control=") for option in system.options]
+    client = ControlClient({listen: listen for listen in listens})
+    answer = await client.read("rules")
+    await client.stop()
+    return 0 if isinstance(answer, Refusal) else answer["version"]
--- a/tests/unit/cli/test_main.py
+++ b/tests/unit/cli/test_main.py
@@ -43,11 +43,9 @@
     assert result.exit_code == EXIT_FINDINGS
 
 
-def test_without_a_control_daemon_the_error_says_what_to_do(monkeypatch) -> None:
-    monkeypatch.setattr("ibisspring_cli.session.TOTAL_S", 0.3)
-
+def test_without_a_control_daemon_the_error_says_what_to_do() -> None:
     unnamed = _run("status")
-    unreachable = _run("--control", "127.0.0.1:1", "status", "--json")
+    unreachable = _run("--control", "127.0.0.1:1", "--timeout", "0.3", "status", "--json")
 
     assert unnamed.exit_code == EXIT_FINDINGS
     assert "--control IP:port or IBISSPRING_CONTROL" in unnamed.output
