Test requests while engines crash, answers cross and connections go silent

Cause: the request path had no failure tests. Written, they showed: a generation whose engine was dead spent its tries on connects to it until its record's TTL was over ("no whole answer after 4 tries"); a refused half body kept its connection for 30 s.

Change: a start that refuses connections is not tried again by the same generation, which waits up to 10 s for another engine while its caller holds a part; failures are kept by (endpoint, incarnation); refusals that leave a body unread close the connection.

--- a/packages/ibisspring-entry/src/ibisspring_entry/http/refusals.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/refusals.py
@@ -43,6 +43,11 @@
     Reason.INTERNAL: 500,
 }
 
+UNREAD_REASONS = (Reason.TOO_LARGE, Reason.TIMEOUT)
+"""
+After these a body may still be on its way: kept open, the connection would wait for the rest of it.
+"""
+
 
 def error_body(refusal: Refusal, request_id: str) -> dict[str, object]:
     """
@@ -78,6 +83,8 @@
     response.status = falcon.code_to_http_status(STATUS_BY_REASON[refusal.reason])
     response.content_type = falcon.MEDIA_JSON
     response.data = msgspec.json.encode(error_body(refusal, request_id))
+    if refusal.reason in UNREAD_REASONS:
+        response.set_header("Connection", "close")
     if refusal.retry_after_s is not None:
         response.set_header("Retry-After", str(max(1, math.ceil(refusal.retry_after_s))))
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -16,7 +16,7 @@
     from collections.abc import AsyncIterator
 
     from ibisspring_core.messages.endpoints import EndpointRecord
-    from ibisspring_entry.proxy.service import Endpoints
+    from ibisspring_entry.proxy.service import Endpoints, Start
 
 MAX_TRIES = 10
 """Tries of one generation, each of which got further than the one before."""
@@ -46,7 +46,8 @@
         self._held: list[int] = []
         self._tries = 0
         self._fruitless = 0
-        self._failed_on: set[str] = set()
+        self._failed_on: set[Start] = set()
+        self._dead: set[Start] = set()
         self._not_run = True
         self._deadline = boot_now() + request.deadline_s
 
@@ -76,8 +77,7 @@
             if outcome.reason is None:
                 yield End(self._request.request_id, len(self._held), record.endpoint, self._tries)
                 return
-            self._fruitless = 0 if len(self._held) > held else self._fruitless + 1
-            self._note(record, outcome)
+            self._note(record, outcome, len(self._held) - held)
             if not self._may_try_again(outcome):
                 yield self._failed(outcome.reason)
                 return
@@ -90,7 +90,8 @@
                 self._request.model,
                 self._request.prompt,
                 self._request.avoid,
-                frozenset(self._failed_on),
+                self._failed_on,
+                self._dead,
             )
             if record is not None or not self._held or boot_now() >= waited_until:
                 return record
@@ -111,11 +112,19 @@
     def _ended(outcome: TryOutcome) -> bool:
         return outcome.reason is None or outcome.not_run
 
-    def _note(self, record: EndpointRecord, outcome: TryOutcome) -> None:
+    def _note(self, record: EndpointRecord, outcome: TryOutcome, gained: int) -> None:
         self._not_run = self._not_run and outcome.not_run
+        if gained:
+            self._fruitless = 0
+        elif not outcome.not_run:
+            self._fruitless += 1
+        start = (record.endpoint, record.incarnation)
         if not outcome.same_engine:
-            self._failed_on.add(record.endpoint)
+            self._failed_on.add(start)
             self._endpoints.note_failure(record.endpoint)
+        if outcome.not_run and outcome.reason is Reason.ENDPOINT_FAILED:
+            # Nobody listens there; its record lives on for a TTL. Only a new start is tried again.
+            self._dead.add(start)
         eliot.log_message(
             "generation:try_failed",
             request_id=self._request.request_id,
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -11,7 +11,7 @@
 from ibisspring_entry.proxy.plain_try import send_try
 
 if TYPE_CHECKING:
-    from ibisspring_entry.proxy.service import Endpoints
+    from ibisspring_entry.proxy.service import Endpoints, Start
 
 MAX_TRIES = 3
 RETRY_AFTER_S = 1.0
@@ -24,7 +24,7 @@
         self._endpoints = endpoints
         self._request = request
         self._deadline = boot_now() + request.deadline_s
-        self._failed_on: set[str] = set()
+        self._failed_on: set[Start] = set()
         self._tries = 0
         self._not_run = True
         detail = f"no endpoint of {request.service} takes work"
@@ -97,11 +97,11 @@
         return None
 
     async def _try(self) -> PlainAnswer | Refusal:
-        record = self._endpoints.pick(self._request.service, "", (), frozenset(self._failed_on))
+        record = self._endpoints.pick(self._request.service, "", failed_on=self._failed_on)
         if record is None:
             return self._last
         self._tries += 1
-        self._failed_on.add(record.endpoint)
+        self._failed_on.add((record.endpoint, record.incarnation))
         try_id = f"{self._request.request_id}.{self._tries}"
         with self._endpoints.work_on(record):
             answer = await send_try(
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -15,7 +15,7 @@
 from ibisspring_entry.proxy.plain_call import PlainCall
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Coroutine, Iterator
+    from collections.abc import AsyncIterator, Collection, Coroutine, Iterator
 
     import aiohttp
 
@@ -33,6 +33,10 @@
     )
 
 
+Start = tuple[str, int]
+"""An endpoint's id with its incarnation: what failed it need not hold for its next start."""
+
+
 class Endpoints:
     """What this entry has under way at the endpoints."""
 
@@ -91,7 +95,12 @@
         return await PlainCall(self, request).answer()
 
     def pick(
-        self, service: str, prompt: str, avoid: tuple[str, ...], failed_on: frozenset[str]
+        self,
+        service: str,
+        prompt: str,
+        avoid: Collection[str] = (),
+        failed_on: Collection[Start] = (),
+        dead: Collection[Start] = (),
     ) -> EndpointRecord | None:
         """
         Choose an endpoint for new work.
@@ -99,15 +108,19 @@
         :param service: the model or plain service.
         :param prompt: for the prefix cache; empty where it means nothing.
         :param avoid: endpoints that must not be used.
-        :param failed_on: endpoints that failed this request, used only where no other is left.
+        :param failed_on: starts that failed this request, used only where no other is left.
+        :param dead: starts to which no connection can be made.
         :return: the endpoint's record, or None where none may take work.
         """
         record_by_endpoint = {}
+        fresh = []
         for record in self._registry.records_of(service):
-            if record.endpoint in avoid:
+            start = (record.endpoint, record.incarnation)
+            if record.endpoint in avoid or start in dead:
                 continue
             record_by_endpoint[record.endpoint] = record
-        fresh = [name for name in record_by_endpoint if name not in failed_on]
+            if start not in failed_on:
+                fresh.append(record.endpoint)
         names = fresh or list(record_by_endpoint)
         candidates = tuple(self._candidate(record_by_endpoint[name]) for name in names)
         chosen = self._router.choose(candidates, boot_now())
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -80,6 +80,9 @@
         self.running.add(request_id)
         try:
             return await self._stream(request, body, entry)
+        except (ConnectionError, asyncio.CancelledError):
+            entry["ended"] = "broken"
+            raise
         finally:
             self.running.discard(request_id)
             self.slots.release()
@@ -97,6 +100,8 @@
         self._cache(body["prompt"])
         await response.prepare(request)
         offset = len(body["resume_tokens"])
+        if self.faults.get("crash_after") == 0:
+            os._exit(1)
         while offset < body["max_tokens"]:
             await self._pace(CHUNK_TOKENS)
             if request_id in self.cancelled:
