Wire admission, the fair queue and the ending of work with its key

Cause: callers were let in without a rate, everything waited in the engines' own queues, and a withdrawn key's open streams and queued work went on.

Change: service `admission` (rates shared over entries by demand), turns at each service (slots by capacity and by what the other entries have to do: ibisspring_decisions.slots, EntryPeer field `wanted_by_service`) with the fair queue before them; open requests end with their key, and 5 s after the lease lapsed; what waits is checked again when its turn comes. A claim is proposed, run and settled apart from its caller.

Not run yet: everything else against it.

--- a/packages/ibisspring-entry/src/ibisspring_entry/claims/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/claims/service.py
@@ -112,6 +112,11 @@
         if not 0 < len(call.key) <= MAX_KEY:
             detail = f"Idempotency-Key must have 1 to {MAX_KEY} characters"
             return Refusal(Reason.BAD_REQUEST, True, None, detail)
+        # The caller may leave at any moment; what it began is claimed, sent and settled all the
+        # same, or the claim would stay "running" for a call of which nobody knows whether it ran.
+        return await asyncio.shield(self._keep(self._claim_and_run(call, run)))
+
+    async def _claim_and_run(self, call: KeyedCall, run: Run) -> PlainAnswer | Refusal:
         claim = ClaimKey(
             client_account=call.client_account,
             key=call.key,
@@ -129,9 +134,7 @@
             return unclaimed(state)
         if state.state != "granted":
             return answer_of(call, state)
-        # The caller may leave now; what was claimed is sent and settled all the same, or the claim
-        # would stay "running" for a call of which nobody knows whether it ran.
-        return await asyncio.shield(self._keep(self._run_claimed(claim, run)))
+        return await self._run_claimed(claim, run)
 
     def _keep(self, work: Coroutine[Any, Any, ResultT]) -> asyncio.Task[ResultT]:
         task = asyncio.create_task(work)
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
@@ -12,7 +13,7 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_entry.http.access import allowed_rules
 from ibisspring_entry.http.bodies import parse_body, read_body
-from ibisspring_entry.http.callers import identify
+from ibisspring_entry.http.ending import admit, ended, key_holds, serve_until_ended
 from ibisspring_entry.http.generate_wire import NDJSON, GenerateBody, line_of, whole_answer
 from ibisspring_entry.http.keyed_generation import KeyedGeneration
 from ibisspring_entry.http.refusals import refuse
@@ -20,7 +21,7 @@
 from ibisspring_entry.proxy.messages import End, Failed, GenerateRequest, TokenRun
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import EntrySettings
@@ -39,7 +40,11 @@
 
     async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Run one generation."""
-        caller = identify(self._kernel, request)
+        work = self._serve(request, response)
+        await serve_until_ended(request, response, self._counters, work)
+
+    async def _serve(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        caller = admit(self._kernel, request)
         asked = caller if isinstance(caller, Refusal) else await self._read(request, caller)
         if isinstance(asked, Refusal):
             refuse(response, asked, request.context.request_id, self._counters)
@@ -47,11 +52,12 @@
         body, wanted = asked
         key = request.get_header("Idempotency-Key")
         if key is not None:
-            await self._once(response, KeyedGeneration(self._kernel, body, wanted), wanted, key)
+            generation = KeyedGeneration(self._kernel, caller, body, wanted)
+            await self._once(request, response, generation, key)
             return
         answers = self._kernel.find("endpoints").generate(wanted)
         if body.stream:
-            await self._stream(response, wanted, answers)
+            await self._stream(request, response, wanted, answers)
             return
         await self._whole(response, wanted, answers)
 
@@ -77,33 +83,51 @@
             adapter=body.adapter,
             deadline_s=min(body.deadline_s, self._settings.request_timeout_s),
             correlation_id=request.context.correlation_id,
+            may_start=lambda: key_holds(self._kernel, caller),
         )
         return body, wanted
 
     async def _once(
         self,
+        request: falcon.asgi.Request,
         response: falcon.asgi.Response,
         generation: KeyedGeneration,
-        wanted: GenerateRequest,
         key: str,
     ) -> None:
         answer = await generation.start(key)
         if answer is None:
             response.content_type = NDJSON
-            response.stream = generation.lines()
+            response.stream = self._until_ended(request, generation.lines())
             return
         if isinstance(answer, Refusal):
-            refuse(response, answer, wanted.request_id, self._counters)
+            refuse(response, answer, request.context.request_id, self._counters)
             return
         response.data = answer.body
         for name, value in answer.headers:
             response.set_header(name, value)
 
+    async def _until_ended(
+        self, request: falcon.asgi.Request, lines: AsyncGenerator[bytes, None]
+    ) -> AsyncGenerator[bytes, None]:
+        """Stream, and tell the caller when the stream is ended by its key or the lease."""
+        try:
+            async with aclosing(lines):
+                async for line in lines:
+                    yield line
+        except asyncio.CancelledError:
+            refusal = ended(request)
+            if refusal is None:
+                raise
+            self._counters.refused(refusal.reason)
+            request_id = request.context.request_id
+            yield line_of(request_id, Failed(request_id, refusal))
+
     async def _stream(
         self,
+        request: falcon.asgi.Request,
         response: falcon.asgi.Response,
         wanted: GenerateRequest,
-        answers: AsyncIterator[TokenRun | End | Failed],
+        answers: AsyncGenerator[TokenRun | End | Failed, None],
     ) -> None:
         # The first answer decides the status: a refusal before any token is a typed HTTP refusal.
         began = boot_now()
@@ -112,15 +136,16 @@
             refuse(response, first.refusal, wanted.request_id, self._counters)
             return
         response.content_type = NDJSON
-        response.stream = self._lines(wanted, first, answers, began)
+        lines = self._lines(wanted, first, answers, began)
+        response.stream = self._until_ended(request, lines)
 
     async def _lines(
         self,
         wanted: GenerateRequest,
         first: TokenRun | End,
-        answers: AsyncIterator[TokenRun | End | Failed],
+        answers: AsyncGenerator[TokenRun | End | Failed, None],
         began: float,
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         total = 0
         answer: TokenRun | End | Failed | None = first
         try:
@@ -139,7 +164,7 @@
         self,
         response: falcon.asgi.Response,
         wanted: GenerateRequest,
-        answers: AsyncIterator[TokenRun | End | Failed],
+        answers: AsyncGenerator[TokenRun | End | Failed, None],
     ) -> None:
         runs: list[TokenRun] = []
         began = boot_now()
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/keyed_generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/keyed_generation.py
@@ -15,10 +15,11 @@
 from ibisspring_entry.proxy.messages import Failed, PlainAnswer, TokenRun
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from ibisspring_core.errors import Refusal
     from ibisspring_core.kernel import Kernel
+    from ibisspring_entry.http.callers import Caller
     from ibisspring_entry.http.generate_wire import GenerateBody
     from ibisspring_entry.proxy.messages import GenerateRequest
 
@@ -29,8 +30,11 @@
     for the caller's next try.
     """
 
-    def __init__(self, kernel: Kernel, body: GenerateBody, wanted: GenerateRequest) -> None:
+    def __init__(
+        self, kernel: Kernel, caller: Caller, body: GenerateBody, wanted: GenerateRequest
+    ) -> None:
         self._kernel = kernel
+        self._caller = caller
         self._body = body
         self._wanted = wanted
         self._lines: asyncio.Queue[bytes | None] = asyncio.Queue()
@@ -64,7 +68,7 @@
         self._lines_first = first.result()
         return None
 
-    async def lines(self) -> AsyncIterator[bytes]:
+    async def lines(self) -> AsyncGenerator[bytes, None]:
         """
         Stream the run.
 
@@ -76,6 +80,24 @@
             line = await self._lines.get()
 
     async def _run(self) -> PlainAnswer | Refusal:
+        # It outlives its caller, but not its key.
+        opened = self._kernel.find("http").open_work.enter(
+            self._caller.key, self._caller.client_account
+        )
+        try:
+            return await self._generate()
+        except asyncio.CancelledError:
+            refusal = opened.take_end()
+            if refusal is None:
+                raise
+            self._lines.put_nowait(line_of(self._wanted.request_id, self._failed(refusal)))
+            self._lines.put_nowait(None)
+            return refusal
+
+    def _failed(self, refusal: Refusal) -> Failed:
+        return Failed(self._wanted.request_id, refusal)
+
+    async def _generate(self) -> PlainAnswer | Refusal:
         began = boot_now()
         request_id = self._wanted.request_id
         runs: list[TokenRun] = []
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
@@ -13,6 +13,7 @@
 from ibisspring_entry.http.generate import GenerateResource
 from ibisspring_entry.http.health import HealthResource, ReadyResource
 from ibisspring_entry.http.middleware import RequestIds, Stopping, add_error_handlers
+from ibisspring_entry.http.open_work import OpenWork
 from ibisspring_entry.http.server import make_server
 from ibisspring_entry.http.services import ServicesResource
 
@@ -56,6 +57,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Begin to listen."""
         counters = kernel.find("counters")
+        self.open_work = OpenWork(kernel)
         self._refusing = Stopping(counters)
         app = falcon.asgi.App(middleware=[RequestIds(), self._refusing])
         add_error_handlers(app, counters)
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
@@ -11,7 +11,8 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_entry.http.access import allowed_rules
 from ibisspring_entry.http.bodies import read_body
-from ibisspring_entry.http.callers import Caller, identify
+from ibisspring_entry.http.callers import Caller
+from ibisspring_entry.http.ending import admit, key_holds, serve_until_ended
 from ibisspring_entry.http.refusals import refuse
 from ibisspring_entry.http.usage import bill
 from ibisspring_entry.proxy.messages import PlainAnswer, PlainRequest
@@ -38,7 +39,13 @@
         self, request: falcon.asgi.Request, response: falcon.asgi.Response, service: str, path: str
     ) -> None:
         """Send one call."""
-        caller = identify(self._kernel, request)
+        work = self._serve(request, response, service)
+        await serve_until_ended(request, response, self._counters, work)
+
+    async def _serve(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response, service: str
+    ) -> None:
+        caller = admit(self._kernel, request)
         wanted = caller
         if isinstance(caller, Caller):
             wanted = await self._read(request, caller, service)
@@ -101,6 +108,7 @@
             idempotent=rules.is_idempotent(service, request.method, path),
             deadline_s=min(timeout_s, self._settings.request_timeout_s),
             correlation_id=request.context.correlation_id,
+            may_start=lambda: key_holds(self._kernel, caller),
         )
 
     async def _send(self, wanted: PlainRequest, key: str | None) -> PlainAnswer | Refusal:
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -40,7 +40,7 @@
 class Generation:
     """The state of one generation: what the caller holds, and where it was tried."""
 
-    def __init__(self, endpoints: Endpoints, request: GenerateRequest) -> None:
+    def __init__(self, endpoints: Endpoints, request: GenerateRequest, deadline: float) -> None:
         self._endpoints = endpoints
         self._request = request
         self._held: list[int] = []
@@ -49,7 +49,7 @@
         self._failed_on: set[Start] = set()
         self._dead: set[Start] = set()
         self._not_run = True
-        self._deadline = boot_now() + request.deadline_s
+        self._deadline = deadline
 
     async def answers(self) -> AsyncIterator[TokenRun | End | Failed]:
         """
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ibisspring_core.errors import Refusal
 
 
@@ -22,6 +24,7 @@
     :param deadline_s: seconds from the call in which the whole answer must be there.
     :param correlation_id: goes into logs and on to the engine.
     :param avoid: endpoints that must not be used, such as the one on which a straggler runs.
+    :param may_start: asked when its turn has come, since the key may be withdrawn while it waits.
     """
 
     request_id: str
@@ -34,6 +37,7 @@
     deadline_s: float = 60.0
     correlation_id: str = ""
     avoid: tuple[str, ...] = ()
+    may_start: Callable[[], bool] | None = None
 
 
 @dataclass(frozen=True)
@@ -93,6 +97,7 @@
     :param headers: the caller's headers that may go on; never its key.
     :param idempotent: whether it may be sent again after it may have run.
     :param deadline_s: seconds from the call in which the whole answer must be there.
+    :param may_start: asked when its turn has come, since the key may be withdrawn while it waits.
     """
 
     request_id: str
@@ -105,6 +110,7 @@
     idempotent: bool = False
     deadline_s: float = 60.0
     correlation_id: str = ""
+    may_start: Callable[[], bool] | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -20,10 +20,10 @@
 class PlainCall:
     """The state of one call: what was tried, and whether any try may have run."""
 
-    def __init__(self, endpoints: Endpoints, request: PlainRequest) -> None:
+    def __init__(self, endpoints: Endpoints, request: PlainRequest, deadline: float) -> None:
         self._endpoints = endpoints
         self._request = request
-        self._deadline = boot_now() + request.deadline_s
+        self._deadline = deadline
         self._failed_on: set[Start] = set()
         self._tries = 0
         self._not_run = True
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -4,30 +4,29 @@
 
 import asyncio
 import random
-from contextlib import contextmanager
+from contextlib import aclosing, contextmanager
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.clock import boot_now
+from ibisspring_core.errors import Reason, Refusal
 from ibisspring_decisions.retries import RetryBudget
 from ibisspring_decisions.routing import Candidate, Router
 from ibisspring_entry.proxy.connections import open_session
 from ibisspring_entry.proxy.generation import Generation
+from ibisspring_entry.proxy.messages import End, Failed, PlainAnswer
 from ibisspring_entry.proxy.plain_call import PlainCall
+from ibisspring_entry.proxy.turn_taking import TurnTaking
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Collection, Coroutine, Iterator
+    from collections.abc import AsyncGenerator, Collection, Coroutine, Iterator
 
     import aiohttp
 
-    from ibisspring_core.errors import Reason, Refusal
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.settings import Settings
     from ibisspring_entry.proxy.messages import (
-        End,
-        Failed,
         GenerateRequest,
-        PlainAnswer,
         PlainRequest,
         TokenRun,
     )
@@ -49,6 +48,7 @@
         self._budget = RetryBudget.from_defaults()
         self._in_flight_by_endpoint: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._turn_taking = TurnTaking()
 
     @classmethod
     def from_config(cls, settings: Settings) -> Endpoints:
@@ -64,6 +64,7 @@
         """Open the client; no connection is made before the first request."""
         self._registry = kernel.find("registry")
         self._counters = kernel.find("counters")
+        await self._turn_taking.start(kernel)
         self.session = open_session()
 
     async def stop(self) -> None:
@@ -72,27 +73,66 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.session.close()
 
-    def generate(self, request: GenerateRequest) -> AsyncIterator[TokenRun | End | Failed]:
+    async def generate(
+        self, request: GenerateRequest
+    ) -> AsyncGenerator[TokenRun | End | Failed, None]:
         """
-        Run a generation.
+        Run a generation when its turn has come.
 
         Leaving the iteration early (`aclose` or cancellation) cancels the engine's work.
 
         :param request: what to generate and for whom.
         :return: token runs in order, then exactly one `End` or `Failed`.
         """
+        began = boot_now()
+        taking = self._turn_taking
+        turn = await taking.take(
+            request.model, request.client_account, request.max_tokens, request.deadline_s
+        )
+        if isinstance(turn, Refusal):
+            yield Failed(request.request_id, turn)
+            return
+        if not _may_start(request):
+            taking.leave(request.model, turn, 1, 0.0, False)
+            yield Failed(request.request_id, WITHDRAWN)
+            return
         self._budget.request(boot_now())
-        return Generation(self, request).answers()
+        started = boot_now()
+        whole = False
+        answers = Generation(self, request, began + request.deadline_s).answers()
+        try:
+            async with aclosing(answers):
+                async for answer in answers:
+                    whole = isinstance(answer, End)
+                    yield answer
+        finally:
+            real_s = boot_now() - started
+            taking.leave(request.model, turn, request.max_tokens, real_s, whole)
 
     async def call(self, request: PlainRequest) -> PlainAnswer | Refusal:
         """
-        Call a plain service.
+        Call a plain service when its turn has come.
 
         :param request: the call.
         :return: its whole answer or a refusal.
         """
+        began = boot_now()
+        taking = self._turn_taking
+        turn = await taking.take(request.service, request.client_account, 1, request.deadline_s)
+        if isinstance(turn, Refusal):
+            return turn
+        if not _may_start(request):
+            taking.leave(request.service, turn, 1, 0.0, False)
+            return WITHDRAWN
         self._budget.request(boot_now())
-        return await PlainCall(self, request).answer()
+        started = boot_now()
+        answer: PlainAnswer | Refusal | None = None
+        try:
+            answer = await PlainCall(self, request, began + request.deadline_s).answer()
+            return answer
+        finally:
+            whole = isinstance(answer, PlainAnswer)
+            taking.leave(request.service, turn, 1, boot_now() - started, whole)
 
     def pick(
         self,
@@ -187,4 +227,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
+WITHDRAWN = Refusal(Reason.KEY_WITHDRAWN, True, None, "the key was withdrawn while it waited")
+
+
+def _may_start(request: GenerateRequest | PlainRequest) -> bool:
+    return request.may_start is None or request.may_start()
+
+
 __all__ = ["Endpoints"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import eliot
@@ -27,7 +28,7 @@
 """Every so many exchanges carry the digest, so that a gap is repaired within about two seconds."""
 
 EXCHANGE_TIMEOUT_S = 2.0
-DEMAND_TTL_S = 5.0
+TOLD_TTL_S = 5.0
 STOP_GRACE_S = 1.0
 CHANNEL_OPTIONS = (
     # The library's own backoff grows to two minutes: a peer back from a restart would stay unheard.
@@ -38,6 +39,21 @@
 )
 
 
+@dataclass(frozen=True)
+class ToldByPeer:
+    """
+    What a peer is asked for.
+
+    :param heard_at: when it told, on this entry's boot clock.
+    :param demand_by_client_account: requests a second.
+    :param wanted_by_service: requests under way or waiting.
+    """
+
+    heard_at: float
+    demand_by_client_account: dict[str, float]
+    wanted_by_service: dict[str, float]
+
+
 class PeerExchange:
     """Hands this entry's endpoint records to the peers and takes theirs."""
 
@@ -47,9 +63,10 @@
         self._table = table
         self._task_by_daemon: dict[str, asyncio.Task[None]] = {}
         self._peer_by_daemon: dict[str, PeerRecord] = {}
-        self._demand: dict[str, tuple[float, dict[str, float]]] = {}
+        self._told_by_daemon: dict[str, ToldByPeer] = {}
         self._server: grpc.aio.Server | None = None
         self.demand_by_client_account: dict[str, float] = {}
+        self.wanted_by_service: dict[str, float] = {}
 
     @classmethod
     def from_config(cls, settings: Settings, table: EndpointTable) -> PeerExchange:
@@ -144,6 +161,7 @@
             digest=self._table.digest() if with_digest else 0,
             unheard=self._table.unheard(began) if with_digest else (),
             demand_by_client_account=self.demand_by_client_account,
+            wanted_by_service=self.wanted_by_service,
         )
         stub = entry_peer_pb2_grpc.EntryPeerStub(channel)
         try:
@@ -166,7 +184,9 @@
         now = boot_now()
         broken = take_all(self._table, request.endpoints, request.ages_s, now)
         self._counters.add("peer_record_broken", broken)
-        self._demand[request.daemon] = (now, dict(request.demand_by_client_account))
+        self._told_by_daemon[request.daemon] = ToldByPeer(
+            now, dict(request.demand_by_client_account), dict(request.wanted_by_service)
+        )
         known = self._table.heard_lately(request.unheard, now)
         if request.digest not in (0, self._table.digest()):
             self._counters.add("peer_digest_repaired")
@@ -174,17 +194,17 @@
         records, ages_s = pack(known, now)
         return entry_peer_pb2.ExchangeReply(endpoints=records, ages_s=ages_s)
 
-    def peer_demand(self, now: float) -> dict[str, dict[str, float]]:
+    def told(self, now: float) -> dict[str, ToldByPeer]:
         """
-        What the peers told lately of their demand.
+        What the peers told lately of what they are asked for.
 
         :param now: seconds on this entry's boot clock.
-        :return: demand by client account by daemon.
+        :return: by daemon.
         """
         found = {}
-        for daemon, (heard_at, demand) in self._demand.items():
-            if now - heard_at <= DEMAND_TTL_S:
-                found[daemon] = demand
+        for daemon, told in self._told_by_daemon.items():
+            if now - told.heard_at <= TOLD_TTL_S:
+                found[daemon] = told
         return found
 
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/service.py
@@ -127,13 +127,32 @@
         """
         self._exchange.demand_by_client_account = dict(demand_by_client_account)
 
-    def peer_demand(self) -> dict[str, dict[str, float]]:
+    def set_wanted(self, wanted_by_service: dict[str, float]) -> None:
+        """
+        Tell the peers what this entry has to do.
+
+        :param wanted_by_service: requests under way or waiting.
+        """
+        self._exchange.wanted_by_service = dict(wanted_by_service)
+
+    def peer_demand(self) -> dict[str, tuple[float, dict[str, float]]]:
         """
         What the other entries' client accounts ask for there.
 
-        :return: demand by client account by daemon, only of peers heard lately.
+        :return: by daemon, when it told and the demand by client account; only of peers heard
+            lately.
+        """
+        told = self._exchange.told(boot_now())
+        return {name: (one.heard_at, one.demand_by_client_account) for name, one in told.items()}
+
+    def peer_wanted(self) -> dict[str, dict[str, float]]:
+        """
+        What the other entries have to do.
+
+        :return: by daemon, requests under way or waiting by service; only of peers heard lately.
         """
-        return self._exchange.peer_demand(boot_now())
+        told = self._exchange.told(boot_now())
+        return {name: one.wanted_by_service for name, one in told.items()}
 
 
 __all__ = ["Registry"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/role.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/role.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ibisspring_entry.admission import AdmissionService
 from ibisspring_entry.claims import Claims
 from ibisspring_entry.http import HttpService
 from ibisspring_entry.lease import Lease
@@ -30,6 +31,7 @@
     return (
         Lease.from_config(settings),
         Registry.from_config(settings),
+        AdmissionService.from_config(settings),
         UsageMeter.from_config(settings),
         Endpoints.from_config(settings),
         Claims.from_config(settings),
--- a/tests/integration/lone_entry.py
+++ b/tests/integration/lone_entry.py
@@ -18,8 +18,10 @@
 from ibisspring_core.logs import start_logging
 from ibisspring_core.messages.commands import ClaimKey, ClaimState, Done, SettleClaim
 from ibisspring_core.messages.views import EntryView
+from ibisspring_core.rules import ClientAccount
 from ibisspring_core.settings import EntrySettings, Settings
 from ibisspring_core.timer import TimerService
+from ibisspring_entry.admission import AdmissionService
 from ibisspring_entry.claims import Claims
 from ibisspring_entry.http import HttpService
 from ibisspring_entry.proxy import Endpoints
@@ -29,6 +31,9 @@
 class OpenRules:
     """Rules that allow the services given, in place of a parsed rules file."""
 
+    client_account_by_name = {
+        "stoke-foundry": ClientAccount("stoke-foundry", (), 100_000.0, 1.0, 100_000.0)
+    }
     placement_by_service: dict[str, Any] = {}
     timeout_s_by_service: dict[str, float] = {}
 
@@ -135,6 +140,7 @@
             StandInControl(),
             StandInLease(options["services"]),
             Registry.from_config(settings),
+            AdmissionService.from_config(settings),
             Endpoints.from_config(settings),
             Claims.from_config(settings),
             HttpService.from_config(settings),
--- /dev/null
+++ b/tests/integration/test_requests_keys.py
@@ -0,0 +1,113 @@
+"""Keys that are withdrawn from callers in mid-stream, rates, and turns at full engines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+
+from integration.processes import wait_until
+from integration.requests_system import RequestsSystem
+from integration.rules_system import KEY, rules_text
+
+BODY = {"model": "scorer-lm", "prompt": "heat 4711", "max_tokens": 4000, "stream": True}
+
+
+@pytest.fixture
+async def system(tmp_path: Path) -> AsyncIterator[RequestsSystem]:
+    started = await RequestsSystem.started(tmp_path, 1, 1)
+    yield started
+    started.stop_all()
+
+
+async def read_lines(system: RequestsSystem, **headers: str) -> tuple[int, list[dict[str, Any]]]:
+    """Stream a generation to its end, whatever that is."""
+    url = f"{system.url('e1')}/v1/generate"
+    headers = {"Authorization": f"Bearer {KEY}", **headers}
+    async with aiohttp.ClientSession() as session:
+        async with session.post(url, json=BODY, headers=headers) as response:
+            return response.status, [json.loads(line) async for line in response.content]
+
+
+async def running(system: RequestsSystem, count: int) -> None:
+    async def all_there() -> bool:
+        requests = (await system.log("scorer-1"))["requests"]
+        return sum(request["made"] > 0 for request in requests) >= count
+
+    await wait_until(all_there, f"{count} streams to run")
+
+
+async def test_withdrawn_key_ends_streams_and_queued_work(system: RequestsSystem) -> None:
+    # An operator withdraws a key that leaked. The thief's open streams went on to their end, and
+    # what it had waiting in line was started minutes later.
+    await system.start_endpoint("engine", "scorer-1", tokens_per_s=40, capacity=1)
+    streams = [asyncio.create_task(read_lines(system)) for _ in range(4)]
+    keyed = {"Idempotency-Key": "generation-1"}
+    streams.append(asyncio.create_task(read_lines(system, **keyed)))
+    await running(system, 1)
+
+    applied = await system.rules.apply(rules_text(keys=()), 1)
+    answers = await asyncio.wait_for(asyncio.gather(*streams), 60)
+
+    assert applied.returncode == 0, applied.stderr
+    for _, lines in answers:
+        assert lines[-1]["error"]["reason"] == "key_withdrawn"
+
+    async def nothing_runs() -> bool:
+        requests = (await system.log("scorer-1"))["requests"]
+        return all(request["ended"] for request in requests)
+
+    await wait_until(nothing_runs, "the engine's work to end")
+    started = len((await system.log("scorer-1"))["requests"])
+    assert started < len(streams)
+    status, lines = await read_lines(system)
+    assert (status, lines[0]["error"]["reason"]) == (401, "unknown_key")
+
+
+async def test_account_over_its_rate_is_told_a_time_that_holds(system: RequestsSystem) -> None:
+    # A broken client asks without a pause. It is refused early, and when it comes back as told, it
+    # is served.
+    await system.start_endpoint("plain", "archive-1")
+    slow = rules_text().replace("rate 1000/s", "rate 5/s")
+    assert (await system.rules.apply(slow, 1)).returncode == 0
+    path = "/v1/services/archive-app/find"
+
+    async def refused() -> Any:
+        answer = await system.ask(system.url("e1"), "GET", path)
+        return answer if answer.status == 429 else None
+
+    answer = await wait_until(refused, "a refusal")
+    error = answer.error()
+    await asyncio.sleep(error["retry_after_s"])
+    again = await system.ask(system.url("e1"), "GET", path)
+
+    assert (error["reason"], error["not_run"]) == ("rate_limited", True)
+    assert int(answer.headers["Retry-After"]) >= 1
+    assert again.status == 200
+
+
+async def test_full_engine_gives_turns_and_refuses_in_time(system: RequestsSystem) -> None:
+    # Many more streams are asked for than the engine works on, with 3 s for each. They all waited
+    # at the engine, all came too late, and the engine worked for callers who had left.
+    await system.start_endpoint("engine", "scorer-1", tokens_per_s=100, capacity=2)
+    body = {**BODY, "max_tokens": 100, "deadline_s": 3.0, "stream": False}
+
+    async def ask() -> Any:
+        return await system.ask(system.url("e1"), "POST", "/v1/generate", json=body)
+
+    await ask()
+    answers = await asyncio.gather(*(ask() for _ in range(20)))
+
+    served = [answer for answer in answers if answer.status == 200]
+    refused = [answer for answer in answers if answer.status != 200]
+    in_line = [answer for answer in refused if answer.error()["not_run"]]
+    requests = (await system.log("scorer-1"))["requests"]
+    assert len(served) >= 4
+    assert {answer.error()["reason"] for answer in in_line} == {"cannot_finish"}
+    assert len(in_line) >= len(refused) - 2
+    assert len(requests) - 1 == len(answers) - len(in_line)
