--- a/packages/ibisspring-core/src/ibisspring_core/settings/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/model.py
@@ -34,6 +34,9 @@
     :param order_timeout_s: longest time that one order to the platform or an engine may be under
         way.
     :param usage_window_s: seconds that one usage window spans.
+    :param drain_settle_s: seconds after which an endpoint that announces no work on it is stopped,
+        counted from when no entry gives it new work.
+    :param drain_deadline_s: seconds after which a draining endpoint is stopped with work on it.
     :param weight_store_url: base URL of the weight store, handed to engines in load orders.
     :param weight_store_concurrency: loads from the weight store at a time, its rate limit.
     """
@@ -48,6 +51,8 @@
     usage_url: str = ""
     order_timeout_s: float = 2.0
     usage_window_s: float = 60.0
+    drain_settle_s: float = 10.0
+    drain_deadline_s: float = 120.0
     weight_store_url: str = ""
     weight_store_concurrency: int = 2
 
@@ -64,6 +69,8 @@
     :param announce_ttl_s: seconds of silence after which an endpoint is taken as gone.
     :param silence_s: longest silence on a connection to an endpoint before it is checked over a new
         one.
+    :param caller_silence_s: longest time that a caller may send nothing of its request or take
+        nothing of its answer.
     :param request_timeout_s: longest time of one caller's request.
     :param stop_wait_s: seconds between turning not ready and refusing, so that the balancer
         notices.
@@ -77,6 +84,7 @@
     renew_every_s: float = 0.5
     announce_ttl_s: float = 5.0
     silence_s: float = 5.0
+    caller_silence_s: float = 30.0
     request_timeout_s: float = 120.0
     stop_wait_s: float = 1.0
     drain_s: float = 30.0
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -4,35 +4,38 @@
 
 import asyncio
 import random
-from contextlib import contextmanager
+from contextlib import aclosing, contextmanager
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.clock import boot_now
+from ibisspring_core.errors import Reason, Refusal
 from ibisspring_decisions.retries import RetryBudget
 from ibisspring_decisions.routing import Candidate, Router
 from ibisspring_entry.proxy.connections import open_session
 from ibisspring_entry.proxy.generation import Generation
-from ibisspring_entry.proxy.plain_call import call_plain
+from ibisspring_entry.proxy.messages import End, Failed, PlainAnswer
+from ibisspring_entry.proxy.plain_call import PlainCall
+from ibisspring_entry.proxy.turn_taking import TurnTaking
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Coroutine, Iterator
+    from collections.abc import AsyncGenerator, Collection, Coroutine, Iterator
 
     import aiohttp
 
-    from ibisspring_core.errors import Reason, Refusal
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.settings import Settings
     from ibisspring_entry.proxy.messages import (
-        End,
-        Failed,
         GenerateRequest,
-        PlainAnswer,
         PlainRequest,
         TokenRun,
     )
 
 
+Start = tuple[str, int]
+"""An endpoint's id with its incarnation: what failed it need not hold for its next start."""
+
+
 class Endpoints:
     """What this entry has under way at the endpoints."""
 
@@ -45,6 +48,7 @@
         self._budget = RetryBudget.from_defaults()
         self._in_flight_by_endpoint: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._turn_taking = TurnTaking()
 
     @classmethod
     def from_config(cls, settings: Settings) -> Endpoints:
@@ -60,6 +64,7 @@
         """Open the client; no connection is made before the first request."""
         self._registry = kernel.find("registry")
         self._counters = kernel.find("counters")
+        await self._turn_taking.start(kernel)
         self.session = open_session()
 
     async def stop(self) -> None:
@@ -68,30 +73,74 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.session.close()
 
-    def generate(self, request: GenerateRequest) -> AsyncIterator[TokenRun | End | Failed]:
+    async def generate(
+        self, request: GenerateRequest
+    ) -> AsyncGenerator[TokenRun | End | Failed, None]:
         """
-        Run a generation.
+        Run a generation when its turn has come.
 
         Leaving the iteration early (`aclose` or cancellation) cancels the engine's work.
 
         :param request: what to generate and for whom.
         :return: token runs in order, then exactly one `End` or `Failed`.
         """
+        began = boot_now()
+        taking = self._turn_taking
+        turn = await taking.take(
+            request.model, request.client_account, request.max_tokens, request.deadline_s
+        )
+        if isinstance(turn, Refusal):
+            yield Failed(request.request_id, turn)
+            return
+        if not _may_start(request):
+            taking.leave(request.model, turn, 1, 0.0, False)
+            yield Failed(request.request_id, WITHDRAWN)
+            return
         self._budget.request(boot_now())
-        return Generation(self, request).answers()
+        started = boot_now()
+        whole = False
+        answers = Generation(self, request, began + request.deadline_s).answers()
+        try:
+            async with aclosing(answers):
+                async for answer in answers:
+                    whole = isinstance(answer, End)
+                    yield answer
+        finally:
+            real_s = boot_now() - started
+            taking.leave(request.model, turn, request.max_tokens, real_s, whole)
 
     async def call(self, request: PlainRequest) -> PlainAnswer | Refusal:
         """
-        Call a plain service.
+        Call a plain service when its turn has come.
 
         :param request: the call.
         :return: its whole answer or a refusal.
         """
+        began = boot_now()
+        taking = self._turn_taking
+        turn = await taking.take(request.service, request.client_account, 1, request.deadline_s)
+        if isinstance(turn, Refusal):
+            return turn
+        if not _may_start(request):
+            taking.leave(request.service, turn, 1, 0.0, False)
+            return WITHDRAWN
         self._budget.request(boot_now())
-        return await call_plain(self, request)
+        started = boot_now()
+        answer: PlainAnswer | Refusal | None = None
+        try:
+            answer = await PlainCall(self, request, began + request.deadline_s).answer()
+            return answer
+        finally:
+            whole = isinstance(answer, PlainAnswer)
+            taking.leave(request.service, turn, 1, boot_now() - started, whole)
 
     def pick(
-        self, service: str, prompt: str, avoid: tuple[str, ...], failed_on: frozenset[str]
+        self,
+        service: str,
+        prompt: str,
+        avoid: Collection[str] = (),
+        failed_on: Collection[Start] = (),
+        dead: Collection[Start] = (),
     ) -> EndpointRecord | None:
         """
         Choose an endpoint for new work.
@@ -99,15 +148,19 @@
         :param service: the model or plain service.
         :param prompt: for the prefix cache; empty where it means nothing.
         :param avoid: endpoints that must not be used.
-        :param failed_on: endpoints that failed this request, used only where no other is left.
+        :param failed_on: starts that failed this request, used only where no other is left.
+        :param dead: starts to which no connection can be made.
         :return: the endpoint's record, or None where none may take work.
         """
         record_by_endpoint = {}
+        fresh = []
         for record in self._registry.records_of(service):
-            if record.endpoint in avoid:
+            start = (record.endpoint, record.incarnation)
+            if record.endpoint in avoid or start in dead:
                 continue
             record_by_endpoint[record.endpoint] = record
-        fresh = [name for name in record_by_endpoint if name not in failed_on]
+            if start not in failed_on:
+                fresh.append(record.endpoint)
         names = fresh or list(record_by_endpoint)
         candidates = tuple(self._candidate(record_by_endpoint[name]) for name in names)
         chosen = self._router.choose(candidates, boot_now())
@@ -149,14 +202,15 @@
         """
         self._router.failed(endpoint, boot_now())
 
-    def may_retry(self, reason: Reason) -> bool:
+    def may_retry(self, reason: Reason, charged: bool = True) -> bool:
         """
-        Take one retry out of the budget.
+        Ask for one more try, and count it.
 
         :param reason: why the try before failed.
-        :return: whether there is one.
+        :param charged: whether it adds load and so has to come out of the budget.
+        :return: whether it may be sent.
         """
-        if not self._budget.take(boot_now()):
+        if charged and not self._budget.take(boot_now()):
             self._counters.add("retry_budget_empty")
             return False
         self._counters.retried(reason)
@@ -173,4 +227,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
+WITHDRAWN = Refusal(Reason.KEY_WITHDRAWN, True, None, "the key was withdrawn while it waited")
+
+
+def _may_start(request: GenerateRequest | PlainRequest) -> bool:
+    return request.may_start is None or request.may_start()
+
+
 __all__ = ["Endpoints"]
