--- a/packages/ibisspring-decisions/src/ibisspring_decisions/routing.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/routing.py
@@ -1,12 +1,36 @@
 """
 Routing: which endpoint gets a request.
 
-Load pattern: many requests of unequal length on few endpoints of several data centres, with load
-reports that lag.
-
-Without it: round robin sends as much to an endpoint that is stuck in long jobs as to an idle one,
-and "least loaded by the last report" sends every entry's requests to the same endpoint until the
-next report.
+Load pattern: requests of unequal length on three to five endpoints of a service in three data
+centres a millisecond apart; load reports that are a second old; one endpoint that has become slow
+or fails every request; a hot prompt prefix that one engine has cached; cheap endpoints beside
+standard ones.
+
+Without it: round robin sends as much to an endpoint that is stuck in long jobs as to an idle one;
+"least by the last report" sends every entry's requests to the same endpoint until the next report
+(a herd); an endpoint that fails at once looks idle and draws all requests to it; a cache hint that
+is always followed puts a hot prefix on one engine, however long its line.
+
+How it decides: two candidates are drawn at random and the one of lower cost wins. The cost is the
+work per slot, from the report and from what this entry sent since; nearness and a cached prefix
+lower it by a bounded amount; ejected endpoints take no part.
+
+Grounds for the figures:
+
+- Two draws: most of what looking at all would gain, without the herd.
+- `FAR` 0.05: another data centre is 1 ms away, a twentieth of a slot's work at most; it decides
+  between equals and never against a shorter line.
+- `CACHED` 0.5: a cached prefix saves the prefill, in the order of half a slot's work; cache events
+  are late and have gaps, so it never outweighs one more request per slot.
+- `CHEAP` 0.1: the cheap kind may be reclaimed at any moment, so that between equals the standard
+  kind is chosen; how many of the cheap kind there are, the rules say.
+- `EJECT_FAILURES` 3 in a row: one failure is a lost connection; three are the endpoint.
+- `EJECT_S` 2 s, doubled for each time in a row up to `EJECT_MOST_S` 30 s: a restart takes seconds,
+  and each return costs some callers one try.
+- `EJECT_SHARE` a third: with more ejected the rest would be overrun for the failures of something
+  that all share; then failing endpoints are used too.
+- `SLOW` 3 times the median of the pace of all: outside what load makes of equals, so that a slow
+  endpoint pays for its pace; `PACE_MEMORY` 0.8 forgets a slow phase within ten requests.
 """
 
 from __future__ import annotations
@@ -14,9 +38,22 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import xxhash
+
 if TYPE_CHECKING:
     import random
 
+FAR = 0.05
+CACHED = 0.5
+CHEAP = 0.1
+EJECT_FAILURES = 3
+EJECT_S = 2.0
+EJECT_MOST_S = 30.0
+EJECT_SHARE = 1 / 3
+SLOW = 3.0
+PACE_MEMORY = 0.8
+PREFIX_CHARACTERS = 64
+
 
 @dataclass(frozen=True)
 class Candidate:
@@ -27,6 +64,8 @@
     :param queued: its reported requests waiting.
     :param capacity: requests that it works on at a time.
     :param in_flight: requests that this entry has under way there.
+    :param sent_since: requests that this entry sent there since the report was heard.
+    :param cached: whether it says that it caches the request's prompt prefix.
     """
 
     endpoint: str
@@ -36,6 +75,18 @@
     queued: int
     capacity: int
     in_flight: int
+    sent_since: int = 0
+    cached: bool = False
+
+
+@dataclass
+class _Known:
+    """What was learned of one endpoint by using it."""
+
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    pace: float | None = None
 
 
 class Router:
@@ -44,6 +95,7 @@
     def __init__(self, data_centre: str, source: random.Random) -> None:
         self._data_centre = data_centre
         self._source = source
+        self._known_by_endpoint: dict[str, _Known] = {}
 
     @classmethod
     def from_data_centre(cls, data_centre: str, source: random.Random) -> Router:
@@ -66,8 +118,13 @@
         """
         if not candidates:
             return None
-        pair = self._source.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=self._cost).endpoint
+        healthy = self._without_ejected(candidates, now)
+        usual_pace = self._usual_pace(healthy)
+        pair = self._source.sample(healthy, min(2, len(healthy)))
+        # Of one prompt's engines those that cache it are always drawn, or the hint would be lost in
+        # most draws; the cost still lets a shorter line win.
+        pair.extend(candidate for candidate in healthy if candidate.cached)
+        return min(pair, key=lambda candidate: self._cost(candidate, usual_pace)).endpoint
 
     def failed(self, endpoint: str, now: float) -> None:
         """
@@ -76,10 +133,94 @@
         :param endpoint: its id.
         :param now: seconds on the same clock.
         """
+        known = self._known(endpoint)
+        known.failures += 1
+        if known.failures < EJECT_FAILURES:
+            return
+        known.failures = 0
+        known.ejected_until = now + min(EJECT_MOST_S, EJECT_S * 2**known.ejections)
+        known.ejections += 1
+
+    def answered(self, endpoint: str, pace: float) -> None:
+        """
+        Learn that an endpoint answered whole.
+
+        :param endpoint: its id.
+        :param pace: seconds for each unit of work, a token or a call.
+        """
+        known = self._known(endpoint)
+        known.failures = 0
+        known.ejections = 0
+        old = pace if known.pace is None else known.pace
+        known.pace = PACE_MEMORY * old + (1.0 - PACE_MEMORY) * pace
+
+    def ejected(self, now: float) -> tuple[str, ...]:
+        """
+        Tell which endpoints are left out.
+
+        :param now: seconds on the same clock.
+        :return: their ids.
+        """
+        known = self._known_by_endpoint.items()
+        return tuple(endpoint for endpoint, one in known if one.ejected_until > now)
+
+    def forget(self, endpoint: str) -> None:
+        """
+        Forget an endpoint that is gone.
 
-    def _cost(self, candidate: Candidate) -> float:
-        work = max(candidate.running + candidate.queued, candidate.in_flight)
-        return (work + 1) / max(1, candidate.capacity)
+        :param endpoint: its id.
+        """
+        self._known_by_endpoint.pop(endpoint, None)
+
+    def _known(self, endpoint: str) -> _Known:
+        return self._known_by_endpoint.setdefault(endpoint, _Known())
+
+    def _without_ejected(
+        self, candidates: tuple[Candidate, ...], now: float
+    ) -> tuple[Candidate, ...]:
+        ejected = self.ejected(now)
+        healthy = tuple(one for one in candidates if one.endpoint not in ejected)
+        most = max(1.0, len(candidates) * EJECT_SHARE)
+        if not healthy or len(candidates) - len(healthy) > most:
+            return candidates
+        return healthy
+
+    def _usual_pace(self, candidates: tuple[Candidate, ...]) -> float | None:
+        paces = []
+        for candidate in candidates:
+            known = self._known_by_endpoint.get(candidate.endpoint)
+            if known is not None and known.pace is not None:
+                paces.append(known.pace)
+        paces.sort()
+        return paces[(len(paces) - 1) // 2] if paces else None
+
+    def _cost(self, candidate: Candidate, usual_pace: float | None) -> float:
+        # The report lags: without what was sent since, all requests until the next one would go to
+        # the endpoint that was idle when it reported.
+        reported = candidate.running + candidate.queued + candidate.sent_since
+        work = max(reported, candidate.in_flight)
+        cost = (work + 1) / max(1, candidate.capacity)
+        known = self._known_by_endpoint.get(candidate.endpoint)
+        if usual_pace and known is not None and known.pace is not None:
+            slower = known.pace / usual_pace
+            cost *= slower if slower >= SLOW else 1.0
+        if candidate.data_centre != self._data_centre:
+            cost += FAR
+        if candidate.kind == "cheap":
+            cost += CHEAP
+        if candidate.cached:
+            cost -= CACHED
+        return cost
+
+
+def prefix_digest(prompt: str) -> str:
+    """
+    Digest a prompt's prefix as engines announce those they cache.
+
+    :param prompt: the prompt.
+    :return: 16 hexadecimal digits over its first `PREFIX_CHARACTERS` characters.
+    """
+    return xxhash.xxh64_hexdigest(prompt[:PREFIX_CHARACTERS].encode("utf-8", "surrogatepass"))
 
 
-__all__ = ["Candidate", "Router"]
+__all__ = ["PREFIX_CHARACTERS", "Candidate", "Router", "prefix_digest"]
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/slots.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/slots.py
@@ -20,7 +20,7 @@
 - What is learned is the time for a unit that was asked for, not for one that was made: callers ask
   for a bound and engines stop earlier, so that a time for each token made would have long bounds
   refused that end in time.
-- `FIRST_UNIT_S` 0.0001 holds until the first answers: nobody is refused out of ignorance.
+- `FIRST_UNIT_S` 0 holds until the first answer: nobody is refused out of ignorance.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 RESERVED = 0.2
 OVERCOMMIT = 1.25
 MEMORY = 0.9
-FIRST_UNIT_S = 0.0001
+FIRST_UNIT_S = 0.0
 
 
 def entry_slots(capacity: int, wanted: float, wanted_elsewhere: tuple[float, ...]) -> int:
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -65,6 +65,7 @@
                 return
             self._tries += 1
             held = len(self._held)
+            began = boot_now()
             attempt = self._open_try(record)
             with self._endpoints.work_on(record):
                 try:
@@ -75,6 +76,8 @@
                         self._endpoints.run_aside(attempt.cancel_upstream())
             outcome = attempt.outcome
             if outcome.reason is None:
+                made = max(1, len(self._held) - held)
+                self._endpoints.note_answer(record.endpoint, (boot_now() - began) / made)
                 yield End(self._request.request_id, len(self._held), record.endpoint, self._tries)
                 return
             self._note(record, outcome, len(self._held) - held)
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -103,10 +103,13 @@
         self._tries += 1
         self._failed_on.add((record.endpoint, record.incarnation))
         try_id = f"{self._request.request_id}.{self._tries}"
+        began = boot_now()
         with self._endpoints.work_on(record):
             answer = await send_try(
                 self._endpoints.session, record, self._request, try_id, self._deadline
             )
+        if isinstance(answer, PlainAnswer):
+            self._endpoints.note_answer(record.endpoint, boot_now() - began)
         if isinstance(answer, Refusal):
             self._not_run = self._not_run and answer.not_run
             self._last = answer
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -10,7 +10,7 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_decisions.retries import RetryBudget
-from ibisspring_decisions.routing import Candidate, Router
+from ibisspring_decisions.routing import Candidate, Router, prefix_digest
 from ibisspring_entry.proxy.connections import open_session
 from ibisspring_entry.proxy.generation import Generation
 from ibisspring_entry.proxy.messages import End, Failed, PlainAnswer
@@ -47,6 +47,7 @@
         self._router = Router.from_data_centre(data_centre, random.Random())
         self._budget = RetryBudget.from_defaults()
         self._in_flight_by_endpoint: dict[str, int] = {}
+        self._sent_by_endpoint: dict[str, tuple[tuple[int, int], int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._turn_taking = TurnTaking()
 
@@ -162,11 +163,12 @@
             if start not in failed_on:
                 fresh.append(record.endpoint)
         names = fresh or list(record_by_endpoint)
-        candidates = tuple(self._candidate(record_by_endpoint[name]) for name in names)
+        prefix = prefix_digest(prompt) if prompt else ""
+        candidates = tuple(self._candidate(record_by_endpoint[name], prefix) for name in names)
         chosen = self._router.choose(candidates, boot_now())
         return None if chosen is None else record_by_endpoint[chosen]
 
-    def _candidate(self, record: EndpointRecord) -> Candidate:
+    def _candidate(self, record: EndpointRecord, prefix: str) -> Candidate:
         return Candidate(
             endpoint=record.endpoint,
             data_centre=record.data_centre,
@@ -175,8 +177,15 @@
             queued=record.load.queued,
             capacity=record.load.capacity,
             in_flight=self._in_flight_by_endpoint.get(record.endpoint, 0),
+            sent_since=self._sent_since(record),
+            cached=prefix in record.prefixes,
         )
 
+    def _sent_since(self, record: EndpointRecord) -> int:
+        """What this entry sent there since the endpoint's newest report was heard."""
+        order, sent = self._sent_by_endpoint.get(record.endpoint, ((0, 0), 0))
+        return sent if order == record.order() else 0
+
     @contextmanager
     def work_on(self, record: EndpointRecord) -> Iterator[None]:
         """
@@ -186,6 +195,7 @@
         """
         endpoint = record.endpoint
         self._in_flight_by_endpoint[endpoint] = self._in_flight_by_endpoint.get(endpoint, 0) + 1
+        self._sent_by_endpoint[endpoint] = (record.order(), self._sent_since(record) + 1)
         try:
             yield
         finally:
@@ -202,6 +212,15 @@
         """
         self._router.failed(endpoint, boot_now())
 
+    def note_answer(self, endpoint: str, pace: float) -> None:
+        """
+        Tell the routing that an endpoint answered whole.
+
+        :param endpoint: its id.
+        :param pace: seconds for each token or call.
+        """
+        self._router.answered(endpoint, pace)
+
     def may_retry(self, reason: Reason, charged: bool = True) -> bool:
         """
         Ask for one more try, and count it.
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import click
+import xxhash
 from aiohttp import web
 
 from fakes.announcing import Announcer, serve
@@ -151,7 +152,7 @@
         await response.write(json.dumps(line).encode() + b"\n")
 
     def _cache(self, prompt: str) -> None:
-        digest = f"{zlib.crc32(prompt[:PREFIX_CHARACTERS].encode()):08x}"
+        digest = xxhash.xxh64_hexdigest(prompt[:PREFIX_CHARACTERS].encode())
         if digest in self.prefixes:
             self.prefixes.remove(digest)
         self.prefixes.append(digest)
--- /dev/null
+++ b/tests/integration/test_requests_stops.py
@@ -0,0 +1,123 @@
+"""Planned stops of entries, and a data centre's cheap engines taken away, under load."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+
+import aiohttp
+
+from integration.lone_system import Answer, LoneSystem, expected_tokens
+from integration.processes import wait_until
+from integration.requests_system import RequestsSystem
+
+POLL_S = 0.05
+
+
+class Balancer:
+    """The platform's balancer: sends each request to an entry that said it is ready."""
+
+    def __init__(self, system: RequestsSystem) -> None:
+        self.system = system
+        self.ready: list[str] = []
+
+    async def watch(self) -> None:
+        while True:
+            ready = []
+            for entry in self.system.entries():
+                try:
+                    answer = await self.system.ask(self.system.url(entry), "GET", "/readyz")
+                except aiohttp.ClientError:
+                    continue
+                if answer.status == 200:
+                    ready.append(entry)
+            self.ready = ready
+            await asyncio.sleep(POLL_S)
+
+    async def ask(self, method: str, path: str, **rest: object) -> Answer:
+        entry = random.choice(self.ready)
+        return await self.system.ask(self.system.url(entry), method, path, **rest)
+
+
+async def test_stopping_an_entry_breaks_no_request(tmp_path: Path) -> None:
+    # An entry is stopped for an update, under load. Callers whose streams it carried saw them end,
+    # lookups were refused, and one ticket was sent to a closed port.
+    system = await RequestsSystem.started(tmp_path, 1, 2, stop_wait_s=1.0)
+    try:
+        await system.start_endpoint("engine", "scorer-1", tokens_per_s=100, capacity=32)
+        await system.start_endpoint("plain", "archive-1")
+        balancer = Balancer(system)
+        watching = asyncio.create_task(balancer.watch())
+        await wait_until(lambda: len(balancer.ready) == 2, "both entries to be ready")
+        stopped = asyncio.Event()
+
+        async def stream() -> list[Answer]:
+            body = {"model": "scorer-lm", "prompt": "p", "max_tokens": 100, "stream": True}
+            answers = []
+            while not stopped.is_set():
+                answers.append(await balancer.ask("POST", "/v1/generate", json=body))
+            return answers
+
+        async def call() -> list[Answer]:
+            answers = []
+            while not stopped.is_set():
+                for method in ("GET", "POST"):
+                    answers.append(await balancer.ask(method, "/v1/services/archive-app/x"))
+            return answers
+
+        callers = [asyncio.create_task(work()) for work in (stream, call) for _ in range(4)]
+
+        async def streams_run() -> bool:
+            return len((await system.log("scorer-1"))["requests"]) > 8
+
+        await wait_until(streams_run, "streams to run")
+        exit_code = await system.cluster.process_by_name["e1"].terminate()
+        stopped.set()
+        answers = [answer for found in await asyncio.gather(*callers) for answer in found]
+        watching.cancel()
+    finally:
+        system.stop_all()
+
+    assert exit_code == 0
+    assert {answer.status for answer in answers} == {200}
+    streams = [answer for answer in answers if answer.headers["Content-Type"].endswith("ndjson")]
+    assert all(b'"done":true' in answer.body for answer in streams)
+
+
+async def test_reclaim_of_a_data_centres_cheap_engines(tmp_path: Path) -> None:
+    # All cheap engines of a data centre are reclaimed at once on two seconds' notice, with streams
+    # on them. Every stream that they carried broke, and new ones were sent there to the end.
+    system = LoneSystem(tmp_path)
+    try:
+        await system.start_entry(silence_s=1.0)
+        for number in range(2):
+            await system.start_engine(f"standard-{number}", tokens_per_s=100, capacity=16)
+        cheap = [f"cheap-{number}" for number in range(3)]
+        for name in cheap:
+            options = {"kind": "cheap", "data_centre": "derby", "tokens_per_s": 100}
+            await system.start_engine(name, capacity=16, **options)
+        early = [asyncio.create_task(system.generate(f"p{number}", 400)) for number in range(24)]
+
+        async def streams_on_cheap() -> bool:
+            logs = [await system.log(name) for name in cheap]
+            return all(any(one["made"] for one in log["requests"]) for log in logs)
+
+        await wait_until(streams_on_cheap, "streams on all cheap engines")
+        for name in cheap:
+            system.process_by_name[name].send(15)
+        late = [asyncio.create_task(system.generate(f"q{number}", 40)) for number in range(12)]
+        late_answers = await asyncio.gather(*late)
+        seen = [one for name in cheap for one in (await system.log(name))["requests"]]
+        await asyncio.sleep(2.0)
+        for name in cheap:
+            system.process_by_name[name].kill()
+        early_answers = await asyncio.gather(*early)
+    finally:
+        system.stop_all()
+
+    for prefix, count, answers in (("p", 400, early_answers), ("q", 40, late_answers)):
+        for number, answer in enumerate(answers):
+            assert answer.whole(), answer.lines[-1:]
+            assert answer.tokens() == expected_tokens(f"{prefix}{number}", count)
+    assert len(seen) < 24
