Drive platform orders through death, freeze and partition of the leader

Cause: the guards were only shown one by one on a single connection. Ruled out on the way: 13 starts in place of 12 after the kill were the test's own waiting past the 120 s after which an endpoint that never announced itself is ordered anew.

--- /dev/null
+++ b/tests/integration/duties_system.py
@@ -0,0 +1,149 @@
+"""Real daemons with the platform and the usage interface, a fault proxy on each path of control."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from integration.processes import free_address, get_json, http_answers, python_module, wait_until
+from integration.proxy import FaultProxy, Mode
+from integration.rules_system import RulesSystem, rules_text
+
+CONTROLS = ("c1", "c2", "c3")
+PLACED = "place scorer-lm in birmingham, derby, stoke count {count} cheap at-most 40% # asked: t, 9"
+
+
+class DutiesSystem:
+    """Three control daemons, one entry, the fakes, and proxies by (source, target)."""
+
+    def __init__(self, rules: RulesSystem) -> None:
+        self.rules = rules
+        self.cluster = rules.cluster
+        self.address_by_fake: dict[str, str] = {}
+        self.proxy_by_path: dict[tuple[str, str], FaultProxy] = {}
+
+    @classmethod
+    async def found(cls, folder: Path, **control: Any) -> DutiesSystem:
+        """Start everything and found the control cluster."""
+        system = cls(RulesSystem.from_counts(folder, controls=3, entries=1, **control))
+        for name in ("platform", "usage"):
+            await system._start_fake(name)
+        await system._add_proxies()
+        await system.rules.found()
+        return system
+
+    async def _start_fake(self, name: str) -> None:
+        self.address_by_fake[name] = free_address()
+        arguments = python_module(f"fakes.{name}", "--listen", self.address_by_fake[name])
+        process = self.cluster.start_other(name, arguments)
+        url = f"http://{self.address_by_fake[name]}/log"
+        await wait_until(lambda: http_answers(url), f"{name} to answer")
+        # Another process may have taken the port in between and answer in its place.
+        assert process.alive(), process.tail()
+
+    async def _add_proxies(self) -> None:
+        sections = self.cluster.settings_by_daemon
+        for source in (*CONTROLS, "e1"):
+            for target in CONTROLS:
+                if source == target:
+                    continue
+                listen = sections[target]["control"]["listen"]
+                proxy = await self._add_proxy(source, target, listen)
+                sections[source]["control_addresses"][target] = proxy.address
+        for source in CONTROLS:
+            for fake, address in self.address_by_fake.items():
+                proxy = await self._add_proxy(source, fake, address)
+                sections[source]["control"][f"{fake}_url"] = f"http://{proxy.address}"
+
+    async def _add_proxy(self, source: str, target: str, address: str) -> FaultProxy:
+        proxy = await FaultProxy.before(address)
+        self.proxy_by_path[(source, target)] = proxy
+        return proxy
+
+    def paths_of(self, daemon: str) -> list[FaultProxy]:
+        """All paths from and to a control daemon."""
+        return [proxy for path, proxy in self.proxy_by_path.items() if daemon in path]
+
+    async def cut_off(self, daemon: str) -> None:
+        """A partition around a control daemon: bytes are held as a TCP would that retransmits."""
+        for proxy in self.paths_of(daemon):
+            await proxy.set_modes(Mode.HOLD, Mode.HOLD)
+
+    async def heal(self, daemon: str) -> None:
+        for proxy in self.paths_of(daemon):
+            await proxy.heal()
+
+    async def place(self, count: int) -> None:
+        """Apply rules that want so many endpoints; the leader orders them one by one."""
+        applied = await self.rules.apply(rules_text(PLACED.format(count=count)), 0)
+        assert applied.returncode == 0, applied.stderr
+
+    async def fault(self, fake: str, **faults: Any) -> None:
+        """Switch a fake's faults."""
+        url = f"http://{self.address_by_fake[fake]}/fault"
+        async with aiohttp.ClientSession() as session, session.post(url, json=faults) as response:
+            assert response.status == 200
+
+    async def log(self, fake: str) -> Any:
+        """What a fake has received."""
+        return await get_json(f"http://{self.address_by_fake[fake]}/log")
+
+    async def sent(self) -> list[dict[str, Any]]:
+        """The orders that the platform received, in the order of their arrival."""
+        return (await self.log("platform"))["sent"]
+
+    async def wait_sent(self, count: int, but: str = "") -> list[dict[str, Any]]:
+        """Wait until the platform received so many orders from others than `but`."""
+
+        async def arrived() -> list[dict[str, Any]]:
+            sent = [order for order in await self.sent() if not _is_of(order, but)]
+            return sent if len(sent) >= count else []
+
+        return await wait_until(arrived, f"{count} orders from others than {but!r}", 120.0)
+
+    async def wait_no_open_orders(self) -> None:
+        """Wait until each committed order has its end."""
+
+        async def resolved() -> bool:
+            result = await self.rules.run("status", "--json")
+            return result.returncode == 0 and '"open_orders": []' in result.stdout
+
+        await wait_until(resolved, "all orders to be resolved", 120.0)
+
+    async def stop(self) -> None:
+        self.cluster.stop_all()
+        for proxy in self.proxy_by_path.values():
+            await proxy.stop()
+
+
+def _is_of(order: dict[str, Any], daemon: str) -> bool:
+    return bool(daemon) and order["sender"].startswith(f"{daemon}/")
+
+
+def senders_in_order(sent: list[dict[str, Any]]) -> list[str]:
+    """Each sender once for every unbroken run of its orders: a name twice is an overlap."""
+    senders: list[str] = []
+    for order in sent:
+        if not senders or senders[-1] != order["sender"]:
+            senders.append(order["sender"])
+    return senders
+
+
+def digests_by_order(sent: list[dict[str, Any]]) -> dict[str, set[str]]:
+    """Digests of the bodies that arrived under each order id."""
+    digests: dict[str, set[str]] = {}
+    for order in sent:
+        digests.setdefault(order["order_id"], set()).add(order["digest"])
+    return digests
+
+
+def check_orders(sent: list[dict[str, Any]]) -> None:
+    """No two senders in charge at a time, and one content for each order id."""
+    senders = senders_in_order(sent)
+    assert len(senders) == len(set(senders)), f"two senders in charge at a time: {senders}"
+    for order_id, digests in digests_by_order(sent).items():
+        assert len(digests) == 1, f"{order_id} was sent with different contents"
+    fencing = [order["fencing"] for order in sent]
+    assert fencing == sorted(fencing), f"fencing numbers fell: {fencing}"
