Run tests in four workers, and replay load patterns through the decision modules

Cause: the proofs take minutes one after another; two tests at a time could draw the same free port; policies had no figures against a plain baseline.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 $(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
-	$(PYTHON) -m pip install -q -r requirements.lock
+	$(PYTHON) -m pip install -q --require-hashes -r requirements.lock
 	$(PYTHON) -m pip install -q --no-deps --no-build-isolation $(addprefix -e ./,$(PACKAGES))
 	touch $(STAMP)
 
@@ -23,7 +23,7 @@
 	$(VENV)/bin/black -q packages tests bench demo
 
 test: setup
-	$(PYTHON) -m pytest -q
+	$(PYTHON) -m pytest -q -n 4 --dist worksteal
 
 demo: setup
 	PYTHONPATH=tests:. $(PYTHON) -m demo
--- a/bench/_patterns.py
+++ b/bench/_patterns.py
@@ -14,12 +14,14 @@
     :param at_s: seconds from the start.
     :param client_account: who asks.
     :param work_s: seconds that an endpoint works on it when it is not slowed down.
+    :param expected_s: what an entry expects of it: the mean of requests that ask for as much.
     :param deadline_s: seconds after `at_s` at which the caller gives up.
     """
 
     at_s: float
     client_account: str
     work_s: float
+    expected_s: float
     deadline_s: float
 
 
@@ -59,6 +61,7 @@
     :param hot: client account whose load is multiplied by `hot_factor`.
     :param burst_s: span in the middle in which all load is multiplied by `burst_factor`.
     :param long_share: share of requests that take ten times as long as the others.
+    :param slow_factor: how many times as long the first endpoint takes for the same work.
     """
 
     name: str
@@ -68,6 +71,7 @@
     burst_s: float = 0.0
     burst_factor: float = 1.0
     long_share: float = 0.1
+    slow_factor: float = 1.0
 
 
 PATTERNS = (
@@ -75,6 +79,7 @@
     Pattern("burst", 0.6, burst_s=20.0, burst_factor=3.0),
     Pattern("hot client account", 0.6, hot=0, hot_factor=5.0),
     Pattern("long among short", 0.85, long_share=0.3),
+    Pattern("slow endpoint", 0.6, slow_factor=5.0),
     Pattern("overload", 2.0),
 )
 
@@ -113,8 +118,9 @@
         wanted = rate * pattern.burst_factor if in_burst else rate
         if source.random() < wanted / peak:
             is_long = source.random() < pattern.long_share
-            work_s = source.expovariate(1 / (LONG_WORK_S if is_long else SHORT_WORK_S))
-            found.append(Arrival(at_s, account, work_s, CALLER_PATIENCE_S))
+            expected_s = LONG_WORK_S if is_long else SHORT_WORK_S
+            work_s = source.expovariate(1 / expected_s)
+            found.append(Arrival(at_s, account, work_s, expected_s, CALLER_PATIENCE_S))
         at_s += source.expovariate(peak)
     return found
 
--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,20 +18,32 @@
 import aiohttp
 
 START_S = 60.0
+# Below the range that outgoing connections draw from, so that none of them takes a listener's port.
+FIRST_PORT = 12_000
+WORKERS = 8
+PORTS_OF_WORKER = 2_400
+_handed_out: set[int] = set()
 REPOSITORY = Path(__file__).resolve().parents[2]
 
 
-def free_port() -> int:
-    """A TCP port that was free a moment ago, from below the range that outgoing connections use."""
-    import random
+def _own_ports() -> range:
+    """A range of this test worker alone, so that parallel workers never race for a port."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    start = FIRST_PORT + worker % WORKERS * PORTS_OF_WORKER
+    return range(start, start + PORTS_OF_WORKER)
+
 
-    for _ in range(1000):
-        port = random.randint(12000, 30000)
+def free_port() -> int:
+    """A TCP port that is free now and was not handed out before in this process."""
+    candidates = [port for port in _own_ports() if port not in _handed_out]
+    random.shuffle(candidates)
+    for port in candidates:
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
+            _handed_out.add(port)
             return port
     raise RuntimeError("no free port")
 
