Hold renewals until something changes

Ruled out: renewing more often (10 ms would cost 50 times the messages); a stream per entry (a silent one is found no sooner, and a lease still needs its own round). Change: RenewRequest.hold_s; the leader notes the lease and what the entry acts on at receipt, holds the answer up to hold_s (at most 5 s and half a lease) while nothing changes, then confirms by a quorum round and answers. The number of renewals stays. EntryView.peers_complete: in the first lease length of a reign entries keep the peers that the new leader has not heard of yet (they would share the rates among too few).

--- a/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
@@ -10,18 +10,15 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import eliot
-import xxhash
 
 from ibisspring_control.endpoint_table import EndpointTable
+from ibisspring_control.entry_views import EntryViews
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
-from ibisspring_core.messages.codec import encode
-from ibisspring_core.messages.views import PeerRecord
 from ibisspring_core.pb import control_pb2
 
 if TYPE_CHECKING:
@@ -33,6 +30,8 @@
 DRIFT = 1.01
 MARGIN_S = 0.05
 SWEEP_EVERY_S = 0.25
+# A held call must end long before a client takes its connection for silent.
+MAX_HOLD_S = 5.0
 # Each entry is asked for all its endpoints at least this far apart, so that the cost does not grow
 # with the number of entries.
 ALL_ENDPOINTS_EVERY_S = 5.0
@@ -72,11 +71,8 @@
         self._reign_term = 0
         self._reign_since_s = 0.0
         self._changed = asyncio.Event()
+        self._view_changed = asyncio.Event()
         self._confirming: asyncio.Task[int | Refusal] | None = None
-        self._view_key: tuple[int, int] = (-1, 0)
-        self._view_bytes = b""
-        self._peers: dict[str, PeerRecord] = {}
-        self._peers_digest = 0
 
     @classmethod
     def from_config(cls, settings: Settings) -> EntryLeases:
@@ -97,6 +93,8 @@
         """Find consensus and the state."""
         self._consensus = kernel.find("consensus")
         self._state = kernel.find("state")
+        self._views = EntryViews(self._state, self._usage_window_s)
+        self._state.subscribe_view(self._tell_view_changed)
         kernel.find("timer").subscribe("entry_leases", SWEEP_EVERY_S, self._sweep)
 
     async def stop(self) -> None:
@@ -116,29 +114,35 @@
         """
         Renew a lease, once a quorum confirmed this leader after the renewal came in.
 
+        The answer is held for as long as the entry allows while nothing changes for it. Without the
+        hold a change waits for each entry's next renewal.
+
         :param request: the entry's renewal.
         :return: the grant, with the view where the entry's is old.
         """
-        received_s = boot_now()
-        confirmed = await self._confirm_after_now()
-        if isinstance(confirmed, Refusal) or not self._consensus.is_leader:
+        if not self._consensus.is_leader:
             return self._not_leader()
+        received_s = boot_now()
         self._note_reign()
-        if request.view_index > self._state.view_index:
-            return self._ahead(request)
-        # Noted before the answer leaves: a lease that is granted but unknown here would let
-        # `wait_in_force` answer while its entry still serves a withdrawn key.
+        # Noted before any answer leaves: a lease that is granted but unknown here would let
+        # `wait_in_force` answer while its entry still serves a withdrawn key. Noted for nothing,
+        # when the quorum then fails, it only makes that wait longer.
         lease = self._note(request, received_s)
-        want_all = lease.asked_s == received_s
         for data in request.endpoints:
             self._endpoints.merge(data, received_s)
         self._changed.set()
+        await self._hold(request, received_s)
+        confirmed = await self._confirm_after_now()
+        if isinstance(confirmed, Refusal) or not self._consensus.is_leader:
+            return self._not_leader()
+        if request.view_index > self._state.view_index:
+            return self._ahead(request)
         return control_pb2.RenewReply(
             status=control_pb2.OK,
             lease_s=self.lease_s,
-            view=self._view_for(request),
-            want_all_endpoints=want_all,
-            peers_digest=self._peers_digest,
+            view=b"" if self._views.is_current(request) else self._views.encoded(),
+            want_all_endpoints=lease.asked_s == received_s,
+            peers_digest=self._views.peers_digest,
         )
 
     async def wait_in_force(self, index: int, bound_s: float) -> int | Refusal:
@@ -156,8 +160,7 @@
             self._note_reign()
             now = boot_now()
             behind = [lease for lease in self.live() if lease.view_index < index]
-            known_from_s = self._reign_since_s + self._longest_s()
-            if not behind and now >= known_from_s:
+            if not behind and now >= self._known_from_s():
                 return index
             if now >= end:
                 names = ", ".join(lease.daemon for lease in behind) or "entries of the last leader"
@@ -171,6 +174,21 @@
         except TimeoutError:
             return
 
+    async def _hold(self, request: control_pb2.RenewRequest, received_s: float) -> None:
+        """Keep an up-to-date entry waiting, so that a change reaches it at once."""
+        end = received_s + min(request.hold_s, MAX_HOLD_S, self.lease_s / 2)
+        while self._views.is_current(request) and boot_now() < end:
+            changed = self._view_changed
+            try:
+                await asyncio.wait_for(changed.wait(), end - boot_now())
+            except TimeoutError:
+                return
+
+    def _tell_view_changed(self) -> None:
+        """Wake all held renewals; each then waits for an event of its own time."""
+        self._view_changed.set()
+        self._view_changed = asyncio.Event()
+
     async def _confirm_after_now(self) -> int | Refusal:
         """Share one quorum round among all renewals that came in before it began."""
         if self._confirming is not None and not self._confirming.done():
@@ -217,35 +235,21 @@
         spacing_s = len(self.lease_by_start) * ALL_ENDPOINTS_SPACING_S
         return now - asked_s >= max(ALL_ENDPOINTS_EVERY_S, spacing_s)
 
-    def _view_for(self, request: control_pb2.RenewRequest) -> bytes:
-        current = (self._state.view_index, self._peers_digest)
-        if (request.view_index, request.peers_digest) == current:
-            return b""
-        if self._view_key != current:
-            view = dataclasses.replace(
-                self._state.entry_view(),
-                peer_by_daemon=self._peers,
-                usage_window_s=self._usage_window_s,
-            )
-            self._view_bytes = encode(view)
-            self._view_key = current
-        return self._view_bytes
-
     def _update_peers(self) -> None:
-        peers: dict[str, PeerRecord] = {}
-        for lease in self.live():
-            peers[lease.daemon] = PeerRecord(
-                lease.daemon, lease.incarnation, lease.data_centre, lease.peer_address
-            )
-        self._peers = peers
-        self._peers_digest = xxhash.xxh3_64_intdigest(encode(list(peers.values())))
+        self._views.set_peers(self.live(), boot_now() >= self._known_from_s())
+        self._tell_view_changed()
+
+    def _known_from_s(self) -> float:
+        """From then on no entry can hold a lease of an earlier leader."""
+        return self._reign_since_s + self._longest_s()
 
     async def _sweep(self, now: float) -> None:
         """Forget lapsed leases and endpoints that no entry speaks of any more."""
         lapsed = [start for start, lease in self.lease_by_start.items() if lease.lapses_s <= now]
         for start in lapsed:
             del self.lease_by_start[start]
-        if lapsed:
+        complete = now >= self._known_from_s()
+        if lapsed or complete != self._views.peers_complete:
             self._update_peers()
         self._endpoints.sweep(now, len(self.lease_by_start))
         self._changed.set()
--- a/packages/ibisspring-control/src/ibisspring_control/state/machine.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/machine.py
@@ -67,6 +67,7 @@
 
     def __init__(self, snapshot: Snapshot) -> None:
         self._load(snapshot)
+        self._on_view: list[Callable[[], None]] = []
         self._run_by_type: dict[type[Any], Callable[[Any, Moment], Any]] = {
             commands.ApplyRules: lambda command, at: self.rules.apply(command, at),
             commands.ClaimKey: lambda command, at: self.claims.claim(command, at),
@@ -153,6 +154,7 @@
             result, commands.RulesApplied | commands.Done
         ):
             self.view_index = moment.index
+            self._tell_view()
         return result
 
     def _publish(self, command: commands.PublishVersion, moment: Moment) -> Any:
@@ -193,6 +195,18 @@
         """
         return tuple(sorted(self.drains.drain_by_endpoint))
 
+    def subscribe_view(self, callback: Callable[[], None]) -> None:
+        """
+        Be told when what entries act on has changed; it decides nothing in the state.
+
+        :param callback: called at once, and must not apply anything.
+        """
+        self._on_view.append(callback)
+
+    def _tell_view(self) -> None:
+        for callback in self._on_view:
+            callback()
+
     def first_index_of(self, request_id: str) -> int | None:
         """
         Find where a command that is keyed by its request id was applied first.
@@ -245,6 +259,7 @@
         :param data: bytes from `snapshot`; raises `msgspec.DecodeError` where they are broken.
         """
         self._load(decode(data, Snapshot))
+        self._tell_view()
 
     def _load(self, snapshot: Snapshot) -> None:
         self.applied_index = snapshot.applied_index
--- a/packages/ibisspring-core/src/ibisspring_core/control_client.py
+++ b/packages/ibisspring-core/src/ibisspring_core/control_client.py
@@ -27,9 +27,9 @@
 TRY_S = 2.0
 # Longer than an election and the silence before it.
 TOTAL_S = 10.0
-# One renewal must leave time for the next before a lease of three seconds lapses.
-RENEW_TRY_S = 1.0
-RENEW_TOTAL_S = 2.0
+# One renewal, beyond its hold, must leave time for the next before a lease of three seconds lapses.
+RENEW_TRY_S = 0.8
+RENEW_TOTAL_S = 1.7
 RETRY_PAUSE_S = 0.1
 HINT_PAUSE_S = 0.01
 MIN_TIMEOUT_S = 0.05
@@ -131,7 +131,8 @@
         :param request: the renewal; the caller counts the lease from before this call.
         :return: the leader's answer, or a refusal.
         """
-        return await self._call("Renew", request, RENEW_TRY_S, RENEW_TOTAL_S)
+        hold_s = request.hold_s
+        return await self._call("Renew", request, hold_s + RENEW_TRY_S, hold_s + RENEW_TOTAL_S)
 
     async def _call(self, method: str, request: Any, try_s: float, total_s: float) -> Any:
         end = boot_now() + total_s
--- a/packages/ibisspring-core/src/ibisspring_core/messages/views.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/views.py
@@ -33,6 +33,7 @@
     :param version_by_trainer: each trainer's newest weight version.
     :param draining: endpoints that get no new work.
     :param peer_by_daemon: live entries.
+    :param peers_complete: False while a new leader may not have heard of all live entries.
     :param usage_window_s: seconds that one usage window spans, from the leader's settings.
     """
 
@@ -42,6 +43,7 @@
     version_by_trainer: dict[str, int] = field(default_factory=dict)
     draining: tuple[str, ...] = ()
     peer_by_daemon: dict[str, PeerRecord] = field(default_factory=dict)
+    peers_complete: bool = True
     usage_window_s: float = 60.0
 
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/lease/holding.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/lease/holding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from ibisspring_core.errors import Reason, Refusal
@@ -34,32 +35,54 @@
         """
         self.lapses_s = max(self.lapses_s, sent_s + lease_s)
 
-    def take(self, view: EntryView, peers_digest: int) -> bool:
+    def accepts(self, view: EntryView) -> bool:
         """
-        Act on a view unless it is older than the one in force.
+        Tell whether a view may come into force.
 
         Two answers may overtake each other, and a view that fell back would give a withdrawn key
-        its power again.
+        its power again. Rules that do not parse show a release that differs from the leader's,
+        which parsed the same text before it accepted it; the lease then lapses instead of old
+        rules living on.
 
         :param view: from the leader.
-        :param peers_digest: digest of its live entries.
-        :return: True where the rules changed.
+        :return: False where this entry must not act on it, nor extend its lease by its answer.
         """
         if self.view is not None and view.index < self.view.index:
             return False
-        old_version = self.view.rules_version if self.view is not None else None
-        rules = self.rules
-        if view.rules_version != old_version:
-            parsed = parse_rules(view.rules_text)
-            # The leader parsed the same text before it accepted it, so this shows a release that
-            # differs from the leader's; the lease then lapses instead of old rules living on.
-            if not isinstance(parsed, Rules):
-                return False
-            rules = parsed
-        self.view = view
+        return self._parsed(view) is not None
+
+    def take(self, view: EntryView, peers_digest: int) -> bool:
+        """
+        Act on a view that is accepted.
+
+        :param view: from the leader.
+        :param peers_digest: digest of its live entries.
+        :return: True where the rules changed.
+        """
+        rules = self._parsed(view)
+        changed = rules is not self.rules
+        self.view = self._with_known_peers(view)
         self.rules = rules
         self.peers_digest = peers_digest
-        return view.rules_version != old_version
+        return changed
+
+    def _parsed(self, view: EntryView) -> Rules | None:
+        if self.view is not None and view.rules_version == self.view.rules_version:
+            return self.rules
+        parsed = parse_rules(view.rules_text)
+        return parsed if isinstance(parsed, Rules) else None
+
+    def _with_known_peers(self, view: EntryView) -> EntryView:
+        """
+        Keep the entries that a new leader may not have heard of yet.
+
+        Taken for gone, they would leave this entry the whole rate of every client account while
+        they go on serving.
+        """
+        if view.peers_complete or self.view is None:
+            return view
+        known = {**self.view.peer_by_daemon, **view.peer_by_daemon}
+        return dataclasses.replace(view, peer_by_daemon=known)
 
     def lapsed(self, now: float) -> bool:
         """Whether the lease is over, or never began."""
--- a/packages/ibisspring-entry/src/ibisspring_entry/lease/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/lease/service.py
@@ -123,13 +123,16 @@
 
     async def _renew_for_ever(self) -> None:
         while True:
+            start = boot_now()
             try:
                 changed = await self._renew()
             except Exception as error:
                 eliot.log_message("lease:renewal_failed", error=repr(error))
                 changed = False
-            # The leader answers an accepted change only once this entry says that it acts on it.
-            await asyncio.sleep(0.0 if changed else self._every_s)
+            # The leader holds the answer while nothing changes, so it paces the renewals; and an
+            # accepted change is answered only once this entry says that it acts on it.
+            left_s = 0.0 if changed else self._every_s - (boot_now() - start)
+            await asyncio.sleep(max(0.0, left_s))
 
     async def _renew(self) -> bool:
         """Renew once; True where the view changed."""
@@ -144,9 +147,10 @@
         changed = False
         if reply.view:
             view = decode(reply.view, EntryView)
-            changed = self._take(view, reply.peers_digest)
-            if self._holding.view is not view:
+            if not self._holding.accepts(view):
+                eliot.log_message("lease:view_refused", index=view.index)
                 return False
+            changed = self._take(view, reply.peers_digest)
         self._holding.extend(sent_s, reply.lease_s)
         self._lapse_told = False
         if registry is not None:
@@ -168,6 +172,7 @@
             endpoints=[encode(record) for record in records],
             endpoints_are_all=are_all,
             peers_digest=self._holding.peers_digest,
+            hold_s=self._every_s,
         )
 
     def _take(self, view: EntryView, peers_digest: int) -> bool:
--- a/tests/unit/control/test_entry_leases.py
+++ b/tests/unit/control/test_entry_leases.py
@@ -162,6 +162,25 @@
     assert list(decode(again.view, EntryView).peer_by_daemon) == ["e1", "e2"]
 
 
+async def test_a_held_renewal_is_answered_as_soon_as_something_changed(system) -> None:
+    """
+    Nothing changes for an entry, whose renewal is held; then a rule is accepted.
+
+    Unheld, the change would reach the entry with its next renewal only.
+    """
+    first = await system.renew("e1", 0)
+    current = {"peers_digest": first.peers_digest, "hold_s": LONG_S}
+    unchanged = await system.renew("e1", 0, **current)
+    assert not unchanged.view
+
+    held = asyncio.create_task(system.renew("e1", 0, **current))
+    await asyncio.sleep(0.05)
+    assert not held.done()
+    index = system.apply_rules()
+
+    assert decode((await held).view, EntryView).index == index
+
+
 async def test_the_leader_knows_the_endpoints_that_entries_speak_of(system) -> None:
     def record(sequence: int, state: str = "serving") -> bytes:
         return encode(
--- a/tests/unit/entry/lease/test_holding.py
+++ b/tests/unit/entry/lease/test_holding.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from ibisspring_core.errors import Reason
-from ibisspring_core.messages.views import EntryView
+from ibisspring_core.messages.views import EntryView, PeerRecord
 from ibisspring_core.rules import key_digest
 from ibisspring_entry.lease.holding import Holding
 
@@ -40,10 +40,10 @@
     assert holding.rules.client_account_of("key") == "forge"
     assert holding.take(EntryView(9, 2, WITHDRAWN), 1)
 
-    assert not holding.take(EntryView(5, 1, GRANTED), 1)
+    assert not holding.accepts(EntryView(5, 1, GRANTED))
 
     assert holding.rules.client_account_of("key") is None
-    assert holding.view.index == 9
+    assert holding.accepts(EntryView(9, 2, WITHDRAWN))
 
 
 def test_without_a_view_there_is_no_lease() -> None:
@@ -57,6 +57,22 @@
     holding = Holding()
     holding.take(EntryView(5, 1, GRANTED), 1)
 
-    assert not holding.take(EntryView(6, 2, "a rule of a later release"), 1)
+    assert not holding.accepts(EntryView(6, 2, "a rule of a later release"))
 
-    assert holding.view.index == 5
+
+def test_entries_that_a_new_leader_has_not_heard_of_stay_known() -> None:
+    """
+    A leader has just risen and has heard from one entry only; its view names that one.
+
+    Taken as all, the entry would use the whole rate of each client account beside its peers.
+    """
+    peers = {name: PeerRecord(name, 1, "derby", "a") for name in ("e1", "e2")}
+    holding = Holding()
+    holding.take(EntryView(5, 1, GRANTED, peer_by_daemon=peers), 1)
+
+    early = EntryView(5, 1, GRANTED, peer_by_daemon={"e1": peers["e1"]}, peers_complete=False)
+    holding.take(early, 2)
+    assert sorted(holding.view.peer_by_daemon) == ["e1", "e2"]
+
+    holding.take(EntryView(5, 1, GRANTED, peer_by_daemon={"e1": peers["e1"]}), 3)
+    assert sorted(holding.view.peer_by_daemon) == ["e1"]
