Bound what the state keeps of daemons that are gone

Ruled out: dropping by age of the dict's order (a restored replica has another order and would drop others). Change: sequences are forgotten a week after their last use, starts past 5,000 unless a claim is judged by them.

--- a/packages/ibisspring-control/src/ibisspring_control/state/claims.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/claims.py
@@ -23,6 +23,8 @@
 # a resend of a forgotten key would run a second time. New claims are refused instead.
 KEEP_AT_LEAST_S = 3_600.0
 MAX_CLAIMS = 100_000
+# Many times the daemons of a large system; with VMs replaced daily their names add up over years.
+MAX_DAEMONS = 5_000
 # Longer than any request may take: the entry that held the claim is gone for good.
 RUNNING_LIMIT_S = 600.0
 MAX_ANSWER_BYTES = 65_536
@@ -79,6 +81,14 @@
         """Note that a daemon started again: what its earlier start left running may have run."""
         newest = max(incarnation, self.incarnation_by_daemon.get(daemon, 0))
         self.incarnation_by_daemon[daemon] = newest
+        if len(self.incarnation_by_daemon) > MAX_DAEMONS:
+            self._forget_daemons(daemon)
+
+    def _forget_daemons(self, daemon: str) -> None:
+        """Keep the starts that a claim is judged by, whatever the order of the table."""
+        needed = {claim.daemon for claim in self.claim_by_key.values()} | {daemon}
+        starts = self.incarnation_by_daemon
+        self.incarnation_by_daemon = {name: starts[name] for name in sorted(needed & set(starts))}
 
     def claim(self, command: ClaimKey, moment: Moment) -> ClaimState | Refused:
         """Grant a free key; otherwise tell what became of it."""
--- a/packages/ibisspring-control/src/ibisspring_control/state/machine.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/machine.py
@@ -72,7 +72,7 @@
             commands.ApplyRules: lambda command, at: self.rules.apply(command, at),
             commands.ClaimKey: lambda command, at: self.claims.claim(command, at),
             commands.SettleClaim: lambda command, at: self.claims.settle(command),
-            commands.AddUsage: lambda command, at: self.usage.add(command),
+            commands.AddUsage: lambda command, at: self.usage.add(command, at),
             commands.CloseWindow: lambda command, at: self.usage.close(command, at),
             commands.WindowReported: lambda command, at: self.usage.reported(command),
             commands.OrderIntent: lambda command, at: self.orders.intend(command, at),
--- a/packages/ibisspring-control/src/ibisspring_control/state/usage.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/usage.py
@@ -23,6 +23,8 @@
 KEPT_REPORTED = 240
 # Starts of one daemon whose resends still count; a resend lives for seconds, a start for minutes.
 KEPT_INCARNATIONS = 8
+# An entry may be cut off with a batch whose acknowledgement was lost; a week outlasts any cut.
+KEEP_SEQUENCES_S = 604_800.0
 
 
 @dataclass(frozen=True)
@@ -64,12 +66,13 @@
 
 @dataclass(frozen=True)
 class UsageSequence:
-    """Newest sequence taken from one start of a daemon and the window that took it."""
+    """Newest sequence taken from one start of a daemon and the window that took it, and when."""
 
     daemon: str
     incarnation: int
     sequence: int
     window: int
+    stamped_s: float
 
 
 @dataclass(frozen=True)
@@ -108,7 +111,7 @@
         sequences = sorted(self.sequence_by_start.values(), key=_start_of)
         return UsageSnapshot(self.closed_through, tuple(windows), tuple(sequences))
 
-    def add(self, command: AddUsage) -> UsageAdded | Refused:
+    def add(self, command: AddUsage, moment: Moment) -> UsageAdded | Refused:
         """Count an entry's records once, in their window or, late, in the next open one."""
         start = (command.daemon, command.incarnation)
         known = self.sequence_by_start.get(start)
@@ -121,7 +124,9 @@
         lines = self.lines_by_window.setdefault(window, {})
         for record in command.records:
             _merge(lines, record, late)
-        self.sequence_by_start[start] = UsageSequence(*start, command.sequence, window)
+        self.sequence_by_start[start] = UsageSequence(
+            *start, command.sequence, window, moment.stamped_s
+        )
         return UsageAdded(window)
 
     def _take_start(self, command: AddUsage) -> bool:
@@ -148,8 +153,14 @@
             command.window, _sorted(lines), moment.index, moment.stamped_s
         )
         self.closed_through = command.window
+        self._forget_starts(moment)
         return Done()
 
+    def _forget_starts(self, moment: Moment) -> None:
+        for start, sequence in list(self.sequence_by_start.items()):
+            if moment.stamped_s - sequence.stamped_s > KEEP_SEQUENCES_S:
+                del self.sequence_by_start[start]
+
     def reported(self, command: WindowReported) -> Done | Refused:
         """Note that a closed window was taken by the usage interface."""
         window = self.closed_by_window.get(command.window)
--- a/tests/unit/control/state/test_machine.py
+++ b/tests/unit/control/state/test_machine.py
@@ -5,8 +5,9 @@
 import msgspec
 import pytest
 
-from ibisspring_control.state import StateMachine
+from ibisspring_control.state import StateMachine, claims
 from ibisspring_control.state.requests import RESEND_WINDOW_S
+from ibisspring_control.state.usage import KEEP_SEQUENCES_S
 from ibisspring_core.messages.codec import encode
 from ibisspring_core.messages.commands import (
     COMMANDS,
@@ -308,6 +309,21 @@
     assert log.apply(_open("e1")).reason == "stale"
 
 
+def test_years_of_replaced_vms_do_not_add_up(log, monkeypatch) -> None:
+    monkeypatch.setattr(claims, "MAX_DAEMONS", 3)
+    log.apply(ClaimKey("forge", "ticket-7", "digest", "r1", "old", 1))
+    for number in range(10):
+        log.apply(DaemonStarted(f"vm-{number}", 1))
+        log.apply(AddUsage(f"vm-{number}", 1, 1, number, ()))
+        log.now_s += KEEP_SEQUENCES_S / 2
+    log.apply(DaemonStarted("old", 2))
+    log.apply(CloseWindow(10))
+
+    assert len(log.state.claims.incarnation_by_daemon) <= 4
+    assert len(log.state.usage.sequence_by_start) <= 2
+    assert log.apply(ClaimKey("forge", "ticket-7", "digest", "r2", "e2", 1)).state == "granted"
+
+
 def test_replicas_agree_byte_for_byte_also_when_one_started_from_a_snapshot(log) -> None:
     """
     A replica restarts from a snapshot after some hundred commands and applies the rest.
