--- a/bench/rules_in_force.py
+++ b/bench/rules_in_force.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import tempfile
 import time
@@ -28,6 +29,7 @@
 ENTRIES = 8
 APPLIES = 60
 WITHDRAWALS = 6
+REST_S = 15.0
 US = 1e6
 MAX_US = 120_000_000
 
@@ -139,6 +141,34 @@
             rows.append((name, str(len(values)), *quantiles.cells(), ratio))
         head = ("time from the proposal to", "n", "median ms", "p99 ms", "most ms", "ratio")
         print_table(head, rows)
+        print()
+        await self.rest()
+
+    async def rest(self) -> None:
+        """Processor time of the daemons while nothing happens but renewals and heartbeats."""
+        leader = await self.system.leader()
+        daemons = {"leader": leader, "entry": "e1"}
+        before = {role: self._processor_s(daemon) for role, daemon in daemons.items()}
+        start = time.monotonic()
+        await asyncio.sleep(REST_S)
+        passed_s = time.monotonic() - start
+        rows = []
+        for role, daemon in daemons.items():
+            spent_s = self._processor_s(daemon) - before[role]
+            rows.append(
+                (role, f"{100 * spent_s / passed_s:.2f}", f"{self._resident_mb(daemon):.0f}")
+            )
+        print_table((f"at rest, {ENTRIES} entries", "% of a core", "resident MB"), rows)
+
+    def _processor_s(self, daemon: str) -> float:
+        pid = self.system.cluster.process_by_name[daemon].popen.pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def _resident_mb(self, daemon: str) -> float:
+        pid = self.system.cluster.process_by_name[daemon].popen.pid
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
 async def _run(folder: Path) -> None:
--- a/packages/ibisspring-core/src/ibisspring_core/control_client.py
+++ b/packages/ibisspring-core/src/ibisspring_core/control_client.py
@@ -113,7 +113,7 @@
         """
         Read state that a quorum confirmed as current.
 
-        :param query: one of docs/reference/queries.md.
+        :param query: listed in docs/reference/command-line.md.
         :param total_s: longest time for all tries together.
         :param arguments: the query's arguments.
         :return: the answer's JSON object, or a refusal.
