Follow the new bounds of a body; give loads a time of their own

A load whose swap fails held its place in the weight store for a fixed 30 s. Change: resources hand the settings on; setting control.load_timeout_s (30 s by default); tests of a failing engine and of a weight store that refuses.

--- a/packages/ibisspring-control/src/ibisspring_control/engine_orders/loads.py
+++ b/packages/ibisspring-control/src/ibisspring_control/engine_orders/loads.py
@@ -12,8 +12,6 @@
 
     from ibisspring_core.messages.endpoints import EndpointRecord
 
-LOAD_TIMEOUT_S = 30.0
-
 
 @dataclass(frozen=True)
 class Target:
@@ -59,8 +57,9 @@
     wrong judgement here costs time and never a label: labels come from the engine's tokens alone.
     """
 
-    def __init__(self, store_places: int) -> None:
+    def __init__(self, store_places: int, load_timeout_s: float) -> None:
         self._store_places = store_places
+        self._load_timeout_s = load_timeout_s
         self._attempt_by_place: dict[tuple[str, str], _Attempt] = {}
 
     def plan(
@@ -116,7 +115,7 @@
         restarted = attempt.incarnation != engine.incarnation
         if restarted or (announced is not None and announced >= attempt.version):
             del self._attempt_by_place[place]
-        elif attempt.loading and now - attempt.started_s > LOAD_TIMEOUT_S:
+        elif attempt.loading and now - attempt.started_s > self._load_timeout_s:
             self._attempt_by_place[place] = _failed(attempt, now)
 
     def _view(self, target: Target, engine: EndpointRecord) -> EngineView:
@@ -157,4 +156,4 @@
     )
 
 
-__all__ = ["LOAD_TIMEOUT_S", "Load", "LoadTable", "Target"]
+__all__ = ["Load", "LoadTable", "Target"]
--- a/packages/ibisspring-control/src/ibisspring_control/engine_orders/service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/engine_orders/service.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.endpoints import EndpointRecord
-    from ibisspring_core.settings import Settings
+    from ibisspring_core.settings import ControlSettings, Settings
 
 TICK_S = 0.2
 
@@ -24,10 +24,9 @@
 
     name = "engine_orders"
 
-    def __init__(self, weight_store_url: str, store_places: int) -> None:
-        self._weight_store_url = weight_store_url
-        self._store_places = store_places
-        self._loads = LoadTable(store_places)
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        self._loads = self._no_loads()
         self._term: int | None = None
         self._turn = 0
         self._sending: set[asyncio.Task[None]] = set()
@@ -37,11 +36,10 @@
         """
         Build the service.
 
-        :param settings: weight store and its rate, from the control section.
+        :param settings: settings of a daemon with the control role.
         :return: the service.
         """
-        control = settings.control
-        return cls(control.weight_store_url, control.weight_store_concurrency)
+        return cls(settings.control)
 
     async def start(self, kernel: Kernel) -> None:
         """
@@ -86,7 +84,7 @@
         if self._term != tenure.term:
             # What an earlier leader had under way is not known here; engines answer what they hold.
             self._term = tenure.term
-            self._loads = LoadTable(self._store_places)
+            self._loads = self._no_loads()
         engines = self._engines()
         self._loads.keep_only(engines)
         for target in self._targets():
@@ -94,6 +92,9 @@
             for load in self._loads.plan(target, of_model, now):
                 self._order(load, tenure.term)
 
+    def _no_loads(self) -> LoadTable:
+        return LoadTable(self._settings.weight_store_concurrency, self._settings.load_timeout_s)
+
     def _engines(self) -> tuple[EndpointRecord, ...]:
         return tuple(
             record
@@ -153,10 +154,12 @@
         self._loads.failed(load, self._timer.now())
 
     def _weights_url(self, target: Target) -> str:
-        if not self._weight_store_url:
+        if not self._settings.weight_store_url:
             return ""
         parts = (target.model, target.adapter, str(target.version))
-        return f"{self._weight_store_url}/weights/" + "/".join(quote(part) for part in parts)
+        return f"{self._settings.weight_store_url}/weights/" + "/".join(
+            quote(part) for part in parts
+        )
 
 
 __all__ = ["EngineOrders"]
--- a/packages/ibisspring-core/src/ibisspring_core/settings/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/model.py
@@ -39,6 +39,7 @@
     :param drain_deadline_s: seconds after which a draining endpoint is stopped with work on it.
     :param weight_store_url: base URL of the weight store, handed to engines in load orders.
     :param weight_store_concurrency: loads from the weight store at a time, its rate limit.
+    :param load_timeout_s: seconds after which a load that the engine has not announced has failed.
     """
 
     listen: str
@@ -55,6 +56,7 @@
     drain_deadline_s: float = 120.0
     weight_store_url: str = ""
     weight_store_concurrency: int = 2
+    load_timeout_s: float = 30.0
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/resources.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/resources.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
+    from ibisspring_core.settings import EntrySettings
     from ibisspring_entry.rollouts.peer_batches import Progress
     from ibisspring_entry.rollouts.service import Rollouts
 
@@ -27,10 +28,10 @@
 class TrainerResource:
     """What the routes of one trainer share: its key, bodies, and how answers are written."""
 
-    def __init__(self, kernel: Kernel, rollouts: Rollouts, max_body_bytes: int) -> None:
+    def __init__(self, kernel: Kernel, rollouts: Rollouts, settings: EntrySettings) -> None:
         self._kernel = kernel
         self._rollouts = rollouts
-        self._max_body_bytes = max_body_bytes
+        self._settings = settings
 
     def _check(self, request: falcon.asgi.Request, trainer: str) -> Refusal | None:
         caller = identify(self._kernel, request)
@@ -44,7 +45,7 @@
         refusal = self._check(request, trainer)
         if refusal is not None:
             return refusal
-        data = await read_body(request, self._max_body_bytes)
+        data = await read_body(request, self._settings)
         return data if isinstance(data, Refusal) else parse_body(data, body_type)
 
     def _write(
@@ -156,14 +157,14 @@
 
 
 def trainer_routes(
-    kernel: Kernel, rollouts: Rollouts, max_body_bytes: int
+    kernel: Kernel, rollouts: Rollouts, settings: EntrySettings
 ) -> tuple[tuple[str, TrainerResource], ...]:
     """
     List the routes.
 
     :param kernel: holds lease and counters.
     :param rollouts: the service that answers.
-    :param max_body_bytes: the largest body that is taken.
+    :param settings: bounds of a body.
     :return: pairs of path and resource.
     """
     step = "/v1/trainers/{trainer}/steps/{step:int(min=0)}"
@@ -174,7 +175,7 @@
         "/v1/trainers/{trainer}/versions": VersionResource,
     }
     return tuple(
-        (path, resource(kernel, rollouts, max_body_bytes)) for path, resource in resources.items()
+        (path, resource(kernel, rollouts, settings)) for path, resource in resources.items()
     )
 
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.settings import Settings
+    from ibisspring_core.settings import EntrySettings, Settings
     from ibisspring_entry.rollouts.step_request import StepRequest
 
 RETRY_AFTER_S = 0.5
@@ -35,9 +35,9 @@
 
     name = "rollouts"
 
-    def __init__(self, daemon: str, max_body_bytes: int) -> None:
+    def __init__(self, daemon: str, settings: EntrySettings) -> None:
         self._daemon = daemon
-        self._max_body_bytes = max_body_bytes
+        self._settings = settings
         self._step_by_key: dict[tuple[str, int], OwnedStep] = {}
 
     @classmethod
@@ -48,7 +48,7 @@
         :param settings: settings of a daemon with the entry role.
         :return: the service.
         """
-        return cls(settings.daemon, settings.entry.max_body_bytes)
+        return cls(settings.daemon, settings.entry)
 
     async def start(self, kernel: Kernel) -> None:
         """
@@ -65,7 +65,7 @@
         self._counters = kernel.find("counters")
         self._usage = kernel.find_optional("usage_meter")
         kernel.find("timer").subscribe("rollouts:sweep", SWEEP_S, self._sweep)
-        for path, resource in trainer_routes(kernel, self, self._max_body_bytes):
+        for path, resource in trainer_routes(kernel, self, self._settings):
             kernel.find("http").add_route(path, resource)
 
     async def stop(self) -> None:
--- /dev/null
+++ b/tests/integration/test_rollouts_weights.py
@@ -0,0 +1,62 @@
+"""New weights reach every engine though loads fail, and old weights are never called new."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from integration.processes import wait_until
+from integration.training_system import MODEL, TRAINER, TrainingSystem, training_system
+
+
+async def _until_loaded(system: TrainingSystem, version: int, *engines: str) -> None:
+    for name in engines:
+
+        async def loaded(name: str = name) -> bool:
+            return (await system.announced(name)).get(TRAINER) == version
+
+        await wait_until(loaded, f"{name} to load version {version}")
+
+
+async def test_an_engine_whose_swap_fails_is_ordered_again_and_holds_up_no_other(
+    tmp_path: Path,
+) -> None:
+    """
+    Three engines, a weight store with one place; the first engine takes each order and fails it.
+
+    Believed because it answered 202, it would serve old weights for ever; tried at once again and
+    again, it would keep the one place from the others.
+    """
+    settings = {"weight_store_concurrency": 1, "load_timeout_s": 1.0}
+    async with training_system(tmp_path, **settings) as system:
+        for name in ("n1", "n2", "n3"):
+            await system.start_engine(name)
+        await system.fault("n1", load_fails=True)
+        await system.trainer.publish(MODEL, 2)
+
+        await _until_loaded(system, 2, "n2", "n3")
+        assert TRAINER not in await system.announced("n1")
+        await system.fault("n1", load_fails=False)
+        await _until_loaded(system, 2, "n1")
+
+        orders = [order["order_id"] for order in (await system.log("n1"))["orders"]]
+        assert len(orders) >= 2
+        assert len(set(orders)) == len(orders)
+        assert (await system.log("weight_store"))["most_loading"] == 1
+
+
+async def test_a_weight_store_that_refuses_for_a_while(tmp_path: Path) -> None:
+    """The store answers 429 to every load at first; the engines' orders end without a swap."""
+    async with training_system(tmp_path, load_timeout_s=1.0) as system:
+        for name in ("n1", "n2"):
+            await system.start_engine(name)
+        await system.fault("weight_store", refuse=True)
+        await system.trainer.publish(MODEL, 2)
+
+        async def refused() -> bool:
+            log = (await system.log("weight_store"))["log"]
+            return any(entry["status"] == 429 for entry in log)
+
+        await wait_until(refused, "a refused load")
+        await system.fault("weight_store", refuse=False)
+
+        await _until_loaded(system, 2, "n1", "n2")
--- a/tests/unit/control/engine_orders/test_loads.py
+++ b/tests/unit/control/engine_orders/test_loads.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
-from ibisspring_control.engine_orders.loads import LOAD_TIMEOUT_S, LoadTable, Target
+from ibisspring_control.engine_orders.loads import LoadTable, Target
 from ibisspring_core.messages.endpoints import EndpointRecord
 
+LOAD_TIMEOUT_S = 30.0
 TARGET = Target("scorer-lm", "scan-reader", 2)
 
 
@@ -24,7 +25,7 @@
 
 def test_waves_follow_what_the_engines_announce() -> None:
     engines = tuple(_engine(number) for number in range(4))
-    table = LoadTable(store_places=2)
+    table = LoadTable(2, LOAD_TIMEOUT_S)
 
     first = table.plan(TARGET, engines, 0.0)
     assert len(first) == 2
@@ -41,7 +42,7 @@
 
     The leader would count it as swapped for ever, had it believed the 202.
     """
-    table = LoadTable(store_places=1)
+    table = LoadTable(1, LOAD_TIMEOUT_S)
     (first,) = table.plan(TARGET, (_engine(0),), 0.0)
 
     assert table.plan(TARGET, (_engine(0),), LOAD_TIMEOUT_S + 0.1) == ()
@@ -50,7 +51,7 @@
 
 
 def test_a_restarted_engine_is_ordered_at_once_and_frees_its_place() -> None:
-    table = LoadTable(store_places=1)
+    table = LoadTable(1, LOAD_TIMEOUT_S)
     table.plan(TARGET, (_engine(0),), 0.0)
     restarted = _engine(0, incarnation=2)
 
@@ -60,7 +61,7 @@
 
 
 def test_an_older_refusal_does_not_fail_a_newer_load() -> None:
-    table = LoadTable(store_places=1)
+    table = LoadTable(1, LOAD_TIMEOUT_S)
     (old,) = table.plan(TARGET, (_engine(0),), 0.0)
     table.failed(old, 0.1)
     newer = Target("scorer-lm", "scan-reader", 3)
