--- /dev/null
+++ b/tests/unit/entry/rollouts/test_service.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Any
+
+import msgspec
+from unit.entry.rollouts.stand_ins import Engines
+
+from fakes.trainer import step_body
+from ibisspring_control.state import StateMachine
+from ibisspring_core.clock import wall_now
+from ibisspring_core.counters import Counters
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.messages.codec import encode
+from ibisspring_core.messages.commands import COMMANDS, RESULTS, ApplyRules, Envelope
+from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
+from ibisspring_core.messages.views import EntryView, PeerRecord
+from ibisspring_core.request_ids import new_request_id
+from ibisspring_core.rules import Rules
+from ibisspring_core.settings import EntrySettings
+from ibisspring_core.timer import TimerService
+from ibisspring_entry.http.bodies import parse_body
+from ibisspring_entry.rollouts import Rollouts
+from ibisspring_entry.rollouts.peer_batches import Progress
+from ibisspring_entry.rollouts.step_request import StepRequest
+from integration.processes import wait_until
+from integration.training_system import MODEL, RULES, TRAINER
+
+REQUEST = parse_body(json.dumps(step_body(MODEL, 1, 2, 4)).encode(), StepRequest)
+ENGINE = EndpointRecord(
+    "n1", 1, 1, MODEL, "engine", "standard", "derby", "127.0.0.1:1", load=EndpointLoad(capacity=8)
+)
+
+
+class _Control:
+    """The real state machine behind a client without a network."""
+
+    name = "control_client"
+
+    def __init__(self) -> None:
+        self.state = StateMachine.empty()
+        self.index = 0
+
+    async def start(self, kernel: Kernel) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    async def propose(self, command: Any, request_id: str) -> Any:
+        self.index += 1
+        envelope = Envelope(request_id, wall_now(), msgspec.Raw(COMMANDS.encode(command)))
+        return RESULTS.decode(self.state.apply(self.index, encode(envelope)))
+
+    async def read(self, query: str, trainer: str, step: int) -> dict[str, Any]:
+        found = self.state.steps.step_by_key.get((trainer, step))
+        if found is None:
+            return {"found": False}
+        return {"found": True, **dataclasses.asdict(found)}
+
+
+class _Entry:
+    """Lease, registry, endpoints and http of one entry."""
+
+    def __init__(self, name: str, control: _Control, live: set[str]) -> None:
+        self.name = name
+        self.control = control
+        self.live = live
+        self.incarnation = 1
+        self.engines = Engines(lambda request: (1, 1))
+
+    def view(self) -> EntryView:
+        peers = {daemon: PeerRecord(daemon, 1, "derby", "127.0.0.1:1") for daemon in self.live}
+        return dataclasses.replace(self.control.state.entry_view(), peer_by_daemon=peers)
+
+    def rules(self) -> Rules:
+        return self.control.state.rules.rules
+
+    def records_of(self, service: str) -> tuple[EndpointRecord, ...]:
+        return (ENGINE,)
+
+    def generate(self, request: Any) -> Any:
+        return self.engines.generate(request)
+
+    def add_route(self, path: str, resource: Any) -> None: ...
+
+    async def start(self) -> Rollouts:
+        kernel = Kernel.from_services((TimerService(), Counters(None), self.control))
+        for service in ("lease", "registry", "endpoints", "http"):
+            kernel.service_by_name[service] = self
+        rollouts = Rollouts(self.name, EntrySettings("127.0.0.1:1", "127.0.0.1:2"))
+        await rollouts.start(kernel)
+        return rollouts
+
+
+async def _two_entries() -> tuple[Rollouts, Rollouts, set[str]]:
+    control = _Control()
+    applied = await control.propose(ApplyRules(0, RULES, "ana"), new_request_id())
+    assert applied.version == 1, applied
+    live = {"e1", "e2"}
+    first = await _Entry("e1", control, live).start()
+    second = await _Entry("e2", control, live).start()
+    return first, second, live
+
+
+async def _batch(rollouts: Rollouts) -> bytes:
+    found: list[bytes] = []
+
+    async def whole() -> bool:
+        result = await rollouts.fetch(TRAINER, 1)
+        if isinstance(result, bytes):
+            found.append(result)
+        return bool(found)
+
+    await wait_until(whole, "the batch")
+    return found[0]
+
+
+async def test_an_owner_that_lost_its_step_hands_out_nothing_of_it() -> None:
+    """
+    The owner delivers, is cut off past its lease and taken over from; then it is asked again, its
+    payload still in hand, before it has heard of any of this.
+
+    Without a commit before each resend the trainer would get the old samples and the new ones.
+    """
+    first, second, live = await _two_entries()
+    await first.open_step(TRAINER, 1, REQUEST)
+    old = await _batch(first)
+    live.discard("e1")
+    await second.open_step(TRAINER, 1, REQUEST)
+    new = await _batch(second)
+
+    again = await first.payload_of(TRAINER, 1, "")
+    await second.stop()
+
+    assert old != new
+    assert isinstance(again, Refusal)
+    assert again.reason is Reason.OWNER_LOST
+
+
+async def test_a_resend_gets_the_same_bytes_and_an_acknowledged_step_none() -> None:
+    first, _, _ = await _two_entries()
+    await first.open_step(TRAINER, 1, REQUEST)
+    batch = await _batch(first)
+
+    assert await first.payload_of(TRAINER, 1, "") == batch
+    wrong = await first.acknowledge(TRAINER, 1, "another batch")
+    assert isinstance(wrong, Refusal)
+    done = await first.acknowledge(TRAINER, 1, json.loads(batch)["digest"])
+    assert done == Progress("acknowledged", 0, 0, 0.0)
+    assert await first.fetch(TRAINER, 1) == Progress("acknowledged", 0, 0, 0.5)
+
+
+async def test_a_live_owner_keeps_its_step() -> None:
+    first, second, _ = await _two_entries()
+    await first.open_step(TRAINER, 1, REQUEST)
+
+    told = await second.open_step(TRAINER, 1, REQUEST)
+    mine = await _batch(first)
+    await first.stop()
+
+    assert isinstance(told, Progress)
+    assert json.loads(mine)["samples"][0]["sample"].startswith(f"{TRAINER}:1:1:")
