Replay one recorded trace per deployment against its stated outcome

Cause: proofs by replay were missing. Ruled out: timed playback, since its verdict would depend on the machine: an event is over when the system has taken it.

--- /dev/null
+++ b/tests/replay/test_traces.py
@@ -0,0 +1,28 @@
+"""Recorded traces of both deployments, replayed against their stated outcomes."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from replay.player import Player
+
+from integration.training_system import TrainingSystem
+
+TRACES = Path(__file__).parent / "traces"
+
+
+@pytest.mark.parametrize("name", sorted(path.name for path in TRACES.iterdir()))
+async def test_a_trace_ends_as_stated(name: str, tmp_path: Path) -> None:
+    folder = TRACES / name
+    system = TrainingSystem.lay_out(tmp_path, load_timeout_s=2.0)
+    try:
+        await system.start((folder / "rules.txt").read_text())
+        player = Player(system, folder)
+        await player.play()
+        outcome = await player.outcome()
+    finally:
+        system.stop_all()
+
+    assert outcome == json.loads((folder / "outcome.json").read_text())
