Take a sample's score version from the score itself

Cause: the version that was asked for was written beside every score, so a score that slipped past the check would have looked right. Change: the scorer's own version goes into the sample. Conclusion: test_a_score_that_is_not_for_the_sample_is_not_used can now see a wrong score.

--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
@@ -124,10 +124,15 @@
             if score is None:
                 missing.append(item)
                 continue
-            _settle(item, dataclasses.replace(item.sample, score=score, score_version=version))
+            scored = dataclasses.replace(
+                item.sample, score=score.score, score_version=score.version
+            )
+            _settle(item, scored)
         return tuple(missing)
 
-    def _usable(self, answer: ScoreAnswer | None, batch_id: str, version: int) -> dict[str, float]:
+    def _usable(
+        self, answer: ScoreAnswer | None, batch_id: str, version: int
+    ) -> dict[str, ScoreItem]:
         """
         Pick the scores that are for what was asked.
 
@@ -138,12 +143,12 @@
         if answer is None or answer.batch_id != batch_id:
             self._counters.add("scores.mismatched_batch")
             return {}
-        score_by_sample: dict[str, float] = {}
+        score_by_sample: dict[str, ScoreItem] = {}
         for item in answer.scores:
             if item.version != version:
                 self._counters.add("scores.mismatched_version")
                 continue
-            score_by_sample[item.sample] = item.score
+            score_by_sample[item.sample] = item
         return score_by_sample
 
 
