--- a/packages/ibisspring-decisions/src/ibisspring_decisions/sampling.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/sampling.py
@@ -18,6 +18,8 @@
 - RACE_AFTER_DONE 4: a median of fewer finished samples says nothing.
 - RACE_SHARE 0.1: races cost engine work that other trainers could use; a tenth of the step bounds
   it, also when all engines become slow together and every sample looks like a straggler.
+- EXPECTED_FROM 3: work is held back only where each of the last three steps saw that many new
+  versions before its batch was asked for; one step alone may be an accident.
 - MAX_ATTEMPTS 2: one race decides between a slow engine and a long sample; a third copy adds next
   to nothing.
 """
@@ -31,6 +33,7 @@
 RACE_AFTER_DONE = 4
 RACE_SHARE = 0.1
 MAX_ATTEMPTS = 2
+EXPECTED_FROM = 3
 
 
 @dataclass(frozen=True)
@@ -76,6 +79,34 @@
     return oldest_version < trainer_version - bound
 
 
+def expected_publications(earlier: tuple[int, ...]) -> int:
+    """
+    Guess how many versions the trainer publishes between opening a step and asking for its batch.
+
+    :param earlier: how many it were in the trainer's earlier steps, the newest last.
+    :return: the least of the last steps; 0 while too few are known.
+    """
+    if len(earlier) < EXPECTED_FROM:
+        return 0
+    return min(earlier[-EXPECTED_FROM:])
+
+
+def may_start(expected: int, published: int, bound: int, trainer_waits: bool) -> bool:
+    """
+    Tell whether samples that start now have a chance to be fresh when the batch is asked for.
+
+    A trainer that opens its next step while it still trains will publish before it asks. Where the
+    bound is tighter than that, whatever starts before is thrown away. A trainer that asks already
+    gets its samples at once, whatever was expected of it: a wrong guess must not make it idle.
+
+    :param expected: publications expected between the opening and the first question.
+    :param published: publications since the opening.
+    :param bound: how many versions a sample may be behind.
+    :param trainer_waits: whether the trainer has asked for the batch.
+    """
+    return trainer_waits or expected - published <= bound
+
+
 def plan_starts(
     members: tuple[MemberView, ...], free: int, durations_s: tuple[float, ...], now: float
 ) -> tuple[Start, ...]:
@@ -129,12 +160,15 @@
 
 
 __all__ = [
+    "EXPECTED_FROM",
     "MAX_ATTEMPTS",
     "RACE_AFTER",
     "RACE_AFTER_DONE",
     "RACE_SHARE",
     "MemberView",
     "Start",
+    "expected_publications",
     "is_stale",
+    "may_start",
     "plan_starts",
 ]
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from ibisspring_decisions.sampling import MemberView, plan_starts
+from ibisspring_decisions.sampling import MemberView, may_start, plan_starts
 from ibisspring_entry.proxy import GenerateRequest
 from ibisspring_entry.rollouts.attempt import (
     AttemptPlan,
@@ -57,6 +57,7 @@
     :param client_account: whom the tokens are for.
     :param bound: the staleness bound now.
     :param engines: which engines may be used and what they have room for.
+    :param expected: versions that the trainer will probably publish before it asks for the batch.
     :param score: scores samples; returns those that have a score of their own version.
     """
 
@@ -65,6 +66,7 @@
     client_account: str
     bound: Callable[[], Bound]
     engines: EngineChoice
+    expected: int = 0
     score: Callable[[tuple[Sample, ...]], Any] | None = None
 
 
@@ -100,6 +102,8 @@
             for member in range(request.group_size)
         ]
         self._durations_s: list[float] = []
+        self._opened_version = needs.bound().trainer_version
+        self._trainer_waits = False
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -116,6 +120,19 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def trainer_asks(self) -> int | None:
+        """
+        Note that the trainer asked for the batch.
+
+        :return: at its first question, how many versions it published since the step was opened;
+            None later.
+        """
+        if self._trainer_waits:
+            return None
+        self._trainer_waits = True
+        self._wake.set()
+        return self._needs.bound().trainer_version - self._opened_version
+
     def ready(self) -> int:
         """How many samples are there, fresh and scored where scores were asked for."""
         return sum(1 for member in self._members if member.sample is not None)
@@ -165,6 +182,10 @@
 
     def _start_planned(self) -> None:
         running = sum(len(member.started_by_task) for member in self._members)
+        bound = self._needs.bound()
+        published = bound.trainer_version - self._opened_version
+        if not may_start(self._needs.expected, published, bound.versions, self._trainer_waits):
+            return
         now = time.monotonic()
         free = self._needs.engines.room(now) - running
         if free <= 0:
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
@@ -6,6 +6,7 @@
 
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.commands import BatchStale, StepState
+from ibisspring_decisions.sampling import EXPECTED_FROM, expected_publications
 from ibisspring_entry.rollouts.engine_choice import EngineChoice
 from ibisspring_entry.rollouts.gathering import Gathering, GatherNeeds, StepKey
 from ibisspring_entry.rollouts.owned_step import OwnedStep
@@ -39,6 +40,7 @@
         self._daemon = daemon
         self._settings = settings
         self._step_by_key: dict[tuple[str, int], OwnedStep] = {}
+        self._publications_by_trainer: dict[str, tuple[int, ...]] = {}
 
     @classmethod
     def from_config(cls, settings: Settings) -> Rollouts:
@@ -142,6 +144,10 @@
         owned = self._step_by_key.get((trainer, step))
         if owned is None:
             return Refusal(Reason.OWNER_LOST, not_run=True, detail="this entry holds no such step")
+        published = owned.gathering.trainer_asks()
+        if published is not None:
+            earlier = self._publications_by_trainer.get(trainer, ())
+            self._publications_by_trainer[trainer] = (*earlier, published)[-EXPECTED_FROM:]
         if owned.batch is None:
             samples = owned.gathering.whole()
             if samples is None:
@@ -189,6 +195,7 @@
             client_account=client_account_of(self._lease, trainer),
             bound=lambda: bound_of(self._lease, trainer),
             engines=EngineChoice(self._lease, self._registry.records_of, trainer, request.model),
+            expected=expected_publications(self._publications_by_trainer.get(trainer, ())),
             score=scorer.score if request.scorer else None,
         )
         gathering = Gathering(StepKey(trainer, step, epoch), request, needs)
--- a/tests/unit/decisions/test_sampling.py
+++ b/tests/unit/decisions/test_sampling.py
@@ -1,6 +1,13 @@
 from __future__ import annotations
 
-from ibisspring_decisions.sampling import MemberView, Start, is_stale, plan_starts
+from ibisspring_decisions.sampling import (
+    MemberView,
+    Start,
+    expected_publications,
+    is_stale,
+    may_start,
+    plan_starts,
+)
 
 
 def test_the_last_members_of_a_group_go_before_a_new_group() -> None:
@@ -58,3 +65,22 @@
 def test_the_bound_counts_versions_behind_the_trainer() -> None:
     assert not is_stale(8, 10, 2)
     assert is_stale(7, 10, 2)
+
+
+def test_work_that_would_be_stale_when_it_is_asked_for_waits_for_the_new_version() -> None:
+    """
+    A trainer with bound 0 opens its next step while it trains and publishes before it asks.
+
+    Started at once, all samples of each step would be made twice, the first time for nothing.
+    """
+    expected = expected_publications((1, 1, 1))
+
+    assert not may_start(expected, published=0, bound=0, trainer_waits=False)
+    assert may_start(expected, published=1, bound=0, trainer_waits=False)
+    assert may_start(expected, published=0, bound=1, trainer_waits=False)
+
+
+def test_a_wrong_guess_makes_no_trainer_idle() -> None:
+    assert may_start(2, published=0, bound=0, trainer_waits=True)
+    assert expected_publications((1, 0, 1)) == 0
+    assert expected_publications((5, 5)) == 0
