--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -63,6 +63,8 @@
             if record is None:
                 yield self._failed(Reason.NO_ENDPOINT)
                 return
+            if self._request.note_endpoint is not None:
+                self._request.note_endpoint(record.endpoint)
             self._tries += 1
             held = len(self._held)
             attempt = self._open_try(record)
--- a/tests/unit/entry/rollouts/test_service.py
+++ b/tests/unit/entry/rollouts/test_service.py
@@ -42,6 +42,7 @@
     def __init__(self) -> None:
         self.state = StateMachine.empty()
         self.index = 0
+        self.lose_answer = False
 
     async def start(self, kernel: Kernel) -> None: ...
 
@@ -50,7 +51,11 @@
     async def propose(self, command: Any, request_id: str) -> Any:
         self.index += 1
         envelope = Envelope(request_id, wall_now(), msgspec.Raw(COMMANDS.encode(command)))
-        return RESULTS.decode(self.state.apply(self.index, encode(envelope)))
+        result = RESULTS.decode(self.state.apply(self.index, encode(envelope)))
+        if self.lose_answer:
+            self.lose_answer = False
+            return Refusal(Reason.MAY_HAVE_RUN, not_run=False)
+        return result
 
     async def read(self, query: str, trainer: str, step: int) -> dict[str, Any]:
         found = self.state.steps.step_by_key.get((trainer, step))
@@ -161,3 +166,40 @@
 
     assert isinstance(told, Progress)
     assert json.loads(mine)["samples"][0]["sample"].startswith(f"{TRAINER}:1:1:")
+
+
+async def test_a_delivery_whose_answer_was_lost_is_made_again_with_the_same_batch() -> None:
+    """
+    The delivery is committed and its answer lost; the trainer publishes, then asks again.
+
+    A batch built anew, without what is stale by now, would differ from the one in the log: refused
+    for ever, and the step with it.
+    """
+    first, _, _ = await _two_entries()
+    control = first._commands._control
+    await first.open_step(TRAINER, 1, REQUEST)
+    await wait_until(lambda: first._step_by_key[TRAINER, 1].gathering.ready() == 2, "both samples")
+    control.lose_answer = True
+    lost = await first.fetch(TRAINER, 1)
+    for version in (1, 2, 3):
+        await first.publish(TRAINER, MODEL, version)
+
+    batch = await _batch(first)
+
+    assert isinstance(lost, Refusal)
+    state = control.state.steps.step_by_key[TRAINER, 1]
+    assert state.batch_digest == json.loads(batch)["digest"]
+
+
+async def test_an_owner_that_dropped_what_it_delivered_takes_its_own_step_over() -> None:
+    first, _, _ = await _two_entries()
+    await first.open_step(TRAINER, 1, REQUEST)
+    old = await _batch(first)
+    await first.stop()
+
+    assert isinstance(await first.open_step(TRAINER, 1, REQUEST), Progress)
+    new = await _batch(first)
+    await first.stop()
+
+    old_ids = {sample["sample"] for sample in json.loads(old)["samples"]}
+    assert not old_ids & {sample["sample"] for sample in json.loads(new)["samples"]}
