--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
@@ -281,8 +281,8 @@
         return Progress(state, owned.gathering.ready(), owned.request.sample_count(), RETRY_AFTER_S)
 
     def _may_take_over(self, state: StepState, trainer: str, step: int) -> bool:
-        """Whether nobody holds the step: its owner is lost, or this entry delivered and dropped
-        it.""" if is_own(state, self._commands):
+        """Whether nobody holds the step: owner lost, or delivered here and dropped since."""
+        if is_own(state, self._commands):
             return state.state == "delivered" and (trainer, step) not in self._step_by_key
         return is_lost(self._lease, state)
 
