--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/attempt.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/attempt.py
@@ -64,9 +64,12 @@
         """Whether the first tokens were too old already when the attempt began."""
         return self.first_version is not None and not self._bound.allows(self.first_version)
 
-    def note(self, endpoint: str, version: int | None) -> None:
-        """Note who wrote tokens and under which version."""
+    def note_endpoint(self, endpoint: str) -> None:
+        """Note where the generation is tried."""
         self.endpoint = endpoint
+
+    def note_version(self, version: int | None) -> None:
+        """Note the label of tokens."""
         if self.first_version is None:
             self.first_version = version
 
@@ -113,7 +116,7 @@
                 return _finish(plan, tokens, runs, item.total, time.monotonic() - started_s)
             if not isinstance(item, TokenRun) or not item.tokens:
                 continue
-            engine.note(item.endpoint, item.version)
+            engine.note_version(item.version)
             labelled = add_run(runs, item.version, len(item.tokens))
             if labelled is None:
                 return Discarded("missing_label")
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from ibisspring_decisions.sampling import MemberView, plan_starts
+from ibisspring_decisions.sampling import may_start, plan_starts
 from ibisspring_entry.proxy import GenerateRequest
 from ibisspring_entry.rollouts.attempt import (
     AttemptPlan,
@@ -18,6 +18,7 @@
     EngineInUse,
     run_attempt,
 )
+from ibisspring_entry.rollouts.member import Member
 from ibisspring_entry.rollouts.samples import Sample
 
 if TYPE_CHECKING:
@@ -57,6 +58,7 @@
     :param client_account: whom the tokens are for.
     :param bound: the staleness bound now.
     :param engines: which engines may be used and what they have room for.
+    :param expected: versions that the trainer will probably publish before it asks for the batch.
     :param score: scores samples; returns those that have a score of their own version.
     """
 
@@ -65,28 +67,10 @@
     client_account: str
     bound: Callable[[], Bound]
     engines: EngineChoice
+    expected: int = 0
     score: Callable[[tuple[Sample, ...]], Any] | None = None
 
 
-class _Member:
-    """One sample to be made: its attempts and, in the end, the one that won."""
-
-    def __init__(self, group: int, member: int) -> None:
-        self.group = group
-        self.member = member
-        self.sample: Sample | None = None
-        self.attempts = 0
-        self.failures = 0
-        self.not_before_s = 0.0
-        self.started_by_task: dict[asyncio.Task[None], float] = {}
-        self.engine_by_task: dict[asyncio.Task[None], EngineInUse] = {}
-
-    def forget(self, task: asyncio.Task[None]) -> None:
-        """Drop an attempt that has ended."""
-        self.started_by_task.pop(task, None)
-        self.engine_by_task.pop(task, None)
-
-
 class Gathering:
     """The samples of one step, made again until the batch is whole."""
 
@@ -95,11 +79,13 @@
         self.request = request
         self._needs = needs
         self._members = [
-            _Member(group, member)
+            Member(group, member)
             for group in range(len(request.groups))
             for member in range(request.group_size)
         ]
         self._durations_s: list[float] = []
+        self._opened_version = needs.bound().trainer_version
+        self._trainer_waits = False
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -109,13 +95,26 @@
 
     async def stop(self) -> None:
         """Cancel all attempts; the engines are told by the closed streams."""
-        tasks = [task for member in self._members for task in member.started_by_task]
+        tasks = [task for member in self._members for task in member.tasks]
         if self._task is not None:
             tasks.append(self._task)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def trainer_asks(self) -> int | None:
+        """
+        Note that the trainer asked for the batch.
+
+        :return: at its first question, how many versions it published since the step was opened;
+            None later.
+        """
+        if self._trainer_waits:
+            return None
+        self._trainer_waits = True
+        self._wake.set()
+        return self._needs.bound().trainer_version - self._opened_version
+
     def ready(self) -> int:
         """How many samples are there, fresh and scored where scores were asked for."""
         return sum(1 for member in self._members if member.sample is not None)
@@ -146,8 +145,9 @@
             self._discard(member, "stale")
             self._wake.set()
 
-    def _discard(self, member: _Member, cause: str) -> None:
+    def _discard(self, member: Member, cause: str) -> None:
         member.sample = None
+        member.taken = False
         self._needs.counters.add(f"samples.discarded.{cause}")
 
     async def _run(self) -> None:
@@ -165,11 +165,15 @@
 
     def _start_planned(self) -> None:
         running = sum(len(member.started_by_task) for member in self._members)
+        bound = self._needs.bound()
+        published = bound.trainer_version - self._opened_version
+        if not may_start(self._needs.expected, published, bound.versions, self._trainer_waits):
+            return
         now = time.monotonic()
         free = self._needs.engines.room(now) - running
         if free <= 0:
             return
-        views = tuple(_view(member) for member in self._members)
+        views = tuple(member.view() for member in self._members)
         starts = plan_starts(views, free, tuple(self._durations_s), now)
         for start in starts:
             member = self._members[start.group * self.request.group_size + start.member]
@@ -177,17 +181,14 @@
                 self._needs.counters.add("samples.raced")
             self._start(member)
 
-    def _start(self, member: _Member) -> None:
+    def _start(self, member: Member) -> None:
         member.attempts += 1
         engine = EngineInUse(self._needs.bound())
-        others = tuple(running.endpoint for running in member.engine_by_task.values())
-        plan = self._plan(member, others)
+        plan = self._plan(member, engine)
         task = asyncio.create_task(self._attempt(member, plan, engine))
-        member.started_by_task[task] = time.monotonic()
-        member.engine_by_task[task] = engine
-        task.add_done_callback(member.forget)
+        member.started(task, engine, time.monotonic())
 
-    def _plan(self, member: _Member, others: tuple[str, ...]) -> AttemptPlan:
+    def _plan(self, member: Member, engine: EngineInUse) -> AttemptPlan:
         group = self.request.groups[member.group]
         key = self.key
         # By the group's number: its name may hold what a header or a path cannot.
@@ -200,35 +201,34 @@
             adapter=key.trainer,
             prompt=group.prompt,
             max_tokens=self.request.max_tokens,
-            avoid=self._needs.engines.left_out(time.monotonic()) + others,
+            avoid=self._needs.engines.left_out(time.monotonic()) + member.endpoints(),
             deadline_s=ATTEMPT_S,
+            note_endpoint=engine.note_endpoint,
         )
         return AttemptPlan(sample, group.group, member.member, group.prompt, request)
 
-    async def _attempt(self, member: _Member, plan: AttemptPlan, engine: EngineInUse) -> None:
+    async def _attempt(self, member: Member, plan: AttemptPlan, engine: EngineInUse) -> None:
         result = await run_attempt(self._needs.endpoints, plan, self._needs.bound, engine)
-        if isinstance(result, Sample) and self._needs.score is not None:
-            result = await self._needs.score(result)
-        if member.sample is not None:
+        if member.taken:
             return
-        if isinstance(result, Discarded):
-            self._failed(member, plan, result)
-            if engine.is_disproved() or result.cause == "missing_label":
-                self._needs.engines.distrust(engine.endpoint, time.monotonic())
+        if isinstance(result, Sample):
+            member.take(asyncio.current_task())
+            self._durations_s.append(result.endpoint_s)
+            self._wake.set()
+            result = await self._scored(result)
+        if isinstance(result, Sample):
+            member.sample = result
+            member.failures = 0
         else:
-            self._won(member, result)
+            self._failed(member, plan, result)
+        if engine.is_disproved() or result == Discarded("missing_label"):
+            self._needs.engines.distrust(engine.endpoint, time.monotonic())
         self._wake.set()
 
-    def _won(self, member: _Member, sample: Sample) -> None:
-        member.sample = sample
-        member.failures = 0
-        self._durations_s.append(sample.endpoint_s)
-        current = asyncio.current_task()
-        for task in member.started_by_task:
-            if task is not current:
-                task.cancel()
+    async def _scored(self, sample: Sample) -> Sample | Discarded:
+        return sample if self._needs.score is None else await self._needs.score(sample)
 
-    def _failed(self, member: _Member, plan: AttemptPlan, result: Discarded) -> None:
+    def _failed(self, member: Member, plan: AttemptPlan, result: Discarded) -> None:
         self._needs.counters.add(f"samples.discarded.{result.cause}")
         if result.reason is not None:
             self._needs.counters.retried(result.reason)
@@ -238,19 +238,10 @@
             cause=result.cause,
             reason=result.reason.value if result.reason is not None else "",
         )
+        member.taken = False
         member.failures += 1
         backoff_s = min(RETRY_MOST_S, RETRY_FIRST_S * 2 ** (member.failures - 1))
         member.not_before_s = time.monotonic() + max(backoff_s, result.retry_after_s or 0.0)
 
 
-def _view(member: _Member) -> MemberView:
-    return MemberView(
-        member.group,
-        member.member,
-        done=member.sample is not None,
-        started_s=tuple(member.started_by_task.values()),
-        not_before_s=member.not_before_s,
-    )
-
-
 __all__ = ["GatherNeeds", "Gathering", "StepKey"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
@@ -6,9 +6,16 @@
 
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.commands import BatchStale, StepState
+from ibisspring_decisions.sampling import EXPECTED_FROM, expected_publications
 from ibisspring_entry.rollouts.engine_choice import EngineChoice
 from ibisspring_entry.rollouts.gathering import Gathering, GatherNeeds, StepKey
 from ibisspring_entry.rollouts.owned_step import OwnedStep
+from ibisspring_entry.rollouts.ownership import (
+    address_of_owner,
+    is_current,
+    is_lost,
+    is_own,
+)
 from ibisspring_entry.rollouts.peer_batches import Progress, fetch_from_peer
 from ibisspring_entry.rollouts.resources import Published, trainer_routes
 from ibisspring_entry.rollouts.samples import Batch, build_batch
@@ -39,6 +46,7 @@
         self._daemon = daemon
         self._entry_settings = entry_settings
         self._step_by_key: dict[tuple[str, int], OwnedStep] = {}
+        self._publications_by_trainer: dict[str, tuple[int, ...]] = {}
 
     @classmethod
     def from_config(cls, settings: Settings) -> Rollouts:
@@ -92,17 +100,17 @@
         if owned is not None:
             return self._progress(owned)
         state = await self._commands.open(trainer, step, request)
-        if isinstance(state, StepState) and self._is_lost(state):
+        if isinstance(state, StepState) and self._may_take_over(state, trainer, step):
             self._counters.add("steps.taken_over")
             state = await self._commands.open(trainer, step, request, state.epoch)
         if isinstance(state, Refusal):
             return state
         if state.state == "conflict":
             return _conflict("the step was opened with another request")
-        if state.state == "acknowledged" or not self._is_own(state):
+        if state.state == "acknowledged" or not is_own(state, self._commands):
             ready = request.sample_count() if state.state != "open" else 0
             return Progress(state.state, ready, request.sample_count(), RETRY_AFTER_S)
-        return self._begin(trainer, step, request, state.epoch)
+        return await self._begin(trainer, step, request, state)
 
     async def fetch(self, trainer: str, step: int) -> bytes | Progress | Refusal:
         """
@@ -121,7 +129,7 @@
             return Refusal(Reason.BAD_REQUEST, not_run=True, detail="no such step; open it first")
         if state.state == "acknowledged":
             return Progress("acknowledged", 0, 0, RETRY_AFTER_S)
-        address = self._live_address(state.daemon, state.incarnation)
+        address = address_of_owner(self._lease, state)
         if isinstance(address, Refusal):
             return address
         return await fetch_from_peer(address, trainer, step, state.batch_digest)
@@ -142,13 +150,16 @@
         owned = self._step_by_key.get((trainer, step))
         if owned is None:
             return Refusal(Reason.OWNER_LOST, not_run=True, detail="this entry holds no such step")
-        if owned.batch is None:
+        published = owned.gathering.trainer_asks()
+        if published is not None:
+            earlier = self._publications_by_trainer.get(trainer, ())
+            self._publications_by_trainer[trainer] = (*earlier, published)[-EXPECTED_FROM:]
+        batch = owned.batch or owned.proposed
+        if batch is None:
             samples = owned.gathering.whole()
             if samples is None:
                 return self._progress(owned)
             batch = build_batch(trainer, step, samples)
-        else:
-            batch = owned.batch
         if digest and digest != batch.digest:
             return _conflict("the step has another batch")
         return await self._deliver(owned, batch)
@@ -181,7 +192,15 @@
         result = await self._commands.publish(trainer, model, version)
         return result if isinstance(result, Refusal) else Published(trainer, version)
 
-    def _begin(self, trainer: str, step: int, request: StepRequest, epoch: int) -> Progress:
+    async def _begin(
+        self, trainer: str, step: int, request: StepRequest, state: StepState
+    ) -> Progress | Refusal:
+        owned = self._step_by_key.get((trainer, step))
+        if owned is not None and owned.gathering.key.epoch == state.epoch:
+            # The trainer asked twice and the other question was answered first.
+            return self._progress(owned)
+        if owned is not None:
+            await owned.stop()
         scorer = ScoreBatcher(trainer, lambda: self._scorers(request.scorer), self._counters)
         needs = GatherNeeds(
             endpoints=self._endpoints,
@@ -189,9 +208,10 @@
             client_account=client_account_of(self._lease, trainer),
             bound=lambda: bound_of(self._lease, trainer),
             engines=EngineChoice(self._lease, self._registry.records_of, trainer, request.model),
+            expected=expected_publications(self._publications_by_trainer.get(trainer, ())),
             score=scorer.score if request.scorer else None,
         )
-        gathering = Gathering(StepKey(trainer, step, epoch), request, needs)
+        gathering = Gathering(StepKey(trainer, step, state.epoch), request, needs)
         owned = OwnedStep(request, gathering, scorer)
         self._step_by_key[trainer, step] = owned
         gathering.start()
@@ -199,17 +219,21 @@
 
     async def _deliver(self, owned: OwnedStep, batch: Batch) -> bytes | Progress | Refusal:
         key = owned.gathering.key
+        # Kept until its fate is known: where the answer is lost, the commit may have been made, and
+        # only the same batch can then be delivered.
+        owned.proposed = batch
         result = await self._commands.deliver(key, batch)
         if isinstance(result, Refusal):
             return result
         if isinstance(result, BatchStale):
+            owned.proposed = None
             owned.gathering.replace(result.stale_samples)
             return self._progress(owned)
         if result.epoch != key.epoch or result.batch_digest != batch.digest:
             return await self._give_up(owned, result)
         if owned.batch is None:
             owned.batch = batch
-            await self._settle(owned)
+            await self._settle(owned, batch)
         return batch.payload
 
     async def _give_up(self, owned: OwnedStep, state: StepState) -> Refusal:
@@ -225,14 +249,13 @@
             detail=f"the step is {state.state} under epoch {state.epoch}; ask again",
         )
 
-    async def _settle(self, owned: OwnedStep) -> None:
+    async def _settle(self, owned: OwnedStep, batch: Batch) -> None:
         """End the work of a delivered step and account for it once."""
-        samples = owned.gathering.whole() or ()
         await owned.stop()
         key = owned.gathering.key
         if self._usage is None:
             return
-        for sample in samples:
+        for sample in batch.samples:
             self._usage.record(
                 client_account_of(self._lease, key.trainer),
                 owned.request.model,
@@ -246,9 +269,9 @@
         """Let go of steps that another entry acknowledged or took over."""
         for (trainer, step), owned in tuple(self._step_by_key.items()):
             state = await self._commands.read(trainer, step)
-            if not isinstance(state, StepState):
+            if isinstance(state, Refusal):
                 continue
-            if state.state != "acknowledged" and state.epoch == owned.gathering.key.epoch:
+            if state is not None and is_current(state, owned.gathering.key):
                 continue
             self._step_by_key.pop((trainer, step), None)
             await owned.stop()
@@ -257,28 +280,11 @@
         state = "open" if owned.batch is None else "delivered"
         return Progress(state, owned.gathering.ready(), owned.request.sample_count(), RETRY_AFTER_S)
 
-    def _is_own(self, state: StepState) -> bool:
-        return state.daemon == self._daemon and state.incarnation == self._commands.incarnation
-
-    def _is_lost(self, state: StepState) -> bool:
-        if state.state not in ("open", "delivered") or self._is_own(state):
-            return False
-        address = self._live_address(state.daemon, state.incarnation)
-        return isinstance(address, Refusal) and address.reason is Reason.OWNER_LOST
-
-    def _live_address(self, daemon: str, incarnation: int) -> str | Refusal:
-        view = self._lease.view()
-        if isinstance(view, Refusal):
-            return view
-        peer = view.peer_by_daemon.get(daemon)
-        if peer is None or peer.incarnation != incarnation:
-            return Refusal(
-                Reason.OWNER_LOST,
-                not_run=True,
-                retry_after_s=RETRY_AFTER_S,
-                detail="the entry that held the step is gone; send the step's request again",
-            )
-        return peer.peer_address
+    def _may_take_over(self, state: StepState, trainer: str, step: int) -> bool:
+        """Whether nobody holds the step: owner lost, or delivered here and dropped since."""
+        if is_own(state, self._commands):
+            return state.state == "delivered" and (trainer, step) not in self._step_by_key
+        return is_lost(self._lease, state)
 
     def _scorers(self, service: str) -> tuple[str, ...]:
         records = self._registry.records_of(service)
