--- a/packages/ibisspring-entry/src/ibisspring_entry/http/middleware.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/middleware.py
@@ -60,9 +60,15 @@
 
 
 class Stopping:
-    """Refuses new work, truthfully not run, once the daemon stops."""
+    """
+    Refuses new work, truthfully not run, once the daemon stops.
+
+    From the first moment of the stop each answer also closes its connection: a caller that keeps
+    one would send its next request into the closing port, and not know whether it ran.
+    """
 
     def __init__(self, counters: Counters) -> None:
+        self.stopping = False
         self.refusing = False
         self._counters = counters
 
@@ -78,9 +84,19 @@
             return
         refusal = Refusal(Reason.STOPPING, True, 1.0, "this daemon stops; ask again")
         refuse(response, refusal, request.context.request_id, self._counters)
-        response.set_header("Connection", "close")
         response.complete = True
 
+    async def process_response(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+        resource: object,
+        req_succeeded: bool,
+    ) -> None:
+        """Close the connection with the answer while the daemon stops."""
+        if self.stopping:
+            response.set_header("Connection", "close")
+
 
 def add_error_handlers(app: falcon.asgi.App, counters: Counters) -> None:
     """
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
@@ -22,6 +22,10 @@
     from ibisspring_core.settings import EntrySettings, Settings
     from ibisspring_entry.http.server import EmbeddedServer
 
+REFUSE_S = 0.3
+LAST_S = 1
+"""Whole seconds for what came in the last moment; what ran had `drain_s` before."""
+
 
 class HttpService:
     """Serves callers, trainers and announcing endpoints."""
@@ -87,9 +91,16 @@
         refuse them at once would show callers a stop that they need not see.
         """
         self.stopping = True
+        self._refusing.stopping = True
         await asyncio.sleep(self._settings.stop_wait_s)
         self._refusing.refusing = True
-        self._server.config.timeout_graceful_shutdown = max(1, round(self._settings.drain_s))
+        # While running ones finish, callers that did not look at readyz still find an open port and
+        # are told "not run"; a closed one would reset what waits in its backlog, untold.
+        await asyncio.sleep(REFUSE_S)
+        running = set(self._server.server_state.tasks)
+        if running:
+            await asyncio.wait(running, timeout=self._settings.drain_s)
+        self._server.config.timeout_graceful_shutdown = LAST_S
         self._server.should_exit = True
         await self._serving
         eliot.log_message("http:stopped")
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/connections.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/connections.py
@@ -57,6 +57,9 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        # The client's own Accept-Encoding would have endpoints compress for callers who can't
+        # read it.
+        skip_auto_headers=("Accept-Encoding", "Content-Type", "User-Agent"),
         read_bufsize=LINE_BYTES,
     )
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -27,6 +27,7 @@
         self._failed_on: set[Start] = set()
         self._tries = 0
         self._not_run = True
+        self._exhausted = False
         detail = f"no endpoint of {request.service} takes work"
         self._last = Refusal(Reason.NO_ENDPOINT, True, RETRY_AFTER_S, detail)
 
@@ -99,6 +100,7 @@
     async def _try(self) -> PlainAnswer | Refusal:
         record = self._endpoints.pick(self._request.service, "", failed_on=self._failed_on)
         if record is None:
+            self._exhausted = True
             return self._last
         self._tries += 1
         self._failed_on.add((record.endpoint, record.incarnation))
@@ -119,7 +121,8 @@
     def _may_try_again(self, refusal: Refusal) -> bool:
         if self._tries >= MAX_TRIES or boot_now() >= self._deadline:
             return False
-        if refusal.reason is Reason.NO_ENDPOINT:
+        # Without an endpoint there is nothing to wait for: asking again at once would spin.
+        if self._exhausted:
             return False
         return self._endpoints.may_retry(refusal.reason, charged=not refusal.not_run)
 
--- a/tests/integration/test_requests_path.py
+++ b/tests/integration/test_requests_path.py
@@ -57,6 +57,37 @@
     assert KEY not in json.dumps(await system.log("archive-1"))
 
 
+async def test_headers_are_the_callers_own(system: LoneSystem) -> None:
+    # A client that reads no compressed answers got one, because the entry had asked for it.
+    await system.start_plain("archive-1")
+
+    await system.ask(
+        "GET", f"/v1/services/{SERVICE}/find", {"Accept-Encoding": "identity", "X-Mill": "7"}
+    )
+
+    (call,) = (await system.log("archive-1"))["calls"]
+    assert call["headers"]["accept-encoding"] == "identity"
+    assert call["headers"]["x-mill"] == "7"
+
+
+async def test_no_endpoint_left_is_answered_at_once(system: LoneSystem) -> None:
+    # The only service endpoint refuses connections, then is gone. The entry spun on it and answered
+    # nobody any more.
+    await system.start_plain("archive-1")
+    await system.fault("archive-1", refuse=True)
+    path = f"/v1/services/{SERVICE}/tickets"
+
+    refused = await system.ask("POST", path, data=b"x")
+    system.process_by_name["archive-1"].kill()
+
+    async def gone() -> bool:
+        answer = await system.ask("POST", path, data=b"x")
+        return answer.error()["reason"] == "no_endpoint"
+
+    assert refused.error()["reason"] == "endpoint_refused"
+    await wait_until(gone, "the endpoint's record to end")
+
+
 async def test_correlation_id_goes_on_to_the_endpoint(system: LoneSystem) -> None:
     await system.start_plain("archive-1")
 
--- a/tests/integration/test_requests_stops.py
+++ b/tests/integration/test_requests_stops.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from integration.lone_system import Answer, LoneSystem, expected_tokens
+from integration.lone_system import KEY, Answer, LoneSystem, expected_tokens
 from integration.processes import wait_until
 from integration.requests_system import RequestsSystem
 
@@ -85,6 +85,37 @@
     assert all(b'"done":true' in answer.body for answer in streams)
 
 
+async def test_a_kept_connection_is_not_lost_in_a_stop(tmp_path: Path) -> None:
+    # A caller keeps its connection and sends one ticket after the other over it. When the entry
+    # stopped, the connection was closed under a ticket, and nobody knew whether it ran.
+    system = LoneSystem(tmp_path)
+    answered = 0
+    try:
+        entry = await system.start_entry(stop_wait_s=1.0)
+        await system.start_plain("archive-1")
+        stopping = None
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            url = f"{system.url}/v1/services/archive-app/tickets"
+            headers = {"Authorization": f"Bearer {KEY}"}
+            while True:
+                async with session.post(url, data=b"x", headers=headers) as response:
+                    answer = await response.json()
+                if response.status != 200:
+                    break
+                answered += 1
+                if answered == 20:
+                    stopping = asyncio.create_task(entry.terminate())
+        exit_code = await stopping
+        calls = (await system.log("archive-1"))["calls"]
+    finally:
+        system.stop_all()
+
+    assert exit_code == 0
+    assert (answer["error"]["reason"], answer["error"]["not_run"]) == ("stopping", True)
+    assert answered == len(calls)
+
+
 async def test_reclaim_of_a_data_centres_cheap_engines(tmp_path: Path) -> None:
     # All cheap engines of a data centre are reclaimed at once on two seconds' notice, with streams
     # on them. Every stream that they carried broke, and new ones were sent there to the end.
