Send what a reclaim would harm to the standard kind

Cause: between equals all went to the standard kind, also streams that lose nothing by a reclaim; calls that may not be repeated went to the cheap kind as soon as the standard one had one request more.

Change: routing is told whether the request is repeatable; repeatable ones go to the cheap kind between equals, others to the standard kind unless it has one request more for each slot. The fake's crossed lines carry the other answer's tokens: with both echo checks taken out the test had still passed, since both answers were the same.

--- a/packages/ibisspring-decisions/src/ibisspring_decisions/routing.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/routing.py
@@ -13,7 +13,8 @@
 
 How it decides: two candidates are drawn at random and the one of lower cost wins. The cost is the
 work per slot, from the report and from what this entry sent since; nearness and a cached prefix
-lower it by a bounded amount; ejected endpoints take no part.
+lower it by a bounded amount, the kind counts by what a reclaim would cost; ejected endpoints take
+no part.
 
 Grounds for the figures:
 
@@ -22,8 +23,10 @@
   between equals and never against a shorter line.
 - `CACHED` 0.5: a cached prefix saves the prefill, in the order of half a slot's work; cache events
   are late and have gaps, so it never outweighs one more request per slot.
-- `CHEAP` 0.1: the cheap kind may be reclaimed at any moment, so that between equals the standard
-  kind is chosen; how many of the cheap kind there are, the rules say.
+- `CHEAP` 0.1: a generation or lookup loses nothing when its endpoint is reclaimed, it goes on
+  elsewhere; so between equals it goes to the cheap kind, of which the rules say how much there is.
+- `RISK` 1.0: a call that may not be repeated ends as "may have run" when its endpoint is reclaimed.
+  It goes to the cheap kind only where the standard one has one request more for each slot.
 - `EJECT_FAILURES` 3 in a row: one failure is a lost connection; three are the endpoint.
 - `EJECT_S` 2 s, doubled for each time in a row up to `EJECT_MOST_S` 30 s: a restart takes seconds,
   and each return costs some callers one try.
@@ -46,6 +49,7 @@
 FAR = 0.05
 CACHED = 0.5
 CHEAP = 0.1
+RISK = 1.0
 EJECT_FAILURES = 3
 EJECT_S = 2.0
 EJECT_MOST_S = 30.0
@@ -53,6 +57,7 @@
 SLOW = 3.0
 PACE_MEMORY = 0.8
 PREFIX_CHARACTERS = 64
+CHEAP_KIND = "cheap"
 
 
 @dataclass(frozen=True)
@@ -108,12 +113,15 @@
         """
         return cls(data_centre, source)
 
-    def choose(self, candidates: tuple[Candidate, ...], now: float) -> str | None:
+    def choose(
+        self, candidates: tuple[Candidate, ...], now: float, repeatable: bool = True
+    ) -> str | None:
         """
         Choose one of the candidates.
 
         :param candidates: endpoints that may take the request.
         :param now: seconds on a steady clock.
+        :param repeatable: whether the request loses nothing when its endpoint is reclaimed.
         :return: the endpoint's id, or None where there is no candidate.
         """
         if not candidates:
@@ -124,7 +132,13 @@
         # Of one prompt's engines those that cache it are always drawn, or the hint would be lost in
         # most draws; the cost still lets a shorter line win.
         pair.extend(candidate for candidate in healthy if candidate.cached)
-        return min(pair, key=lambda candidate: self._cost(candidate, usual_pace)).endpoint
+        if not repeatable:
+            # Two draws may both be cheap ones beside a free standard one.
+            standard = [candidate for candidate in healthy if candidate.kind != CHEAP_KIND]
+            pair.extend(self._source.sample(standard, min(2, len(standard))))
+        cheap_cost = -CHEAP if repeatable else RISK
+        chosen = min(pair, key=lambda one: self._cost(one, usual_pace, cheap_cost))
+        return chosen.endpoint
 
     def failed(self, endpoint: str, now: float) -> None:
         """
@@ -194,7 +208,7 @@
         paces.sort()
         return paces[(len(paces) - 1) // 2] if paces else None
 
-    def _cost(self, candidate: Candidate, usual_pace: float | None) -> float:
+    def _cost(self, candidate: Candidate, usual_pace: float | None, cheap_cost: float) -> float:
         # The report lags: without what was sent since, all requests until the next one would go to
         # the endpoint that was idle when it reported.
         reported = candidate.running + candidate.queued + candidate.sent_since
@@ -206,8 +220,8 @@
             cost *= slower if slower >= SLOW else 1.0
         if candidate.data_centre != self._data_centre:
             cost += FAR
-        if candidate.kind == "cheap":
-            cost += CHEAP
+        if candidate.kind == CHEAP_KIND:
+            cost += cheap_cost
         if candidate.cached:
             cost -= CACHED
         return cost
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -98,7 +98,12 @@
         return None
 
     async def _try(self) -> PlainAnswer | Refusal:
-        record = self._endpoints.pick(self._request.service, "", failed_on=self._failed_on)
+        record = self._endpoints.pick(
+            self._request.service,
+            "",
+            failed_on=self._failed_on,
+            repeatable=self._request.idempotent,
+        )
         if record is None:
             self._exhausted = True
             return self._last
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -142,6 +142,7 @@
         avoid: Collection[str] = (),
         failed_on: Collection[Start] = (),
         dead: Collection[Start] = (),
+        repeatable: bool = True,
     ) -> EndpointRecord | None:
         """
         Choose an endpoint for new work.
@@ -151,6 +152,7 @@
         :param avoid: endpoints that must not be used.
         :param failed_on: starts that failed this request, used only where no other is left.
         :param dead: starts to which no connection can be made.
+        :param repeatable: whether the request loses nothing when its endpoint is reclaimed.
         :return: the endpoint's record, or None where none may take work.
         """
         record_by_endpoint = {}
@@ -165,7 +167,7 @@
         names = fresh or list(record_by_endpoint)
         prefix = prefix_digest(prompt) if prompt else ""
         candidates = tuple(self._candidate(record_by_endpoint[name], prefix) for name in names)
-        chosen = self._router.choose(candidates, boot_now())
+        chosen = self._router.choose(candidates, boot_now(), repeatable)
         return None if chosen is None else record_by_endpoint[chosen]
 
     def _candidate(self, record: EndpointRecord, prefix: str) -> Candidate:
--- a/tests/integration/test_requests_failures.py
+++ b/tests/integration/test_requests_failures.py
@@ -96,11 +96,14 @@
     await system.fault("archive-1", cross=1)
 
     stream = await system.generate(PROMPT, 40)
+    await system.fault("scorer-1", cross_line_at=16)
+    crossed_later = await system.generate(PROMPT, 40)
     lookup = await system.ask("GET", f"/v1/services/{SERVICE}/find")
     await system.fault("archive-1", cross=1)
     ticket = await system.ask("POST", f"/v1/services/{SERVICE}/tickets", data=b"bale 7")
 
     assert stream.tokens() == expected_tokens(PROMPT, 40)
+    assert crossed_later.tokens() == expected_tokens(PROMPT, 40)
     assert lookup.status == 200
     assert ticket.status == 502
     assert ticket.error()["reason"] == "mismatched_answer"
