Hold an order at the last moment before it is sent

Cause: the freeze and the partition test passed with a naive sender too (plain aiohttp after one check of the lease): a leader that is cut off or frozen between two orders cannot commit the next intent. Change: the partition now closes once the proxy holds the bytes of a committed order; the freeze comes while the order's connection is being made (the proxy lets new connections hang, its kernel completes them while the leader is frozen). Ruled out: freezing at random moments (it met the moment in no run).

--- a/tests/fakes/usage.py
+++ b/tests/fakes/usage.py
@@ -21,6 +21,7 @@
     """What goes wrong; set by `POST /fault` with these fields."""
 
     delay_s: float = 0.0
+    answer_late_s: float = 0.0
     status: int = 0
     drop_answer: bool = False
 
@@ -47,6 +48,7 @@
         if self.faults.status:
             return web.json_response({}, status=self.faults.status)
         taken = self.lines_by_window.setdefault(window, report["lines"])
+        await asyncio.sleep(self.faults.answer_late_s)
         if self.faults.drop_answer:
             request.transport.abort()
         if taken != report["lines"]:
--- a/tests/integration/proxy.py
+++ b/tests/integration/proxy.py
@@ -39,6 +39,8 @@
         self.target = target
         self.mode_by_direction = {"to_target": to_target, "to_client": to_client}
         self.changed = asyncio.Condition()
+        # Whether bytes are held in one direction.
+        self.holds = False
 
     async def set_modes(self, to_target: Mode, to_client: Mode) -> None:
         """Change both directions; what was held goes on if its direction passes again."""
@@ -54,6 +56,7 @@
             if delay_s:
                 await asyncio.sleep(delay_s)
             async with self.changed:
+                self.holds = self.mode_by_direction[direction] is Mode.HOLD
                 await self.changed.wait_for(
                     lambda: self.mode_by_direction[direction] is not Mode.HOLD
                 )
@@ -126,6 +129,23 @@
             writer.close()
             target[1].close()
 
+    async def shut(self) -> None:
+        """Let new connections hang: their SYN is dropped until `reopen`, then sent again by TCP."""
+        self._server.close()
+        host, port = self.address.split(":")
+        self._shut = socket.socket()
+        self._shut.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._shut.bind((host, int(port)))
+        self._shut.listen(0)
+        # A queue of length 0 holds one connection.
+        self._filler = socket.create_connection((host, int(port)))
+
+    async def reopen(self) -> None:
+        """Take the connections that hang."""
+        self._filler.close()
+        self._shut.setblocking(False)
+        self._server = await asyncio.start_server(self._serve, sock=self._shut)
+
     async def set_modes(self, to_target: Mode, to_client: Mode) -> None:
         """Change what happens to all connections, open ones and those to come."""
         self._modes = (to_target, to_client)
--- /dev/null
+++ b/tests/integration/test_duties_drain.py
@@ -0,0 +1,90 @@
+"""Planned stops of endpoints: drained first, the platform's stop order last."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import aiohttp
+
+from integration.duties_system import DutiesSystem
+from integration.processes import Process, free_address, get_json, python_module, wait_until
+from integration.rules_system import KEY, rules_text
+
+TOKENS = 120
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+class _Engine:
+    def __init__(self, name: str, process: Process, address: str) -> None:
+        self.name = name
+        self.process = process
+        self.address = address
+
+    async def ran(self) -> int:
+        """How many requests it took."""
+        return len((await get_json(f"http://{self.address}/log"))["requests"])
+
+
+def _start_engine(system: DutiesSystem, name: str) -> _Engine:
+    address = free_address()
+    arguments = ["--endpoint", name, "--listen", address, "--entry", system.cluster.url("e1")]
+    arguments += ["--tokens-per-s", "15"]
+    process = system.cluster.start_other(name, python_module("fakes.engine", *arguments))
+    return _Engine(name, process, address)
+
+
+async def _generate(system: DutiesSystem, tokens: int) -> list[dict]:
+    body = {"model": "scorer-lm", "prompt": "heat 4711", "max_tokens": tokens, "stream": True}
+    url = f"{system.cluster.url('e1')}/v1/generate"
+    async with aiohttp.ClientSession() as session:
+        async with session.post(url, json=body, headers=HEADERS) as response:
+            assert response.status == 200, await response.text()
+            return [json.loads(line) async for line in response.content]
+
+
+async def test_a_drained_engine_is_stopped_only_when_its_streams_have_ended(tmp_path) -> None:
+    # An operator drains an engine while a long stream runs on it. Stopped at once, the stream
+    # would break; drained without telling entries, new requests would come in for ever. The stream
+    # ends whole, new requests go elsewhere, then the platform gets one stop order.
+    system = await DutiesSystem.found(tmp_path, drain_settle_s=2.0, drain_deadline_s=100.0)
+    try:
+        await system.rules.apply(rules_text(), 0)
+        first = _start_engine(system, "engine-1")
+        stream = asyncio.create_task(_first_stream(system))
+        await wait_until(first.ran, "the stream to begin")
+        second = _start_engine(system, "engine-2")
+        await wait_until(lambda: _known(system, "engine-2"), "engine-2 to be known")
+
+        drained = await system.rules.run("endpoint", "drain", "engine-1")
+        assert drained.returncode == 0, drained.stderr
+        for _ in range(3):
+            assert (await _generate(system, 4))[-1]["done"]
+        assert await second.ran() == 3
+        assert await system.sent() == [], "the stop order went out before the stream's end"
+        lines = await stream
+
+        assert lines[-1]["done"]
+        assert sum(len(line.get("tokens", ())) for line in lines) == TOKENS
+        (order,) = await system.wait_sent(1)
+        assert (order["order"]["action"], order["order"]["endpoint"]) == ("stop", "engine-1")
+        assert await first.ran() == 1
+        assert await first.process.terminate() == 0
+        await wait_until(lambda: _lifted(system), "the drain to be lifted")
+        assert len(await system.sent()) == 1
+    finally:
+        await system.stop()
+
+
+async def _first_stream(system: DutiesSystem) -> list[dict]:
+    await wait_until(lambda: _known(system, "engine-1"), "engine-1 to be known")
+    return await _generate(system, TOKENS)
+
+
+async def _known(system: DutiesSystem, endpoint: str) -> bool:
+    status = await system.rules.ask("status")
+    return endpoint in [record["endpoint"] for record in status["endpoints"]]
+
+
+async def _lifted(system: DutiesSystem) -> bool:
+    return (await system.rules.ask("status"))["draining"] == []
--- a/tests/integration/test_duties_orders.py
+++ b/tests/integration/test_duties_orders.py
@@ -6,6 +6,7 @@
 
 from integration.duties_system import DutiesSystem, check_orders
 from integration.processes import wait_until
+from integration.proxy import Mode
 
 COUNT = 12
 
@@ -35,16 +36,18 @@
 
 
 async def test_a_leader_frozen_past_its_lease_with_orders_about_to_go(tmp_path) -> None:
-    # A leader is in the middle of a row of orders when its VM freezes. Its successor goes on. The
-    # old leader thaws and believes for a moment that it is in charge; what it was about to send
-    # must not reach the platform any more.
+    # A leader has committed an order and is about to send it, its connection is being made, when
+    # its VM freezes. The connection comes about, the successor gives orders, the old leader thaws:
+    # the order must not reach the platform next to the successor's.
     system = await DutiesSystem.found(tmp_path)
     try:
-        await system.fault("platform", delay_s=0.4)
         old = await system.rules.leader()
+        path = system.proxy_by_path[(old, "platform")]
+        await path.shut()
         await system.place(COUNT)
-        await system.wait_sent(2)
+        await wait_until(lambda: _has_open_order(system), "an order about to go")
         system.cluster.process_by_name[old].freeze()
+        await path.reopen()
         await system.wait_sent(2, but=old)
         system.cluster.process_by_name[old].thaw()
 
@@ -67,6 +70,7 @@
         old = await system.rules.leader()
         await system.place(COUNT)
         await system.wait_sent(2)
+        await _hold_next_order(system, old)
         await system.cut_off(old)
         await system.wait_sent(2, but=old)
         await system.heal(old)
@@ -82,5 +86,18 @@
         await system.stop()
 
 
+async def _has_open_order(system: DutiesSystem) -> bool:
+    return bool((await system.rules.ask("status"))["open_orders"])
+
+
+async def _hold_next_order(system: DutiesSystem, leader: str) -> None:
+    """Let the leader write an order that does not arrive yet."""
+    path = system.proxy_by_path[(leader, "platform")]
+    await path.set_modes(Mode.HOLD, Mode.HOLD)
+    accepted = path.accepted
+    await wait_until(lambda: path.accepted > accepted, "the next order's connection")
+    await wait_until(lambda: any(link.holds for link in path.links), "its bytes")
+
+
 async def _all_started(system: DutiesSystem) -> bool:
     return len((await system.log("platform"))["started"]) >= COUNT
