Show the freeze and the partition failing with a naive sender

Cause: a proof counts once it was seen failing. Change: the partition test holds the leader's bytes in one direction first, so that the order in flight ends and the next one is what the proxy holds.

--- a/tests/integration/test_duties_orders.py
+++ b/tests/integration/test_duties_orders.py
@@ -93,7 +93,7 @@
 async def _hold_next_order(system: DutiesSystem, leader: str) -> None:
     """Let the leader write an order that does not arrive yet."""
     path = system.proxy_by_path[(leader, "platform")]
-    await path.set_modes(Mode.HOLD, Mode.HOLD)
+    await path.set_modes(Mode.HOLD, Mode.PASS)
     accepted = path.accepted
     await wait_until(lambda: path.accepted > accepted, "the next order's connection")
     await wait_until(lambda: any(link.holds for link in path.links), "its bytes")
