--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
@@ -24,6 +24,7 @@
     :param deadline_s: seconds from the call in which the whole answer must be there.
     :param correlation_id: goes into logs and on to the engine.
     :param avoid: endpoints that must not be used, such as the one on which a straggler runs.
+    :param note_endpoint: told each engine before it is tried, also one that never writes a token.
     :param may_start: asked when its turn has come, since the key may be withdrawn while it waits.
     """
 
@@ -37,6 +38,7 @@
     deadline_s: float = 60.0
     correlation_id: str = ""
     avoid: tuple[str, ...] = ()
+    note_endpoint: Callable[[str], None] | None = None
     may_start: Callable[[], bool] | None = None
 
 
