--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/engine_choice.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/engine_choice.py
@@ -48,7 +48,7 @@
         """
         left_out = self.left_out(now)
         engines = tuple(record for record in self._engines() if record.endpoint not in left_out)
-        return room_of(self._lease, engines, self._model)
+        return room_of(self._lease, engines, self._trainer, self._model)
 
     def left_out(self, now: float) -> tuple[str, ...]:
         """
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/trainer_rules.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/trainer_rules.py
@@ -70,18 +70,22 @@
     return rules.trainer_by_name[trainer].client_account
 
 
-def room_of(lease: Any, engines: tuple[EndpointRecord, ...], model: str) -> int:
+def room_of(lease: Any, engines: tuple[EndpointRecord, ...], trainer: str, model: str) -> int:
     """
     Count the attempts that one trainer's step may run on a model's engines at a time.
 
     :param engines: the model's serving engines.
-    :return: their places, shared evenly by the trainers that the rules let use them.
+    :return: their places, shared evenly by the trainers that the rules let use them; 0 once the
+        rules no longer name the trainer.
     """
     rules = lease.rules()
     if isinstance(rules, Refusal) or not engines:
         return 0
+    sharing = rules.trainers_by_model.get(model, ())
+    if trainer not in sharing or trainer not in rules.trainer_by_name:
+        return 0
     places = sum(engine.load.capacity for engine in engines)
-    return max(1, places // max(1, len(rules.trainers_by_model.get(model, ()))))
+    return max(1, places // len(sharing))
 
 
 __all__ = ["bound_of", "check_share", "check_trainer", "client_account_of", "room_of"]
