Tell streams that outlive a stop, split the caller's connection from the server

Change: what is left at the end of drain_s ends with the typed refusal `stopping`; http/caller_connection.py; the test's deadline is longer than its wait; a test of an entry without control for long.

--- a/packages/ibisspring-entry/src/ibisspring_entry/http/open_work.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/open_work.py
@@ -74,11 +74,21 @@
         task.add_done_callback(lambda _: self._open.discard(entered))
         return entered
 
+    def end_all(self, reason: Reason) -> None:
+        """
+        End every open request.
+
+        :param reason: what their callers are told.
+        """
+        for request in list(self._open):
+            self._counters.add(f"ended.{reason.value}")
+            request.end(reason)
+
     def _end_withdrawn(self, old: Rules, new: Rules) -> None:
         for request in list(self._open):
             if new.client_account_of(request.key) == request.client_account:
                 continue
-            self._counters.add("ended_with_key")
+            self._counters.add(f"ended.{Reason.KEY_WITHDRAWN.value}")
             request.end(Reason.KEY_WITHDRAWN)
 
     async def _watch_lease(self, now: float) -> None:
@@ -89,9 +99,7 @@
             self._lapsed_at = boot_now()
         if now - self._lapsed_at < LAPSE_GRACE_S:
             return
-        for request in list(self._open):
-            self._counters.add("ended_with_lease")
-            request.end(Reason.LEASE_LAPSED)
+        self.end_all(Reason.LEASE_LAPSED)
 
 
 __all__ = ["LAPSE_GRACE_S", "OpenRequest", "OpenWork"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
@@ -4,23 +4,20 @@
 
 import asyncio
 import contextlib
-import socket
+import functools
 from typing import TYPE_CHECKING
 
-import h11
-import msgspec
 import uvicorn
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from ibisspring_core.errors import Reason, Refusal
-from ibisspring_entry.http.refusals import error_body
+from ibisspring_entry.http.caller_connection import CallerConnection
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterator
 
     from ibisspring_core.counters import Counters
     from ibisspring_core.settings import EntrySettings
-    from ibisspring_entry.http.callers_connection import Application
+    from ibisspring_entry.http.caller_leaving import Application
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 30
@@ -45,57 +42,6 @@
         yield
 
 
-def make_protocol(counters: Counters, silence_s: float) -> type[H11Protocol]:
-    """
-    Make the connection class.
-
-    It counts what is not HTTP and answers it with a typed refusal, and ends connections of callers
-    that went silent: the kernel notices those that acknowledge nothing, a timer those that never
-    send a whole request head.
-
-    :param counters: the process's counters.
-    :param silence_s: longest silence of a caller.
-    :return: the class for uvicorn's configuration.
-    """
-
-    class CallerConnection(H11Protocol):
-        def connection_made(self, transport: asyncio.Transport) -> None:
-            super().connection_made(transport)
-            connection = transport.get_extra_info("socket")
-            silence_ms = max(1, round(silence_s * 1000))
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
-            self.loop.call_later(silence_s, self.close_without_request)
-
-        def close_without_request(self) -> None:
-            if self.cycle is None and not self.transport.is_closing():
-                counters.add("caller_sent_no_request")
-                self.transport.close()
-
-        def send_400_response(self, msg: str) -> None:
-            counters.refused(Reason.BAD_REQUEST)
-            refusal = Refusal(Reason.BAD_REQUEST, True, None, msg)
-            body = msgspec.json.encode(error_body(refusal, ""))
-            headers = [
-                (b"content-type", b"application/json"),
-                (b"content-length", str(len(body)).encode()),
-                (b"connection", b"close"),
-            ]
-            events = (
-                h11.Response(status_code=400, headers=headers, reason=b"Bad Request"),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            )
-            try:
-                for event in events:
-                    self.transport.write(self.conn.send(event))
-            except h11.LocalProtocolError:
-                # An answer is under way on this connection already.
-                pass
-            self.transport.close()
-
-    return CallerConnection
-
-
 def make_server(
     application: Application, settings: EntrySettings, counters: Counters
 ) -> EmbeddedServer:
@@ -112,7 +58,7 @@
         application,
         host=host.strip("[]"),
         port=int(port),
-        http=make_protocol(counters, settings.caller_silence_s),
+        http=functools.partial(CallerConnection, counters, settings.caller_silence_s),
         ws="none",
         lifespan="off",
         log_config=None,
@@ -125,4 +71,4 @@
     return EmbeddedServer(config)
 
 
-__all__ = ["EmbeddedServer", "make_protocol", "make_server"]
+__all__ = ["EmbeddedServer", "make_server"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
@@ -8,8 +8,9 @@
 import eliot
 import falcon.asgi
 
+from ibisspring_core.errors import Reason
 from ibisspring_entry.http.announce import AnnounceResource
-from ibisspring_entry.http.callers_connection import end_with_caller
+from ibisspring_entry.http.caller_leaving import end_with_caller
 from ibisspring_entry.http.generate import GenerateResource
 from ibisspring_entry.http.health import HealthResource, ReadyResource
 from ibisspring_entry.http.middleware import RequestIds, Stopping, add_error_handlers
@@ -100,6 +101,8 @@
         running = set(self._server.server_state.tasks)
         if running:
             await asyncio.wait(running, timeout=self._settings.drain_s)
+        # What is left is told so: a stream that just ended would be taken for whole, or for broken.
+        self.open_work.end_all(Reason.STOPPING)
         self._server.config.timeout_graceful_shutdown = LAST_S
         self._server.should_exit = True
         await self._serving
--- a/tests/integration/test_requests_keys.py
+++ b/tests/integration/test_requests_keys.py
@@ -111,3 +111,20 @@
     assert {answer.error()["reason"] for answer in in_line} == {"cannot_finish"}
     assert len(in_line) >= len(refused) - 2
     assert len(requests) - 1 == len(answers) - len(in_line)
+
+
+async def test_entry_without_control_ends_what_runs(system: RequestsSystem) -> None:
+    # An entry is cut off from control for long. A key is withdrawn meanwhile, which it can't hear
+    # of; its open streams went on for as long as their callers liked.
+    await system.start_endpoint("engine", "scorer-1", tokens_per_s=40)
+    stream = asyncio.create_task(read_lines(system))
+    await running(system, 1)
+
+    system.cluster.process_by_name["c1"].kill()
+    _, lines = await asyncio.wait_for(stream, 50)
+    status, refused = await read_lines(system)
+
+    assert lines[-1]["error"]["reason"] == "lease_lapsed"
+    assert lines[-1]["error"]["not_run"] is False
+    assert (status, refused[0]["error"]["reason"]) == (503, "lease_lapsed")
+    assert refused[0]["error"]["not_run"] is True
--- a/tests/integration/test_requests_path.py
+++ b/tests/integration/test_requests_path.py
@@ -151,6 +151,8 @@
 async def test_a_caller_that_leaves_ends_the_engines_work(system: LoneSystem) -> None:
     await system.start_engine("scorer-1", tokens_per_s=40)
     body = {"model": MODEL, "prompt": "long", "max_tokens": 100_000, "stream": True}
+    # Longer than the test waits: the deadline must not be what ends the work.
+    body["deadline_s"] = 110
     headers = {"Authorization": f"Bearer {KEY}"}
     url = f"{system.url}/v1/generate"
     async with aiohttp.ClientSession() as session:
--- a/tests/integration/test_requests_stops.py
+++ b/tests/integration/test_requests_stops.py
@@ -116,6 +116,29 @@
     assert answered == len(calls)
 
 
+async def test_a_stream_longer_than_the_drain_is_told(tmp_path: Path) -> None:
+    # A stream outlives the time that a stop gives it. It just ended, and its caller took half an
+    # answer for a whole one.
+    system = LoneSystem(tmp_path)
+    try:
+        entry = await system.start_entry(drain_s=1.0)
+        await system.start_engine("scorer-1", tokens_per_s=40)
+        streaming = asyncio.create_task(system.generate("p", 2000))
+
+        async def runs() -> bool:
+            return any(one["made"] for one in (await system.log("scorer-1"))["requests"])
+
+        await wait_until(runs, "the stream to run")
+        exit_code = await entry.terminate()
+        answer = await streaming
+    finally:
+        system.stop_all()
+
+    assert exit_code == 0
+    assert answer.lines[-1]["error"]["reason"] == "stopping"
+    assert answer.lines[-1]["error"]["not_run"] is False
+
+
 async def test_reclaim_of_a_data_centres_cheap_engines(tmp_path: Path) -> None:
     # All cheap engines of a data centre are reclaimed at once on two seconds' notice, with streams
     # on them. Every stream that they carried broke, and new ones were sent there to the end.
