End a control daemon whose disk failed with an exit code that says so

Cause: a failed write ended the daemon gracefully, exit code 0, so that a supervisor takes it for a planned stop. Seen failing: without the SystemExit, returncode 0; with the write's error swallowed, "waited 60.0 s in vain for c1 to end". After: passed in 6 s.

--- a/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
@@ -34,8 +34,6 @@
 LeadershipCallback = Callable[[bool, int], None]
 
 FOLDER = "consensus"
-# The clock is looked at this often between two heartbeats.
-TICKS_PER_HEARTBEAT = 4
 
 
 class ConsensusNode:
@@ -90,8 +88,7 @@
             self.settings, self.replica, self._read_chunk, self._identified, self._counters
         )
         self._peers.start()
-        interval = self.config.heartbeat_s / TICKS_PER_HEARTBEAT
-        self._ticks = timer.subscribe("consensus", interval, self._tick)
+        self._ticks = timer.subscribe("consensus", self.config.tick_s, self._tick)
 
     def _restore(self, storage: Storage) -> None:
         snapshot = storage.stored.snapshot
@@ -106,6 +103,9 @@
         self.waiting.stop()
         await self._peers.stop()
         await self.writer.stop()
+        if self.failed:
+            # Ended like a planned stop, a supervisor would not notice.
+            raise SystemExit("ibisspringd: ended after a failure; see consensus:* in the log")
 
     @property
     def is_leader(self) -> bool:
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/state.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/state.py
@@ -25,6 +25,7 @@
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
 LEADER = "leader"
+TICKS_PER_HEARTBEAT = 4
 
 
 @dataclass(frozen=True)
@@ -58,6 +59,11 @@
         """
         return cls(control.heartbeat_s, control.election_timeout_s, control.leader_lease_s)
 
+    @property
+    def tick_s(self) -> float:
+        """Seconds between looks at the clock."""
+        return self.heartbeat_s / TICKS_PER_HEARTBEAT
+
 
 @dataclass
 class Progress:
--- a/tests/integration/test_consensus_disks.py
+++ b/tests/integration/test_consensus_disks.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import resource
 import shutil
 from pathlib import Path
 
@@ -193,3 +194,29 @@
         replicas.start(broken)
         await replicas.wait_up(broken)
         await wait_repaired(replicas, broken)
+
+
+async def test_leader_whose_disk_is_full_ends_and_loses_nothing(tmp_path) -> None:
+    """
+    Accepted writes are gone after a control VM's disk was full for a while.
+
+    The leader's log cannot grow any more. Cause: going on after a failed write, with a log that
+    holds half of it, or ending as after a planned stop, so that nobody looks.
+    """
+    async with founded(tmp_path) as replicas:
+        lines = [f"line {number}" for number in range(20)]
+        for line in lines:
+            await replicas.accept(line)
+        full = await replicas.leader()
+        segment = sorted((data_folder(replicas, full) / "consensus").glob("log-*"))[-1]
+        process = replicas.process(full)
+        limit = segment.stat().st_size + 30
+        resource.prlimit(process.popen.pid, resource.RLIMIT_FSIZE, (limit, limit))
+        lines.append("on the full disk " + "x" * 100)
+        await replicas.accept(lines[-1])
+        await wait_until(lambda: not process.alive(), f"{full} to end")
+        assert process.popen.returncode != 0
+        assert "ended after a failure" in process.tail()
+        replicas.start(full)
+        await replicas.wait_up(full)
+        await assert_all_hold(replicas, lines)
