Take in again a learner that was forgotten

A new disk became a learner and received a part of the log; the entry that made it one was overwritten by the next leader. Its disk was not empty any more, so no leader took it in: outside until an operator empties it a second time. Ruled out: taking in any disk (one of another cluster has other commands at the same places); only emptying by hand (the operator has just repaired that VM and sees it running). Change: Members.cluster, a random id made at the bootstrap; DeliverReply tells it (field added), and a disk without a cluster or of this one is taken in.

--- a/packages/ibisspring-control/src/ibisspring_control/consensus/core.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/core.py
@@ -199,6 +199,11 @@
     def snapshot(self) -> SnapshotMeta:
         return self.state.log.snapshot
 
+    @property
+    def cluster(self) -> str:
+        """Id of the cluster whose log this replica holds; empty for none."""
+        return self.state.log.members.cluster
+
     @property
     def is_empty(self) -> bool:
         """Whether this replica never took part in a cluster."""
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/events.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/events.py
@@ -72,11 +72,11 @@
     """
     A daemon answered under this disk.
 
-    :param empty: the disk never took part in a cluster.
+    :param cluster: the cluster that the disk belongs to; empty for none.
     """
 
     replica: ReplicaId
-    empty: bool
+    cluster: str
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/manage.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/manage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -53,6 +54,7 @@
                 "daemon": node.replica.daemon,
                 "disk_id": node.replica.disk_id,
                 "empty": node.core.is_empty,
+                "cluster": node.core.cluster,
             }
         )
     if action == "status":
@@ -116,7 +118,9 @@
     finally:
         await channel.close()
     answer = msgspec.json.decode(reply.answer)
-    return Identity(ReplicaId(answer["daemon"], answer["disk_id"]), answer["empty"])
+    return Identity(
+        ReplicaId(answer["daemon"], answer["disk_id"]), answer["empty"], answer["cluster"]
+    )
 
 
 async def bootstrap(node: ConsensusNode) -> Managed:
@@ -143,7 +147,7 @@
         names = ", ".join(taken) or node.settings.daemon
         return Managed(False, detail=f"{names} already holds state; nothing was done")
     voters = tuple(sorted(identity.replica for identity in found))
-    node.dispatch(events.Bootstrap(Members(voters)))
+    node.dispatch(events.Bootstrap(Members(voters, cluster=secrets.token_hex(8))))
     led = await _wait(lambda: bool(node.leader_hint), BOOTSTRAP_BOUND_S)
     if not led:
         return Managed(False, detail="founded, but no leader was elected yet; see control status")
@@ -171,7 +175,7 @@
     old = next((voter for voter in voters if voter.daemon == arguments["daemon"]), None)
     if old is None:
         return Managed(False, detail=f"{arguments['daemon']} is not a voter")
-    if new not in voters and not identity.empty and not _is_learner(node, new):
+    if identity.cluster not in ("", node.core.cluster):
         return Managed(False, detail=f"{new_daemon} holds state of another cluster; empty its disk")
 
     def replaced() -> bool:
@@ -185,10 +189,6 @@
     return Managed(False, leader_hint=node.leader_hint, detail="not finished; see control status")
 
 
-def _is_learner(node: ConsensusNode, replica: ReplicaId) -> bool:
-    return any(learner.replica == replica for learner in node.core.members.learners)
-
-
 def _settled(node: ConsensusNode, replaced: Any) -> bool:
     return replaced() and node.core.state.commit_index >= node.core.state.log.members_index
 
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/membership.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/membership.py
@@ -38,13 +38,14 @@
     """
     Remember a daemon of the members that answered under another disk.
 
-    Only an empty disk is taken in: one that took part in a cluster belongs to another cluster or
-    was cut off the members on purpose.
+    A disk of another cluster is not taken in: its log holds other commands at the same places. One
+    of this cluster is, also when it holds a part of the log: a learner whose entry was overwritten
+    by the next leader would otherwise stay outside until somebody empties its disk again.
     """
     if event.replica in everyone(state.log.members):
         state.seen_by_daemon.pop(event.replica.daemon, None)
         return
-    if event.empty:
+    if event.cluster in ("", state.log.members.cluster):
         state.seen_by_daemon[event.replica.daemon] = event.replica
 
 
@@ -131,7 +132,8 @@
     """
     kept = tuple(other for other in members.learners if other != learner)
     stay = tuple(voter for voter in members.voters if voter != learner.replaces)
-    return Members((*stay, learner.replica), kept, outgoing=members.voters)
+    voters = (*stay, learner.replica)
+    return replace(members, voters=voters, learners=kept, outgoing=members.voters)
 
 
 def _change(state: CoreState, members: Members) -> None:
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/messages.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/messages.py
@@ -62,11 +62,13 @@
     :param learners: replicas that are being caught up.
     :param outgoing: the voters before, while they are being changed: a quorum then is a majority of
         these and a majority of `voters`.
+    :param cluster: random id made when the cluster was founded.
     """
 
     voters: tuple[ReplicaId, ...] = ()
     learners: tuple[Learner, ...] = ()
     outgoing: tuple[ReplicaId, ...] = ()
+    cluster: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
@@ -293,7 +293,7 @@
         return await self.writer.read_snapshot(index, offset, self.config.chunk_bytes)
 
     def _identified(self, identity: Identity) -> None:
-        self.dispatch(events.ReplicaSeen(identity.replica, identity.empty))
+        self.dispatch(events.ReplicaSeen(identity.replica, identity.cluster))
 
 
 __all__ = ["FOLDER", "ConsensusNode", "LeadershipCallback"]
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/peer.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/peer.py
@@ -48,10 +48,12 @@
     Who answered.
 
     :param empty: its disk never took part in a cluster.
+    :param cluster: the cluster that it belongs to; empty for none.
     """
 
     replica: ReplicaId
     empty: bool
+    cluster: str = ""
 
 
 def open_channel(address: str) -> grpc.aio.Channel:
@@ -129,7 +131,7 @@
             await self._reopen()
             return
         replica = ReplicaId(self.daemon, reply.disk_id)
-        self._on_identity(Identity(replica, reply.empty))
+        self._on_identity(Identity(replica, reply.empty, reply.cluster))
 
     async def _reopen(self) -> None:
         """
--- a/packages/ibisspring-control/src/ibisspring_control/rpc/consensus_service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/consensus_service.py
@@ -45,6 +45,7 @@
         target = ReplicaId(node.replica.daemon, request.target_disk_id)
         # Told before the messages count: once they do, an empty replica is empty no more.
         empty = node.core.is_empty
+        cluster = node.core.cluster
         for data in request.messages:
             try:
                 message = MESSAGES.decode(data)
@@ -52,7 +53,9 @@
                 self._counters.add("consensus.bad_message")
                 continue
             node.dispatch(events.Received(sender, target, message))
-        return consensus_pb2.DeliverReply(disk_id=node.replica.disk_id, empty=empty)
+        return consensus_pb2.DeliverReply(
+            disk_id=node.replica.disk_id, empty=empty, cluster=cluster
+        )
 
     async def Manage(  # noqa: N802
         self, request: consensus_pb2.ManageRequest, context: grpc.aio.ServicerContext
