--- /dev/null
+++ b/tests/unit/control/consensus/run_nodes.py
@@ -0,0 +1,78 @@
+"""Disks and daemons of a random run: what is synced, what waits for it, what a crash leaves."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ibisspring_control.consensus import events
+from ibisspring_control.consensus.core import Core
+from ibisspring_control.consensus.messages import Entry, HardState, ReplicaId, SnapshotMeta
+
+
+@dataclass(frozen=True)
+class StoreSnapshot:
+    """A snapshot that a replica took of itself, on its way to the disk."""
+
+    meta: SnapshotMeta
+    data: bytes
+    base: int
+
+
+@dataclass
+class Disk:
+    """What survives a crash."""
+
+    disk_id: str
+    hard: HardState = field(default_factory=HardState)
+    snapshot: SnapshotMeta = field(default_factory=SnapshotMeta)
+    data_by_index: dict[int, bytes] = field(default_factory=dict)
+    base_index: int = 0
+    base_term: int = 0
+    entries: list[Entry] = field(default_factory=list)
+
+    def write(self, job: events.Persist | events.InstallSnapshot | StoreSnapshot) -> None:
+        match job:
+            case events.Persist():
+                self.hard = job.hard_state or self.hard
+                if job.truncate_from:
+                    del self.entries[job.truncate_from - self.base_index - 1 :]
+                self.entries.extend(job.entries)
+            case events.InstallSnapshot():
+                self._keep(job.meta, job.data, job.meta.index, job.meta.term, job.entries)
+            case StoreSnapshot():
+                base = max(job.base, self.base_index)
+                kept = self.entries[base - self.base_index :]
+                term = self.base_term
+                if base > self.base_index:
+                    term = self.entries[base - self.base_index - 1].term
+                self._keep(job.meta, job.data, base, term, tuple(kept))
+
+    def _keep(
+        self, meta: SnapshotMeta, data: bytes, base: int, term: int, entries: tuple[Entry, ...]
+    ) -> None:
+        self.snapshot = meta
+        self.data_by_index[meta.index] = data
+        self.base_index, self.base_term, self.entries = base, term, list(entries)
+
+
+@dataclass
+class Node:
+    """One daemon of the run."""
+
+    daemon: str
+    disk: Disk
+    rate: float
+    core: Core | None = None
+    jobs: deque = field(default_factory=deque)
+    applied: int = 0
+    digest: bytes = b""
+    frozen: bool = False
+    snapshot_index: int = 0
+
+    @property
+    def replica(self) -> ReplicaId:
+        return ReplicaId(self.daemon, self.disk.disk_id)
+
+
+__all__ = ["Disk", "Node", "StoreSnapshot"]
