Exchange between entries once a second

Change: one exchange a second, a digest in every second one, so that a gap is still repaired within two seconds; admission's figures already assume one a second.

--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -23,8 +23,8 @@
     from ibisspring_core.settings import Settings
     from ibisspring_entry.registry.table import EndpointTable
 
-EXCHANGE_EVERY_S = 0.5
-DIGEST_EVERY = 4
+EXCHANGE_EVERY_S = 1.0
+DIGEST_EVERY = 2
 """Every so many exchanges carry the digest, so that a gap is repaired within about two seconds."""
 
 EXCHANGE_TIMEOUT_S = 2.0
