--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -8,6 +8,7 @@
 
 import eliot
 import grpc
+import xxhash
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
@@ -21,7 +22,7 @@
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.views import PeerRecord
     from ibisspring_core.settings import Settings
-    from ibisspring_entry.registry.table import EndpointTable
+    from ibisspring_entry.registry.table import EndpointTable, Heard
 
 EXCHANGE_EVERY_S = 1.0
 DIGEST_EVERY = 2
@@ -54,6 +55,19 @@
     wanted_by_service: dict[str, float]
 
 
+def begins_exchange(daemon: str, peer: str) -> bool:
+    """
+    Tell which entry of a pair calls the other; an answer carries as much as a call.
+
+    :param daemon: this entry.
+    :param peer: the other one.
+    :return: the same on both sides for one of them only, spread evenly over all entries.
+    """
+    first, second = sorted((daemon, peer))
+    even = xxhash.xxh64_intdigest(f"{first} {second}".encode()) % 2 == 0
+    return daemon == (first if even else second)
+
+
 class PeerExchange:
     """Hands this entry's endpoint records to the peers and takes theirs."""
 
@@ -64,6 +78,7 @@
         self._task_by_daemon: dict[str, asyncio.Task[None]] = {}
         self._peer_by_daemon: dict[str, PeerRecord] = {}
         self._told_by_daemon: dict[str, ToldByPeer] = {}
+        self._told_until_by_daemon: dict[str, float] = {}
         self._server: grpc.aio.Server | None = None
         self.demand_by_client_account: dict[str, float] = {}
         self.wanted_by_service: dict[str, float] = {}
@@ -113,7 +128,7 @@
             if daemon not in self._peer_by_daemon:
                 self._task_by_daemon.pop(daemon).cancel()
         for daemon in self._peer_by_daemon:
-            if daemon not in self._task_by_daemon:
+            if daemon not in self._task_by_daemon and begins_exchange(self._daemon, daemon):
                 self._task_by_daemon[daemon] = asyncio.create_task(self._talk(daemon))
 
     async def _talk(self, daemon: str) -> None:
@@ -131,7 +146,7 @@
                 began = boot_now()
                 with_digest = number % DIGEST_EVERY == 0
                 number += 1
-                if await self._exchange(channel, sent_until, with_digest):
+                if await self._exchange(daemon, channel, sent_until, with_digest):
                     sent_until = began
                 else:
                     # A channel that the network lost track of stays silent for good while a new one
@@ -144,16 +159,10 @@
                 await channel.close()
 
     async def _exchange(
-        self, channel: grpc.aio.Channel, sent_until: float, with_digest: bool
+        self, daemon: str, channel: grpc.aio.Channel, sent_until: float, with_digest: bool
     ) -> bool:
         began = boot_now()
-        newer = []
-        for heard in self._table.heard():
-            # Hearsay is not passed on: every entry hears from every other, and n entries that pass
-            # on what they heard would send n^2 copies of each announcement.
-            if heard.first_hand and heard.heard_at >= sent_until:
-                newer.append(heard)
-        records, ages_s = pack(newer, began)
+        records, ages_s = pack(self._newer(sent_until), began)
         request = entry_peer_pb2.ExchangeRequest(
             daemon=self._daemon,
             endpoints=records,
@@ -172,14 +181,28 @@
             return False
         broken = take_all(self._table, reply.endpoints, reply.ages_s, began)
         self._counters.add("peer_record_broken", broken)
+        self._told_by_daemon[daemon] = ToldByPeer(
+            began, dict(reply.demand_by_client_account), dict(reply.wanted_by_service)
+        )
         return True
 
+    def _newer(self, since: float) -> list[Heard]:
+        newer = []
+        for heard in self._table.heard():
+            # Hearsay is not passed on: every entry hears from every other, and n entries that pass
+            # on what they heard would send n^2 copies of each announcement.
+            if heard.first_hand and heard.heard_at >= since:
+                newer.append(heard)
+        return newer
+
     def answer(self, request: entry_peer_pb2.ExchangeRequest) -> entry_peer_pb2.ExchangeReply:
         """
         Answer a peer's exchange.
 
+        An answer that is lost leaves a gap, which the digest of a later exchange repairs.
+
         :param request: its records, digest and demand.
-        :return: all records where the digests differ.
+        :return: this entry's demand, and its newer records or, where the digests differ, all.
         """
         now = boot_now()
         broken = take_all(self._table, request.endpoints, request.ages_s, now)
@@ -187,12 +210,19 @@
         self._told_by_daemon[request.daemon] = ToldByPeer(
             now, dict(request.demand_by_client_account), dict(request.wanted_by_service)
         )
-        known = self._table.heard_lately(request.unheard, now)
+        told_until = self._told_until_by_daemon.get(request.daemon, 0.0)
+        self._told_until_by_daemon[request.daemon] = now
+        known = [*self._newer(told_until), *self._table.heard_lately(request.unheard, now)]
         if request.digest not in (0, self._table.digest()):
             self._counters.add("peer_digest_repaired")
             known = self._table.heard()
         records, ages_s = pack(known, now)
-        return entry_peer_pb2.ExchangeReply(endpoints=records, ages_s=ages_s)
+        return entry_peer_pb2.ExchangeReply(
+            endpoints=records,
+            ages_s=ages_s,
+            demand_by_client_account=self.demand_by_client_account,
+            wanted_by_service=self.wanted_by_service,
+        )
 
     def told(self, now: float) -> dict[str, ToldByPeer]:
         """
