Count running work as waiting, and let a large bound try

Cause: two faults of the queue. A request with a bound of 100,000 tokens was refused on an idle system by the estimate for its bound (1,250 s against a minute); and what runs now was not counted, so that a request waited in vain behind a full slot. Ruled out: no check of a request's own estimate (found by test_hopeless_work_is_refused_at_once, which hung: a hopeless request was put in line behind a busy slot). Change: Item.from_estimate caps the estimate at 0.9 of the patience; the queue keeps the expected ends of what it gave out; lines moved to queue_lines.py; the entry's turns build their items by from_estimate. Failing first: without the cap test_a_request_with_a_large_bound_is _served_when_nothing_waits, without the running work test_what_runs_now _counts_as_waiting.

--- a/packages/ibisspring-decisions/src/ibisspring_decisions/queueing.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/queueing.py
@@ -25,6 +25,9 @@
 
 - `PATIENCE` 4.0: a long request is passed by short ones for at most four times its own length; at
   1.0 lookups that came a few seconds after a batch of long work still waited behind all of it.
+- `MOST_OF_PATIENCE` 0.9: callers ask for a bound of tokens and usually get fewer; by the estimate
+  for the bound alone they would be refused for ever, on an idle system too. Such a request may
+  wait a tenth of its patience.
 - `MAX_WAITING` 2,000: with 3,600 requests a second over 380 entries that is minutes of arrivals at
   one entry; at some kilobytes each it fits the memory of an entry.
 - When it is full, the account with the longest line for its weight gives up its last request: a hot
@@ -34,10 +37,11 @@
 
 from __future__ import annotations
 
-import heapq
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ibisspring_decisions.queue_lines import Item, Line, charged, length
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
@@ -48,22 +52,6 @@
 DEFAULT_WEIGHT = 1.0
 
 
-@dataclass(frozen=True)
-class Item:
-    """
-    A request that waits for a slot.
-
-    :param item_id: unique among those that wait.
-    :param cost_s: expected seconds of work.
-    :param deadline_s: when its caller stops waiting, on the clock of `now`.
-    """
-
-    item_id: str
-    client_account: str
-    cost_s: float
-    deadline_s: float
-
-
 @dataclass(frozen=True)
 class Shed:
     """
@@ -91,39 +79,6 @@
     shed: tuple[Shed, ...] = ()
 
 
-@dataclass
-class _Line:
-    """What waits of one account: a heap by order, and its charge in virtual seconds."""
-
-    weight: float
-    charged: float = 0.0
-    promised_s: float = 0.0
-    heap: list[tuple[float, int, Item]] = field(default_factory=list)
-    waiting_s: float = 0.0
-
-    def push(self, order: float, number: int, item: Item) -> None:
-        heapq.heappush(self.heap, (order, number, item))
-        self.waiting_s += item.cost_s
-
-    def pop(self) -> Item:
-        item = heapq.heappop(self.heap)[2]
-        self.waiting_s = max(0.0, self.waiting_s - item.cost_s)
-        return item
-
-    def pop_last(self) -> Item:
-        entry = max(self.heap)
-        self.keep([other for other in self.heap if other is not entry])
-        return entry[2]
-
-    def keep(self, entries: list[tuple[float, int, Item]]) -> None:
-        heapq.heapify(entries)
-        self.heap = entries
-        self.waiting_s = sum(entry[2].cost_s for entry in entries)
-
-    def ahead_s(self, order: float) -> float:
-        return sum(entry[2].cost_s for entry in self.heap if entry[0] <= order)
-
-
 class FairQueue:
     """Requests that wait, by client account."""
 
@@ -131,9 +86,10 @@
         self.slots = slots
         self.waiting = 0
         self._weight_by_client_account: dict[str, float] = {}
-        self._line_by_client_account: dict[str, _Line] = {}
+        self._line_by_client_account: dict[str, Line] = {}
         self._virtual = 0.0
         self._number = 0
+        self._end_by_item: dict[str, float] = {}
 
     @classmethod
     def from_weights(cls, weight_by_client_account: Mapping[str, float], slots: int) -> FairQueue:
@@ -174,7 +130,7 @@
         self.waiting += 1
         if self.waiting <= MAX_WAITING:
             return ()
-        longest = max(self._line_by_client_account.values(), key=_length)
+        longest = max(self._line_by_client_account.values(), key=length)
         dropped = longest.pop_last()
         self.waiting -= 1
         drain_s = longest.waiting_s / self._slots_of(longest)
@@ -201,6 +157,7 @@
             # while it was idle would give it all slots for as long.
             self._virtual = max(self._virtual, line.charged)
             line.charged = self._virtual + item.cost_s / line.weight
+            self._end_by_item[item.item_id] = now + item.cost_s
             return Turn(item, tuple(shed))
 
     def expire(self, now: float) -> tuple[Shed, ...]:
@@ -237,32 +194,43 @@
     def correct(self, item: Item, real_s: float) -> None:
         """
         Charge what a request really took, so that an account whose work is longer than expected
-        gets no more than its share.
+        gets no more than its share; call it for each request that ended.
 
         :param item: from `take`.
         :param real_s: seconds that it held its slot.
         """
+        self._end_by_item.pop(item.item_id, None)
         line = self._line(item.client_account)
         line.charged += (real_s - item.cost_s) / line.weight
 
     def _weight(self, client_account: str) -> float:
         return self._weight_by_client_account.get(client_account, DEFAULT_WEIGHT)
 
-    def _line(self, client_account: str) -> _Line:
+    def _line(self, client_account: str) -> Line:
         line = self._line_by_client_account.get(client_account)
         if line is None:
-            line = _Line(self._weight(client_account))
+            line = Line(self._weight(client_account))
             self._line_by_client_account[client_account] = line
         return line
 
-    def _next_line(self) -> _Line | None:
+    def _next_line(self) -> Line | None:
         waiting = [line for line in self._line_by_client_account.values() if line.heap]
-        return min(waiting, key=_charged) if waiting else None
-
-    def _finish_s(self, line: _Line, order: float, item: Item, now: float) -> float:
-        return now + line.ahead_s(order) / self._slots_of(line) + item.cost_s
-
-    def _promise_s(self, line: _Line, item: Item, late_s: float, now: float) -> float:
+        return min(waiting, key=charged) if waiting else None
+
+    def _finish_s(self, line: Line, order: float, item: Item, now: float) -> float:
+        waited_s = self._until_free_s(now) + line.ahead_s(order) / self._slots_of(line)
+        return now + waited_s + item.cost_s
+
+    def _until_free_s(self, now: float) -> float:
+        """Seconds until what runs now leaves a slot free, by its expected ends."""
+        for item_id in [item_id for item_id, end in self._end_by_item.items() if end <= now]:
+            del self._end_by_item[item_id]
+        busy = len(self._end_by_item) - max(1, self.slots)
+        if busy < 0:
+            return 0.0
+        return sorted(self._end_by_item.values())[busy] - now
+
+    def _promise_s(self, line: Line, item: Item, late_s: float, now: float) -> float:
         """Seconds until a request like the refused one fits, after all that were told before."""
         # Slots get free in steps of whole requests, so one length is added to the estimate.
         fits_s = now + late_s + item.cost_s
@@ -270,19 +238,11 @@
         line.promised_s = min(line.promised_s, now + MAX_RETRY_AFTER_S)
         return max(MIN_RETRY_AFTER_S, line.promised_s - now)
 
-    def _slots_of(self, line: _Line) -> float:
+    def _slots_of(self, line: Line) -> float:
         """The slots that an account gets while those that wait now go on waiting."""
         others = self._line_by_client_account.values()
         weights = sum(other.weight for other in others if other.heap and other is not line)
         return max(1, self.slots) * line.weight / (line.weight + weights)
 
 
-def _charged(line: _Line) -> float:
-    return line.charged
-
-
-def _length(line: _Line) -> float:
-    return line.waiting_s / line.weight
-
-
 __all__ = ["FairQueue", "Item", "Shed", "Turn"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/turns.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/turns.py
@@ -55,7 +55,7 @@
         """
         now = boot_now()
         cost_s = self._work_time.expect_s(units)
-        item = Item(item_id, client_account, cost_s, now + deadline_s)
+        item = Item.from_estimate(item_id, client_account, cost_s, deadline_s, now)
         granted = asyncio.get_running_loop().create_future()
         self._future_by_item[item_id] = granted
         try:
--- a/tests/unit/decisions/test_queueing.py
+++ b/tests/unit/decisions/test_queueing.py
@@ -181,6 +181,35 @@
     assert queue.offer(Item("mill", "mill", 1.0, 5.0), 0.0) == ()
 
 
+def test_a_request_with_a_large_bound_is_served_when_nothing_waits() -> None:
+    """
+    A caller asks for up to 100,000 tokens, usually gets a hundred, and waits a minute.
+
+    Judged by the time that all the tokens would take, it would be refused on an idle system, and
+    each time that it comes back as told.
+    """
+    queue = FairQueue.from_weights({}, 1)
+    large = Item.from_estimate("large", "forge", 1250.0, 60.0, now=0.0)
+
+    assert queue.offer(large, 0.0) == ()
+    assert queue.take(0.1).item == large
+    behind = Item.from_estimate("behind", "forge", 1250.0, 60.0, now=1.0)
+    queue.offer(Item("first", "forge", 7.0, 100.0), 1.0)
+    assert [shed.item.item_id for shed in queue.offer(behind, 1.0)] == ["behind"]
+
+
+def test_what_runs_now_counts_as_waiting() -> None:
+    queue = FairQueue.from_weights({}, 1)
+    queue.offer(Item("running", "forge", 8.0, 100.0), 0.0)
+    running = queue.take(0.0).item
+
+    (shed,) = queue.offer(Item("late", "forge", 1.0, 5.0), 0.0)
+    assert shed.item.item_id == "late"
+
+    queue.correct(running, 1.0)
+    assert queue.offer(Item("again", "forge", 1.0, 6.0), 1.0) == ()
+
+
 def test_an_account_that_was_idle_saves_up_no_turns() -> None:
     """
     One account was idle for an hour while another was served; then both are busy.
