Order a swap again that an engine's tokens disprove

Cause: an engine that announces a version which it does not use kept its word at the leader: left out by the entries, it stayed on old weights until the trainer's next version; where it is the only engine the step never became whole. Ruled out: amending the record in the registry: the engine's next announcement overwrites it at once; a command in the log: it says nothing that has to survive a leader. Change: an entry tells the leader with its renewal (RenewRequest.disproofs, messages.endpoints.Disproof, registry.disprove); the load table orders the swap again after 1, 2, 4 … 30 s and under a new order id; its announcement proves nothing meanwhile. Seen before the change: test_a_swap_that_the_tokens_disprove_is_ordered_again: 'waited 60.0 s in vain for the batch of step 1'.

--- a/packages/ibisspring-control/src/ibisspring_control/endpoint_table.py
+++ b/packages/ibisspring-control/src/ibisspring_control/endpoint_table.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from ibisspring_core.messages.codec import decode
-from ibisspring_core.messages.endpoints import EndpointRecord
+from ibisspring_core.messages.endpoints import Disproof, EndpointRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 GONE = "gone"
 # Each entry hands over all of its endpoints once per this many seconds at the latest, more with
@@ -20,6 +25,7 @@
     def __init__(self) -> None:
         self.record_by_id: dict[str, EndpointRecord] = {}
         self._heard_s_by_id: dict[str, float] = {}
+        self._disproofs: set[Disproof] = set()
 
     def merge(self, data: bytes, now: float) -> None:
         """
@@ -44,6 +50,26 @@
         self.record_by_id[record.endpoint] = record
         self._heard_s_by_id[record.endpoint] = now
 
+    def note_disproofs(self, data: Iterable[bytes]) -> None:
+        """
+        Take what an entry tells of disproved announcements.
+
+        :param data: each a `Disproof`, encoded; only those of records that are known are kept.
+        """
+        for one in data:
+            try:
+                disproof = decode(one, Disproof)
+            except msgspec.DecodeError:
+                continue
+            if disproof.endpoint in self.record_by_id:
+                self._disproofs.add(disproof)
+
+    def take_disproofs(self) -> tuple[Disproof, ...]:
+        """Hand over the disproofs noted since the last call."""
+        taken = tuple(self._disproofs)
+        self._disproofs.clear()
+        return taken
+
     def sweep(self, now: float, entries: int) -> None:
         """
         Forget what no entry speaks of any more.
@@ -60,6 +86,7 @@
         """Forget everything, at the start of a reign."""
         self.record_by_id.clear()
         self._heard_s_by_id.clear()
+        self._disproofs.clear()
 
     def _drop(self, endpoint: str) -> None:
         self.record_by_id.pop(endpoint, None)
--- a/packages/ibisspring-control/src/ibisspring_control/engine_orders/loads.py
+++ b/packages/ibisspring-control/src/ibisspring_control/engine_orders/loads.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import itertools
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -10,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.messages.endpoints import Disproof, EndpointRecord
 
 
 @dataclass(frozen=True)
@@ -27,8 +29,8 @@
     """
     One load to be ordered.
 
-    :param attempt: 1 for the first; a retry goes out under an order id of its own, since a receiver
-        answers a known id without doing the work again.
+    :param attempt: unique in its table; a retry goes out under an order id of its own, since a
+        receiver answers a known id without doing the work again.
     """
 
     target: Target
@@ -40,12 +42,20 @@
 
 @dataclass(frozen=True)
 class _Attempt:
+    """
+    The last load at one place.
+
+    :param disproved: the version is announced already and tokens said otherwise, so that its
+        announcement no longer shows whether a load worked.
+    """
+
     incarnation: int
     version: int
     started_s: float
     failures: int
     failed_s: float
     loading: bool
+    disproved: bool = False
 
 
 class LoadTable:
@@ -61,6 +71,8 @@
         self._store_places = store_places
         self._load_timeout_s = load_timeout_s
         self._attempt_by_place: dict[tuple[str, str], _Attempt] = {}
+        self._disproofs_by_place: dict[tuple[str, str, int], int] = {}
+        self._numbers = itertools.count(1)
 
     def plan(
         self, target: Target, engines: tuple[EndpointRecord, ...], now: float
@@ -99,12 +111,43 @@
             return
         self._attempt_by_place[place] = _failed(attempt, now)
 
+    def disprove(self, disproof: Disproof, now: float) -> None:
+        """
+        Note that an engine's tokens disproved a version that it announces.
+
+        The swap is ordered again, each time after a longer pause. Its announcement can't show
+        whether that worked; entries find out by the next labels.
+
+        :param disproof: from an entry.
+        :param now: seconds on the lease clock.
+        """
+        place = (disproof.endpoint, disproof.adapter)
+        attempt = self._attempt_by_place.get(place)
+        if attempt is not None and (attempt.loading or attempt.version > disproof.version):
+            return
+        counted = (*place, disproof.version)
+        failures = self._disproofs_by_place.get(counted, 0) + 1
+        self._disproofs_by_place[counted] = failures
+        self._attempt_by_place[place] = _Attempt(
+            disproof.incarnation,
+            disproof.version,
+            now,
+            failures,
+            now,
+            loading=False,
+            disproved=True,
+        )
+
     def keep_only(self, engines: Iterable[EndpointRecord]) -> None:
         """Forget engines that are gone; their loads free their places in the weight store."""
         known = {(engine.endpoint, engine.incarnation) for engine in engines}
         for place, attempt in tuple(self._attempt_by_place.items()):
             if (place[0], attempt.incarnation) not in known:
                 del self._attempt_by_place[place]
+        endpoints = {endpoint for endpoint, _ in known}
+        for counted in tuple(self._disproofs_by_place):
+            if counted[0] not in endpoints:
+                del self._disproofs_by_place[counted]
 
     def _update(self, target: Target, engine: EndpointRecord, now: float) -> None:
         place = (engine.endpoint, target.adapter)
@@ -113,9 +156,14 @@
             return
         announced = engine.version_by_adapter.get(target.adapter)
         restarted = attempt.incarnation != engine.incarnation
-        if restarted or (announced is not None and announced >= attempt.version):
+        over = attempt.loading and now - attempt.started_s > self._load_timeout_s
+        if attempt.disproved and announced == attempt.version and not restarted:
+            if over:
+                # Its word is taken again, until tokens disprove it once more.
+                del self._attempt_by_place[place]
+        elif restarted or (announced is not None and announced >= attempt.version):
             del self._attempt_by_place[place]
-        elif attempt.loading and now - attempt.started_s > self._load_timeout_s:
+        elif over:
             self._attempt_by_place[place] = _failed(attempt, now)
 
     def _view(self, target: Target, engine: EndpointRecord) -> EngineView:
@@ -126,7 +174,7 @@
         same = attempt.version == target.version
         return EngineView(
             engine.endpoint,
-            version,
+            None if attempt.disproved else version,
             loading=attempt.loading,
             failures=attempt.failures if same else 0,
             failed_s=attempt.failed_s if same else 0.0,
@@ -136,24 +184,23 @@
     def _begin(self, target: Target, engine: EndpointRecord, now: float) -> Load:
         place = (engine.endpoint, target.adapter)
         earlier = self._attempt_by_place.get(place)
-        failures = 0
-        if earlier is not None and earlier.version == target.version:
-            failures = earlier.failures
+        same = earlier is not None and earlier.version == target.version
         self._attempt_by_place[place] = _Attempt(
-            engine.incarnation, target.version, now, failures, 0.0, loading=True
+            engine.incarnation,
+            target.version,
+            now,
+            earlier.failures if same else 0,
+            0.0,
+            loading=True,
+            disproved=same and earlier.disproved,
+        )
+        return Load(
+            target, engine.endpoint, engine.incarnation, engine.address, next(self._numbers)
         )
-        return Load(target, engine.endpoint, engine.incarnation, engine.address, failures + 1)
 
 
 def _failed(attempt: _Attempt, now: float) -> _Attempt:
-    return _Attempt(
-        attempt.incarnation,
-        attempt.version,
-        attempt.started_s,
-        attempt.failures + 1,
-        now,
-        loading=False,
-    )
+    return dataclasses.replace(attempt, failures=attempt.failures + 1, failed_s=now, loading=False)
 
 
 __all__ = ["Load", "LoadTable", "Target"]
--- a/packages/ibisspring-control/src/ibisspring_control/engine_orders/service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/engine_orders/service.py
@@ -87,6 +87,8 @@
             self._loads = self._no_loads()
         engines = self._engines()
         self._loads.keep_only(engines)
+        for disproof in self._entry_leases.take_disproofs():
+            self._loads.disprove(disproof, now)
         for target in self._targets():
             of_model = tuple(engine for engine in engines if engine.service == target.model)
             for load in self._loads.plan(target, of_model, now):
--- a/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.messages.endpoints import Disproof, EndpointRecord
     from ibisspring_core.settings import Settings
 
 # Clocks of two VMs may run at rates that differ by some 100 ppm; one percent and a little is ample.
@@ -90,6 +90,10 @@
         """Endpoints that live entries know; only complete on the leader."""
         return self._endpoints.record_by_id
 
+    def take_disproofs(self) -> tuple[Disproof, ...]:
+        """Hand over what entries told of disproved announcements since the last call."""
+        return self._endpoints.take_disproofs()
+
     async def start(self, kernel: Kernel) -> None:
         """Find consensus and the state."""
         self._consensus = kernel.find("consensus")
@@ -131,6 +135,7 @@
         lease = self._note(request, received_s)
         for data in request.endpoints:
             self._endpoints.merge(data, received_s)
+        self._endpoints.note_disproofs(request.disproofs)
         self._changed.set()
         await self._hold(request, received_s)
         confirmed = await self._confirm_after_now()
--- a/packages/ibisspring-core/src/ibisspring_core/messages/endpoints.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/endpoints.py
@@ -62,4 +62,19 @@
         return (self.incarnation, self.sequence)
 
 
-__all__ = ["EndpointLoad", "EndpointRecord"]
+@dataclass(frozen=True)
+class Disproof:
+    """
+    A version that an engine announced and whose tokens said otherwise.
+
+    :param adapter: the adapter's name.
+    :param version: the announced version.
+    """
+
+    endpoint: str
+    incarnation: int
+    adapter: str
+    version: int
+
+
+__all__ = ["Disproof", "EndpointLoad", "EndpointRecord"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/lease/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/lease/service.py
@@ -127,7 +127,9 @@
         """Renew once; True where the view changed."""
         registry = self._kernel.find_optional("registry")
         records, are_all = registry.pending_changes() if registry is not None else ((), False)
+        disproofs = registry.pending_disproofs() if registry is not None else ()
         request = self._request(records, are_all)
+        request.disproofs.extend(encode(disproof) for disproof in disproofs)
         sent_s = boot_now()
         reply = await self._client.renew(request)
         if isinstance(reply, Refusal):
@@ -144,6 +146,7 @@
         self._lapse_told = False
         if registry is not None:
             registry.changes_taken(records)
+            registry.disproofs_taken(disproofs)
             if reply.want_all_endpoints:
                 registry.want_all()
         self._tell_start()
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/service.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.messages.endpoints import Disproof, EndpointRecord
     from ibisspring_core.settings import Settings
 
 EXPIRE_EVERY_S = 0.25
@@ -27,6 +27,7 @@
         self.table = table
         self._exchange = exchange
         self._all_pending = True
+        self._disproofs: set[Disproof] = set()
 
     @classmethod
     def from_config(cls, settings: Settings) -> Registry:
@@ -100,6 +101,26 @@
                 records.append(record)
         return tuple(records), False
 
+    def disprove(self, disproof: Disproof) -> None:
+        """
+        Note that an engine's tokens disproved its announcement; the next renewal carries it.
+
+        :param disproof: what was announced.
+        """
+        self._disproofs.add(disproof)
+
+    def pending_disproofs(self) -> tuple[Disproof, ...]:
+        """What the leader was not told yet of disproved announcements."""
+        return tuple(self._disproofs)
+
+    def disproofs_taken(self, disproofs: tuple[Disproof, ...]) -> None:
+        """
+        The leader has them.
+
+        :param disproofs: what `pending_disproofs` gave before the renewal was sent.
+        """
+        self._disproofs.difference_update(disproofs)
+
     def changes_taken(self, records: tuple[EndpointRecord, ...]) -> None:
         """
         The leader has them: what changed since stays pending.
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/engine_choice.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/engine_choice.py
@@ -4,12 +4,11 @@
 
 from typing import TYPE_CHECKING, Any
 
+from ibisspring_core.messages.endpoints import Disproof
 from ibisspring_decisions.sampling import is_stale
 from ibisspring_entry.rollouts.trainer_rules import bound_of, room_of
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ibisspring_core.messages.endpoints import EndpointRecord
 
 DISTRUST_S = 5.0
@@ -30,12 +29,12 @@
     def __init__(
         self,
         lease: Any,
-        records_of: Callable[[str], tuple[EndpointRecord, ...]],
+        registry: Any,
         trainer: str,
         model: str,
     ) -> None:
         self._lease = lease
-        self._records_of = records_of
+        self._registry = registry
         self._trainer = trainer
         self._model = model
         self._distrusted_until_s: dict[str, float] = {}
@@ -67,14 +66,31 @@
 
     def distrust(self, endpoint: str, now: float) -> None:
         """
-        Leave an engine out for a while: its labels were missing, or older than what it announced.
+        Leave an engine out for a while.
 
         :param now: seconds.
         """
         self._distrusted_until_s[endpoint] = now + DISTRUST_S
 
+    def disprove(self, endpoint: str, version: int, now: float) -> None:
+        """
+        Leave an engine out whose first tokens were older than announced, and tell the leader.
+
+        :param version: what the tokens said.
+        :param now: seconds.
+        """
+        self.distrust(endpoint, now)
+        for record in self._engines():
+            announced = record.version_by_adapter.get(self._trainer)
+            if record.endpoint != endpoint or announced is None or announced <= version:
+                continue
+            self._registry.disprove(
+                Disproof(endpoint, record.incarnation, self._trainer, announced)
+            )
+
     def _engines(self) -> tuple[EndpointRecord, ...]:
-        return tuple(record for record in self._records_of(self._model) if record.role == "engine")
+        records = self._registry.records_of(self._model)
+        return tuple(record for record in records if record.role == "engine")
 
 
 def announced_version(record: EndpointRecord, trainer: str) -> int | None:
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
@@ -221,8 +221,11 @@
             member.failures = 0
         else:
             self._failed(member, plan, result)
-        if engine.is_disproved() or result == Discarded("missing_label"):
-            self._needs.engines.distrust(engine.endpoint, time.monotonic())
+        now = time.monotonic()
+        if engine.is_disproved():
+            self._needs.engines.disprove(engine.endpoint, engine.first_version, now)
+        elif result == Discarded("missing_label"):
+            self._needs.engines.distrust(engine.endpoint, now)
         self._wake.set()
 
     async def _scored(self, sample: Sample) -> Sample | Discarded:
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
@@ -207,7 +207,7 @@
             counters=self._counters,
             client_account=client_account_of(self._lease, trainer),
             bound=lambda: bound_of(self._lease, trainer),
-            engines=EngineChoice(self._lease, self._registry.records_of, trainer, request.model),
+            engines=EngineChoice(self._lease, self._registry, trainer, request.model),
             expected=expected_publications(self._publications_by_trainer.get(trainer, ())),
             score=scorer.score if request.scorer else None,
         )
--- a/tests/integration/test_rollouts_weights.py
+++ b/tests/integration/test_rollouts_weights.py
@@ -4,8 +4,15 @@
 
 from pathlib import Path
 
+from fakes.trainer import step_body
 from integration.processes import wait_until
-from integration.training_system import MODEL, TRAINER, TrainingSystem, training_system
+from integration.training_system import (
+    MODEL,
+    TRAINER,
+    TrainingSystem,
+    training_system,
+    versions_of,
+)
 
 
 async def _until_loaded(system: TrainingSystem, version: int, *engines: str) -> None:
@@ -60,3 +67,25 @@
         await system.fault("weight_store", refuse=False)
 
         await _until_loaded(system, 2, "n1", "n2")
+
+
+async def test_a_swap_that_the_tokens_disprove_is_ordered_again(tmp_path: Path) -> None:
+    """
+    The only engine announces version 3 and goes on with version 1, once; it would swap if told
+    again.
+
+    Its samples are too old, each is thrown away, and as long as its word is taken nobody orders the
+    swap again: the trainer idles until it publishes, which it does after the step.
+    """
+    async with training_system(tmp_path, load_timeout_s=1.0) as system:
+        await system.start_engine("n1")
+        await system.fault("n1", load_lies=True)
+        for version in (1, 2, 3):
+            await system.trainer.publish(MODEL, version)
+        await _until_loaded(system, 3, "n1")
+        await system.fault("n1", load_lies=False)
+
+        await system.trainer.open_step(1, step_body(MODEL, 2, 4, 16))
+        batch = await system.fetch_until_whole(1)
+
+        assert versions_of(batch) == {3}
--- a/tests/unit/control/engine_orders/test_loads.py
+++ b/tests/unit/control/engine_orders/test_loads.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from ibisspring_control.engine_orders.loads import LoadTable, Target
-from ibisspring_core.messages.endpoints import EndpointRecord
+from ibisspring_core.messages.endpoints import Disproof, EndpointRecord
 
 LOAD_TIMEOUT_S = 30.0
 TARGET = Target("scorer-lm", "scan-reader", 2)
@@ -69,4 +69,25 @@
     table.failed(old, 0.3)
 
     assert table.loading() == 1
-    assert load.attempt == 1
+    assert load.attempt != old.attempt
+
+
+def test_a_disproved_announcement_is_ordered_again_after_a_pause_that_grows() -> None:
+    """
+    An engine announces version 2 and its tokens are of version 1; told again, it lies again.
+
+    Its word taken, it would stay on old weights until the next version; ordered at once each time,
+    it would keep a place of the weight store for ever.
+    """
+    table = LoadTable(1, LOAD_TIMEOUT_S)
+    liar = _engine(0, version=2)
+    lie = Disproof("n0", 1, "scan-reader", 2)
+
+    table.disprove(lie, 0.0)
+    assert table.plan(TARGET, (liar,), 0.5) == ()
+    assert len(table.plan(TARGET, (liar,), 1.1)) == 1
+    table.disprove(lie, 1.2)
+    assert table.plan(TARGET, (liar,), 1.1 + LOAD_TIMEOUT_S + 0.1) == ()
+    table.disprove(lie, 40.0)
+    assert table.plan(TARGET, (liar,), 41.1) == ()
+    assert len(table.plan(TARGET, (liar,), 42.1)) == 1
--- a/tests/unit/entry/rollouts/stand_ins.py
+++ b/tests/unit/entry/rollouts/stand_ins.py
@@ -52,6 +52,9 @@
     def distrust(self, endpoint: str, now: float) -> None:
         self.distrusted.append(endpoint)
 
+    def disprove(self, endpoint: str, version: int, now: float) -> None:
+        self.distrusted.append(endpoint)
+
 
 def gathering(
     engines: Engines, bound: Callable[[], Bound], groups: int = 2, size: int = 2, room: int = 100
--- a/tests/unit/entry/rollouts/test_engine_choice.py
+++ b/tests/unit/entry/rollouts/test_engine_choice.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
+from ibisspring_core.messages.endpoints import Disproof, EndpointLoad, EndpointRecord
 from ibisspring_core.messages.views import EntryView
 from ibisspring_core.rules import Rules
 from ibisspring_core.rules.model import Trainer
@@ -21,6 +21,18 @@
         )
 
 
+class _Registry:
+    def __init__(self, records: list[EndpointRecord]) -> None:
+        self.records = records
+        self.disproofs: list[Disproof] = []
+
+    def records_of(self, service: str) -> tuple[EndpointRecord, ...]:
+        return tuple(self.records)
+
+    def disprove(self, disproof: Disproof) -> None:
+        self.disproofs.append(disproof)
+
+
 def _choice(sharing: tuple[str, ...] = ("t",), **version_by_engine: int | None) -> EngineChoice:
     records = []
     for name, version in version_by_engine.items():
@@ -39,7 +51,7 @@
                 load=EndpointLoad(capacity=8),
             )
         )
-    return EngineChoice(_Lease(sharing), lambda model: tuple(records), "t", "scorer-lm")
+    return EngineChoice(_Lease(sharing), _Registry(records), "t", "scorer-lm")
 
 
 def test_no_work_starts_where_the_announced_version_is_too_old() -> None:
@@ -56,8 +68,9 @@
     Kept in use, the emptiest engine would be the lying one, and each sample there is thrown away.
     """
     choice = _choice(liar=5, honest=5)
-    choice.distrust("liar", 10.0)
+    choice.disprove("liar", 1, 10.0)
 
+    assert choice._registry.disproofs == [Disproof("liar", 1, "t", 5)]
     assert choice.left_out(10.1) == ("liar",)
     assert choice.left_out(10.1 + DISTRUST_S) == ()
 
