Judge routing over seeds, and reclaim by where late work went

Cause: guards taken out alone left three tests green: the ejection cap, what was sent since the report, the pace; and the reclaim test held for endpoints that go on getting work after they left.

Figures: 10 routing tests (2 s) and the reclaim test pass.

--- a/tests/fakes/announcing.py
+++ b/tests/fakes/announcing.py
@@ -22,6 +22,7 @@
         self.state = "serving"
         self.muted = False
         self.incarnation = time.time_ns() // 1_000_000
+        self.left = False
         self.accepted_by: set[str] = set()
         self._sequence = itertools.count(1)
 
@@ -48,6 +49,7 @@
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2)) as session:
             for url in self.entries:
                 await self._send(session, url)
+        self.left = True
 
     async def _send(self, session: aiohttp.ClientSession, url: str) -> None:
         try:
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -64,6 +64,7 @@
         request_id = body["request_id"]
         entry = {
             "request_id": request_id,
+            "prompt": body["prompt"],
             "headers": {name.lower(): value for name, value in request.headers.items()},
             "resumed_at": len(body["resume_tokens"]),
             "made": 0,
@@ -223,6 +224,7 @@
                 "requests": self.requests,
                 "orders": list(self.orders.values()),
                 "accepted_by": list(request.app["announcer"].accepted_by),
+                "left": request.app["announcer"].left,
             }
         )
 
--- a/tests/integration/test_requests_stops.py
+++ b/tests/integration/test_requests_stops.py
@@ -160,9 +160,14 @@
         await wait_until(streams_on_cheap, "streams on all cheap engines")
         for name in cheap:
             system.process_by_name[name].send(15)
+
+        async def left() -> bool:
+            return all([(await system.log(name))["left"] for name in cheap])
+
+        await wait_until(left, "the engines to say that they leave")
         late = [asyncio.create_task(system.generate(f"q{number}", 40)) for number in range(12)]
         late_answers = await asyncio.gather(*late)
-        seen = [one for name in cheap for one in (await system.log(name))["requests"]]
+        seen = [one["prompt"] for name in cheap for one in (await system.log(name))["requests"]]
         await asyncio.sleep(2.0)
         for name in cheap:
             system.process_by_name[name].kill()
@@ -174,4 +179,4 @@
         for number, answer in enumerate(answers):
             assert answer.whole(), answer.lines[-1:]
             assert answer.tokens() == expected_tokens(f"{prefix}{number}", count)
-    assert len(seen) < 24
+    assert not [prompt for prompt in seen if prompt.startswith("q")]
--- a/tests/unit/decisions/test_routing.py
+++ b/tests/unit/decisions/test_routing.py
@@ -4,6 +4,8 @@
 import heapq
 import random
 
+import pytest
+
 from ibisspring_decisions.routing import EJECT_FAILURES, Candidate, Router
 
 HERE = "derby"
@@ -45,7 +47,7 @@
 
 
 def waits_of(
-    speeds: list[float], entries: int, lag_s: float, rate: float, pick, routers=()
+    speeds: list[float], entries: int, lag_s: float, rate: float, pick, routers=(), seed: int = 7
 ) -> list[float]:
     """
     What callers wait beyond their own work, who come at `rate` to several entries that see reports
@@ -53,7 +55,7 @@
 
     `routers` learn the pace of each answer when it comes.
     """
-    source = random.Random(7)
+    source = random.Random(seed)
     endpoints = Endpoints(speeds)
     reports = [0] * len(speeds)
     sent_since = [[0] * len(speeds) for _ in range(entries)]
@@ -81,10 +83,16 @@
     return sorted(waits)
 
 
-def routed(routers: list[Router]):
+def at(waits: list[float], share: float) -> float:
+    """The wait that this share of the callers does not exceed."""
+    return waits[int(len(waits) * share)]
+
+
+def routed(routers: list[Router], counts_sent: bool = True):
     def pick(entry: int, reports: list[int], sent: list[int], now: float) -> int:
         candidates = tuple(
-            candidate(index, load, sent_since=sent[index]) for index, load in enumerate(reports)
+            candidate(index, load, sent_since=sent[index] * counts_sent)
+            for index, load in enumerate(reports)
         )
         return int(routers[entry].choose(candidates, now)[1:])
 
@@ -100,7 +108,25 @@
     routers = [router()]
     by_load = waits_of(speeds, 1, 0.5, 10.0, routed(routers), routers)
 
-    assert by_load[int(len(by_load) * 0.95)] < in_turn[int(len(in_turn) * 0.95)] / 2
+    without_pace = waits_of(speeds, 1, 0.5, 10.0, routed([router()]))
+
+    assert at(by_load, 0.95) < at(in_turn, 0.95) / 10
+    assert at(by_load, 0.99) < at(without_pace, 0.99) / 2
+
+
+def test_what_was_sent_since_the_report_counts() -> None:
+    # One entry, reports two seconds old: all that it sends meanwhile looks as if it had not been
+    # sent, and lines grow beside free slots. Mean of eight seeds.
+    mean_by_counting = {}
+    for counting in (True, False):
+        waits: list[float] = []
+        for seed in range(8):
+            routers = [router(seed)]
+            pick = routed(routers, counting)
+            waits += waits_of([1.0] * 5, 1, 2.0, 14.0, pick, routers, seed)
+        mean_by_counting[counting] = sum(waits) / len(waits)
+
+    assert mean_by_counting[True] < 0.7 * mean_by_counting[False]
 
 
 def test_entries_with_old_reports_do_not_run_as_a_herd() -> None:
@@ -114,7 +140,7 @@
     herd = waits_of(speeds, 9, 1.0, 14.0, least_reported)
     by_load = waits_of(speeds, 9, 1.0, 14.0, routed([router(seed) for seed in range(9)]))
 
-    assert by_load[int(len(by_load) * 0.95)] < herd[int(len(herd) * 0.95)] / 2
+    assert at(by_load, 0.95) < at(herd, 0.95) / 2
 
 
 def test_an_endpoint_that_fails_at_once_does_not_draw_the_callers() -> None:
@@ -131,10 +157,12 @@
     assert failures <= 4 * EJECT_FAILURES
 
 
-def test_when_all_fail_all_are_still_used() -> None:
-    # Something that all share is broken, and comes back: nobody may be left without endpoints.
+@pytest.mark.parametrize("failing", [3, 5])
+def test_when_most_fail_all_are_still_used(failing: int) -> None:
+    # Something that they share is broken, and comes back: nobody may be left without endpoints, and
+    # the few that work may not be overrun.
     chooser = router()
-    for index in range(5):
+    for index in range(failing):
         for _ in range(EJECT_FAILURES):
             chooser.failed(f"e{index}", 0.0)
 
