Bill the endpoints' seconds without the wait for a turn

Cause: endpoint_s counted from the request's arrival, so that waiting in line was reported as endpoint work.

Change: End and PlainAnswer carry endpoint_s, measured from the turn on; callers are billed by it.

--- a/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
@@ -130,13 +130,12 @@
         answers: AsyncGenerator[TokenRun | End | Failed, None],
     ) -> None:
         # The first answer decides the status: a refusal before any token is a typed HTTP refusal.
-        began = boot_now()
         first = await anext(answers)
         if isinstance(first, Failed):
             refuse(response, first.refusal, wanted.request_id, self._counters)
             return
         response.content_type = NDJSON
-        lines = self._lines(wanted, first, answers, began)
+        lines = self._lines(wanted, first, answers)
         response.stream = self._until_ended(request, lines)
 
     async def _lines(
@@ -144,21 +143,25 @@
         wanted: GenerateRequest,
         first: TokenRun | End,
         answers: AsyncGenerator[TokenRun | End | Failed, None],
-        began: float,
     ) -> AsyncGenerator[bytes, None]:
         total = 0
+        endpoint_s: float | None = None
+        began = boot_now()
         answer: TokenRun | End | Failed | None = first
         try:
             async with aclosing(answers):
                 while answer is not None:
                     if isinstance(answer, TokenRun):
                         total += len(answer.tokens)
+                    if isinstance(answer, End):
+                        endpoint_s = answer.endpoint_s
                     if isinstance(answer, Failed):
                         self._counters.refused(answer.refusal.reason)
                     yield line_of(wanted.request_id, answer)
                     answer = await anext(answers, None)
         finally:
-            self._bill(wanted, total, began)
+            # A caller that left is billed for what it was sent, from its first token on.
+            self._bill(wanted, total, boot_now() - began if endpoint_s is None else endpoint_s)
 
     async def _whole(
         self,
@@ -167,20 +170,21 @@
         answers: AsyncGenerator[TokenRun | End | Failed, None],
     ) -> None:
         runs: list[TokenRun] = []
-        began = boot_now()
+        endpoint_s = 0.0
         async with aclosing(answers):
             async for answer in answers:
                 if isinstance(answer, TokenRun):
                     runs.append(answer)
-                    continue
-                if isinstance(answer, Failed):
+                elif isinstance(answer, End):
+                    endpoint_s = answer.endpoint_s
+                else:
                     refuse(response, answer.refusal, wanted.request_id, self._counters)
                     return
-        self._bill(wanted, sum(len(run.tokens) for run in runs), began)
+        self._bill(wanted, sum(len(run.tokens) for run in runs), endpoint_s)
         response.content_type = falcon.MEDIA_JSON
         response.data = whole_answer(wanted.request_id, runs)
 
-    def _bill(self, wanted: GenerateRequest, tokens: int, began: float) -> None:
+    def _bill(self, wanted: GenerateRequest, tokens: int, endpoint_s: float) -> None:
         if tokens == 0:
             return
         bill(
@@ -188,7 +192,7 @@
             wanted.client_account,
             wanted.model,
             tokens,
-            boot_now() - began,
+            endpoint_s,
             wanted.request_id,
         )
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/keyed_generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/keyed_generation.py
@@ -8,7 +8,6 @@
 
 import falcon
 
-from ibisspring_core.clock import boot_now
 from ibisspring_entry.claims import KeyedCall
 from ibisspring_entry.http.generate_wire import NDJSON, line_of, whole_answer
 from ibisspring_entry.http.usage import bill
@@ -98,7 +97,7 @@
         return Failed(self._wanted.request_id, refusal)
 
     async def _generate(self) -> PlainAnswer | Refusal:
-        began = boot_now()
+        endpoint_s = 0.0
         request_id = self._wanted.request_id
         runs: list[TokenRun] = []
         stored: list[bytes] = []
@@ -115,6 +114,8 @@
                 stored.append(line)
                 if isinstance(answer, TokenRun):
                     runs.append(answer)
+                else:
+                    endpoint_s = answer.endpoint_s
         self._lines.put_nowait(None)
         tokens = sum(len(run.tokens) for run in runs)
         wanted = self._wanted
@@ -123,7 +124,7 @@
             wanted.client_account,
             wanted.model,
             tokens,
-            boot_now() - began,
+            endpoint_s,
             request_id,
         )
         if self._body.stream:
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
@@ -7,7 +7,6 @@
 import falcon
 import falcon.asgi
 
-from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_entry.http.access import allowed_rules
 from ibisspring_entry.http.bodies import read_body
@@ -52,20 +51,18 @@
         if isinstance(wanted, Refusal):
             refuse(response, wanted, request.context.request_id, self._counters)
             return
-        began = boot_now()
         answer = await self._send(wanted, request.get_header("Idempotency-Key"))
         if isinstance(answer, Refusal):
             refuse(response, answer, request.context.request_id, self._counters)
             return
         # A stored answer is the one of an earlier call, which was billed then.
         if not answer.replayed:
-            seconds = boot_now() - began
             bill(
                 self._kernel,
                 wanted.client_account,
                 wanted.service,
                 0,
-                seconds,
+                answer.endpoint_s,
                 wanted.request_id,
             )
         response.status = falcon.code_to_http_status(answer.status)
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
@@ -67,12 +67,14 @@
     :param total: tokens of the whole answer.
     :param endpoint: the engine that ended it.
     :param tries: engines' streams that made it, 1 where nothing failed.
+    :param endpoint_s: seconds that it was worked on, without its wait for a turn.
     """
 
     request_id: str
     total: int
     endpoint: str
     tries: int = 1
+    endpoint_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -120,6 +122,7 @@
 
     :param headers: those that may go on to the caller.
     :param replayed: whether it is the stored answer of an earlier call, which was billed already.
+    :param endpoint_s: seconds that it was worked on, without its wait for a turn.
     """
 
     request_id: str
@@ -128,6 +131,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     endpoint: str = ""
     replayed: bool = False
+    endpoint_s: float = 0.0
 
 
 __all__ = ["End", "Failed", "GenerateRequest", "PlainAnswer", "PlainRequest", "TokenRun"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from contextlib import aclosing, contextmanager
 from typing import TYPE_CHECKING, Any
@@ -13,7 +14,7 @@
 from ibisspring_decisions.routing import Candidate, Router, prefix_digest
 from ibisspring_entry.proxy.connections import open_session
 from ibisspring_entry.proxy.generation import Generation
-from ibisspring_entry.proxy.messages import End, Failed, PlainAnswer
+from ibisspring_entry.proxy.messages import End, Failed
 from ibisspring_entry.proxy.plain_call import PlainCall
 from ibisspring_entry.proxy.turn_taking import TurnTaking
 
@@ -27,6 +28,7 @@
     from ibisspring_core.settings import Settings
     from ibisspring_entry.proxy.messages import (
         GenerateRequest,
+        PlainAnswer,
         PlainRequest,
         TokenRun,
     )
@@ -104,7 +106,9 @@
         try:
             async with aclosing(answers):
                 async for answer in answers:
-                    whole = isinstance(answer, End)
+                    if isinstance(answer, End):
+                        whole = True
+                        answer = dataclasses.replace(answer, endpoint_s=boot_now() - started)
                     yield answer
         finally:
             real_s = boot_now() - started
@@ -127,12 +131,14 @@
             return WITHDRAWN
         self._budget.request(boot_now())
         started = boot_now()
-        answer: PlainAnswer | Refusal | None = None
+        whole = False
         try:
             answer = await PlainCall(self, request, began + request.deadline_s).answer()
-            return answer
+            if isinstance(answer, Refusal):
+                return answer
+            whole = True
+            return dataclasses.replace(answer, endpoint_s=boot_now() - started)
         finally:
-            whole = isinstance(answer, PlainAnswer)
             taking.leave(request.service, turn, 1, boot_now() - started, whole)
 
     def pick(
