--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/owned_step.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/owned_step.py
@@ -12,12 +12,17 @@
 
 
 class OwnedStep:
-    """A step that this entry gathers and whose payload it holds until the trainer has it."""
+    """
+    A step that this entry gathers and whose payload it holds until the trainer has it.
+
+    `proposed` is a batch whose delivery may have been committed, `batch` the one that was.
+    """
 
     def __init__(self, request: StepRequest, gathering: Gathering, scorer: ScoreBatcher) -> None:
         self.request = request
         self.gathering = gathering
         self.scorer = scorer
+        self.proposed: Batch | None = None
         self.batch: Batch | None = None
 
     async def stop(self) -> None:
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/samples.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/samples.py
@@ -63,11 +63,13 @@
     :param digest: digest of the samples; names the payload in the log.
     :param payload: the answer's JSON, the same bytes at every resend.
     :param labels: what the log records of each sample.
+    :param samples: the samples themselves.
     """
 
     digest: str
     payload: bytes
     labels: tuple[SampleLabel, ...]
+    samples: tuple[Sample, ...]
 
 
 def add_run(
@@ -111,7 +113,7 @@
         SampleLabel(sample.sample, _digest(body), sample.oldest_version())
         for sample, body in zip(samples, bodies, strict=True)
     )
-    return Batch(digest, payload, labels)
+    return Batch(digest, payload, labels, samples)
 
 
 def _sample_body(sample: Sample) -> dict[str, Any]:
