Send refreshes between entries in place of unchanged records

Cause: each announcement went to every other entry whole: 422 bytes, 6.1 KB/s of an entry at today's 9 entries and 16 endpoints, twice the 3 KB/s that the aim allows; an entry that has just started and knows nothing sent digest 0, which asks for no check; a peer's task that failed was never started again.

Ruled out: passing on less often (a dead endpoint would live on for longer).

Change: EntryPeer field `refreshes` (41 bytes each), digests are never 0, a peer's task is started again; the stop test's streams are longer than a stop that waits for nobody (green without that guard before).

--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -11,7 +11,9 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
+from ibisspring_core.messages.endpoints import EndpointLoad
 from ibisspring_core.pb import entry_peer_pb2, entry_peer_pb2_grpc
+from ibisspring_entry.registry.peer_sent import SentToPeer
 from ibisspring_entry.registry.peer_wire import pack, take_all
 from ibisspring_entry.rollouts.peer_batches import serve_batch
 
@@ -113,14 +115,15 @@
             if daemon not in self._peer_by_daemon:
                 self._task_by_daemon.pop(daemon).cancel()
         for daemon in self._peer_by_daemon:
-            if daemon not in self._task_by_daemon:
+            talking = self._task_by_daemon.get(daemon)
+            if talking is None or talking.done():
                 self._task_by_daemon[daemon] = asyncio.create_task(self._talk(daemon))
 
     async def _talk(self, daemon: str) -> None:
         """Exchange with one peer until it leaves the view, over one channel while that works."""
         channel: grpc.aio.Channel | None = None
         address = ""
-        sent_until = 0.0
+        sent = SentToPeer()
         number = 0
         try:
             while True:
@@ -128,12 +131,9 @@
                 if channel is None or address != peer.peer_address:
                     address = peer.peer_address
                     channel = grpc.aio.insecure_channel(address, CHANNEL_OPTIONS)
-                began = boot_now()
                 with_digest = number % DIGEST_EVERY == 0
                 number += 1
-                if await self._exchange(channel, sent_until, with_digest):
-                    sent_until = began
-                else:
+                if not await self._exchange(channel, sent, with_digest):
                     # A channel that the network lost track of stays silent for good while a new one
                     # works: the deadline ends it.
                     await channel.close()
@@ -144,20 +144,16 @@
                 await channel.close()
 
     async def _exchange(
-        self, channel: grpc.aio.Channel, sent_until: float, with_digest: bool
+        self, channel: grpc.aio.Channel, sent: SentToPeer, with_digest: bool
     ) -> bool:
         began = boot_now()
-        newer = []
-        for heard in self._table.heard():
-            # Hearsay is not passed on: every entry hears from every other, and n entries that pass
-            # on what they heard would send n^2 copies of each announcement.
-            if heard.first_hand and heard.heard_at >= sent_until:
-                newer.append(heard)
-        records, ages_s = pack(newer, began)
+        delta = sent.delta(self._table.heard(), began)
+        records, ages_s = pack(delta.whole, began)
         request = entry_peer_pb2.ExchangeRequest(
             daemon=self._daemon,
             endpoints=records,
             ages_s=ages_s,
+            refreshes=delta.refreshes,
             digest=self._table.digest() if with_digest else 0,
             unheard=self._table.unheard(began) if with_digest else (),
             demand_by_client_account=self.demand_by_client_account,
@@ -169,7 +165,9 @@
         except grpc.aio.AioRpcError as error:
             self._counters.add("peer_exchange_failed")
             eliot.log_message("registry:peer_failed", code=error.code().name)
+            sent.lost()
             return False
+        sent.acknowledged(delta, began)
         broken = take_all(self._table, reply.endpoints, reply.ages_s, began)
         self._counters.add("peer_record_broken", broken)
         return True
@@ -184,6 +182,10 @@
         now = boot_now()
         broken = take_all(self._table, request.endpoints, request.ages_s, now)
         self._counters.add("peer_record_broken", broken)
+        for refresh in request.refreshes:
+            load = EndpointLoad(refresh.running, refresh.queued, refresh.capacity)
+            start = (refresh.endpoint, refresh.incarnation)
+            self._table.refresh(start, refresh.sequence, load, now - refresh.age_s)
         self._told_by_daemon[request.daemon] = ToldByPeer(
             now, dict(request.demand_by_client_account), dict(request.wanted_by_service)
         )
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/table.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/table.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 
 SERVING = "serving"
 LEAVING = "leaving"
@@ -75,6 +75,27 @@
         self._put(Heard(record, heard_at, first_hand), known)
         return ""
 
+    def refresh(
+        self, start: tuple[str, int], sequence: int, load: EndpointLoad, heard_at: float
+    ) -> None:
+        """
+        Take a peer's word that an endpoint goes on as it is known.
+
+        One that is not known by this start is not taken: what it announces is not known either, and
+        the next digest brings it.
+
+        :param start: the endpoint's id and incarnation.
+        :param sequence: of its newest announcement.
+        :param load: from the same.
+        :param heard_at: when the endpoint was heard, on this entry's clock.
+        """
+        endpoint, incarnation = start
+        known = self._heard_by_endpoint.get(endpoint)
+        if known is None or known.record.incarnation != incarnation:
+            return
+        changes = {"sequence": sequence, "load": load, "state": SERVING}
+        self.take(dataclasses.replace(known.record, **changes), heard_at, first_hand=False)
+
     def _take_again(self, known: Heard, heard_at: float) -> str:
         if heard_at > known.heard_at:
             self._heard_by_endpoint[known.record.endpoint] = dataclasses.replace(
@@ -175,7 +196,8 @@
             if heard.record.state == GONE:
                 continue
             total ^= xxhash.xxh64_intdigest(msgspec.msgpack.encode(substance(heard.record)))
-        return total
+        # 0 asks for no check: an entry that has just started, and knows nothing, asks for one.
+        return total or 1
 
 
 def substance(record: EndpointRecord) -> tuple:
--- a/tests/integration/test_requests_stops.py
+++ b/tests/integration/test_requests_stops.py
@@ -53,7 +53,8 @@
         stopped = asyncio.Event()
 
         async def stream() -> list[Answer]:
-            body = {"model": "scorer-lm", "prompt": "p", "max_tokens": 100, "stream": True}
+            # Longer than a stop takes that waits for nobody.
+            body = {"model": "scorer-lm", "prompt": "p", "max_tokens": 400, "stream": True}
             answers = []
             while not stopped.is_set():
                 answers.append(await balancer.ask("POST", "/v1/generate", json=body))
--- a/tests/unit/entry/registry/test_table.py
+++ b/tests/unit/entry/registry/test_table.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
+from ibisspring_entry.registry.peer_sent import SentToPeer
 from ibisspring_entry.registry.peer_wire import pack, take_all
 from ibisspring_entry.registry.table import EndpointTable
 
@@ -58,6 +59,44 @@
     assert not any(serves(table, TTL_S + 0.1) for table in tables)
 
 
+def test_refreshes_keep_a_record_alive_and_make_none_up() -> None:
+    # Records go to a peer whole once, then only that they go on. A peer that has started again
+    # would be told that an endpoint goes on of which it knows nothing.
+    sender, known, restarted = (EndpointTable(TTL_S) for _ in range(3))
+    sent = SentToPeer()
+    record = FIRST
+    for step in range(20):
+        now = step * 1.0
+        record = after(record, load=EndpointLoad(running=step))
+        sender.take(record, now)
+        delta = sent.delta(sender.heard(), now)
+        assert len(delta.whole) == (1 if step == 0 else 0)
+        sent.acknowledged(delta, now)
+        take_all(known, *pack(delta.whole, now), now)
+        for refresh in delta.refreshes:
+            load = EndpointLoad(refresh.running, refresh.queued, refresh.capacity)
+            start = (refresh.endpoint, refresh.incarnation)
+            for table in (known, restarted):
+                table.refresh(start, refresh.sequence, load, now - refresh.age_s)
+
+    assert known.serving("scorer-lm", 19.0)[0].load.running == 19
+    assert not serves(restarted, 19.0)
+    assert restarted.digest() not in (0, known.digest())
+    assert sent.delta(sender.heard(), 20.0).whole == ()
+    sent.lost()
+    sender.take(after(record), 20.0)
+    assert len(sent.delta(sender.heard(), 20.0).whole) == 1
+
+
+def test_refresh_does_not_bring_a_leaving_endpoint_back() -> None:
+    table = EndpointTable(TTL_S)
+    table.take(after(FIRST, state="leaving"), 0.0)
+
+    table.refresh(("scorer-1", 1), 9, EndpointLoad(), 1.0)
+
+    assert not serves(table, 1.0)
+
+
 def test_gone_endpoint_that_was_only_cut_off_comes_back() -> None:
     table = EndpointTable(TTL_S)
     table.take(FIRST, 0.0)
