Show that a stopping entry refuses over its open port, and no other start is refreshed

Cause: guards taken out alone or together left the tests green: the port closed at once, answers that do not close their connections, a refresh of another start.

--- a/tests/integration/test_requests_stops.py
+++ b/tests/integration/test_requests_stops.py
@@ -130,7 +130,15 @@
             return any(one["made"] for one in (await system.log("scorer-1"))["requests"])
 
         await wait_until(runs, "the stream to run")
-        exit_code = await entry.terminate()
+        stopping = asyncio.create_task(entry.terminate())
+
+        async def refused() -> bool:
+            other = await system.generate("q", 4)
+            assert other.headers["Connection"] == "close" or other.status == 200
+            return other.status == 503 and other.error()["reason"] == "stopping"
+
+        await wait_until(refused, "new requests to be refused over the open port")
+        exit_code = await stopping
         answer = await streaming
     finally:
         system.stop_all()
--- a/tests/unit/entry/registry/test_table.py
+++ b/tests/unit/entry/registry/test_table.py
@@ -97,6 +97,17 @@
     assert not serves(table, 1.0)
 
 
+def test_refresh_of_another_start_is_not_taken() -> None:
+    # An endpoint started again with other weights. Its refresh must not make the old start's record
+    # go on under the new one's name.
+    table = EndpointTable(TTL_S)
+    table.take(FIRST, 0.0)
+
+    table.refresh(("scorer-1", 2), 9, EndpointLoad(running=7), 1.0)
+
+    assert table.serving("scorer-lm", 1.0) == (FIRST,)
+
+
 def test_gone_endpoint_that_was_only_cut_off_comes_back() -> None:
     table = EndpointTable(TTL_S)
     table.take(FIRST, 0.0)
