--- a/tests/integration/test_requests_stops.py
+++ b/tests/integration/test_requests_stops.py
@@ -122,7 +122,7 @@
     # answer for a whole one.
     system = LoneSystem(tmp_path)
     try:
-        entry = await system.start_entry(drain_s=1.0)
+        entry = await system.start_entry(drain_s=6.0)
         await system.start_engine("scorer-1", tokens_per_s=40)
         streaming = asyncio.create_task(system.generate("p", 2000))
 
@@ -138,6 +138,8 @@
             return other.status == 503 and other.error()["reason"] == "stopping"
 
         await wait_until(refused, "new requests to be refused over the open port")
+        await asyncio.sleep(1.0)
+        assert await refused()
         exit_code = await stopping
         answer = await streaming
     finally:
