--- a/tests/integration/test_requests_keys.py
+++ b/tests/integration/test_requests_keys.py
@@ -128,3 +128,39 @@
     assert lines[-1]["error"]["not_run"] is False
     assert (status, refused[0]["error"]["reason"]) == (503, "lease_lapsed")
     assert refused[0]["error"]["not_run"] is True
+
+
+async def test_ticket_in_line_is_not_sent_after_its_key_was_withdrawn(
+    system: RequestsSystem,
+) -> None:
+    # A ticket under an idempotency key goes on apart from its caller. It waits in line when its key
+    # is withdrawn, and was sent when its turn came.
+    await system.start_endpoint("plain", "archive-1", capacity=1)
+    await system.fault("archive-1", answer_delay_s=4.0)
+    path = "/v1/services/archive-app/tickets"
+
+    async def post(body: bytes, **headers: str) -> Any:
+        return await system.ask(system.url("e1"), "POST", path, headers, data=body)
+
+    first = [asyncio.create_task(post(b"first")) for _ in range(2)]
+
+    async def calls() -> list[dict[str, Any]]:
+        return (await system.log("archive-1"))["calls"]
+
+    async def both_run() -> bool:
+        return sum(call["ran"] for call in await calls()) == 2
+
+    await wait_until(both_run, "the first tickets to run")
+    keyed = {"Idempotency-Key": "ticket-7"}
+    waiting = asyncio.create_task(post(b"waiting", **keyed))
+    await asyncio.sleep(0.5)
+    assert (await system.rules.apply(rules_text(keys=()), 1)).returncode == 0
+    answers = await asyncio.gather(*first, waiting)
+
+    async def idle() -> bool:
+        applied = await system.ask(f"http://{system.address_by_name['archive-1']}", "GET", "/idle")
+        return applied.status == 200
+
+    await wait_until(idle, "the first tickets to end")
+    assert {answer.error()["reason"] for answer in answers} == {"key_withdrawn"}
+    assert [call["body"] for call in await calls() if call["method"] == "POST"] == ["first"] * 2
