Lift a drain once the stopped endpoint leaves, and prove usage and drains with real processes

Cause: test_a_drained_engine_is_stopped_only_when_its_streams_have_ended waited 60 s in vain for the drain to be lifted: entries go on speaking of an endpoint that left, so it never was absent. Ruled out: a longer wait (the record stays for as long as entries keep it). Change: an endpoint whose stop order is done and that no longer serves counts as gone. Usage tests wait for at least the figure and then assert it exactly, so that an over-bill shows as one.

--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/drains.py
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/drains.py
@@ -24,6 +24,7 @@
 # An endpoint that was drained and never came back is forgotten, so that its id may be used again.
 FORGET_ABSENT_S = 600.0
 OPERATOR = "in_charge"
+SERVING = "serving"
 
 
 class Drains:
@@ -63,8 +64,11 @@
             self._absent_since_by_endpoint.clear()
         for drain in tuple(self._state.drains.drain_by_endpoint.values()):
             record = self._leases.endpoint_by_id.get(drain.endpoint)
-            if record is None:
-                await self._absent(drain, now)
+            # Leaving is final for an incarnation, so one that was stopped and leaves is as good as
+            # gone; entries go on speaking of it.
+            stopped = self._stopped(drain.endpoint)
+            if record is None or (stopped and record.state != SERVING):
+                await self._absent(drain, stopped, now)
                 continue
             self._absent_since_by_endpoint.pop(drain.endpoint, None)
             step = await self._decide(drain, record, now, wall_s)
@@ -124,12 +128,14 @@
                 return None
             attempt += 1
 
-    async def _absent(self, drain: Drain, now: float) -> None:
-        since_s = self._absent_since_by_endpoint.setdefault(drain.endpoint, now)
-        stopped = any(
-            order.outcome == "done" and order.order_id.startswith(f"stop-{drain.endpoint}-")
+    def _stopped(self, endpoint: str) -> bool:
+        return any(
+            order.outcome == "done" and order.order_id.rsplit("-", 2)[0] == f"stop-{endpoint}"
             for order in self._state.orders.order_by_id.values()
         )
+
+    async def _absent(self, drain: Drain, stopped: bool, now: float) -> None:
+        since_s = self._absent_since_by_endpoint.setdefault(drain.endpoint, now)
         # A new leader's table fills within seconds; until then every endpoint looks absent.
         wait_s = self._limits.settle_s if stopped else FORGET_ABSENT_S
         if now - since_s < wait_s:
--- a/tests/integration/test_duties_drain.py
+++ b/tests/integration/test_duties_drain.py
@@ -8,7 +8,14 @@
 import aiohttp
 
 from integration.duties_system import DutiesSystem
-from integration.processes import Process, free_address, get_json, python_module, wait_until
+from integration.processes import (
+    Process,
+    free_address,
+    get_json,
+    http_answers,
+    python_module,
+    wait_until,
+)
 from integration.rules_system import KEY, rules_text
 
 TOKENS = 120
@@ -26,11 +33,12 @@
         return len((await get_json(f"http://{self.address}/log"))["requests"])
 
 
-def _start_engine(system: DutiesSystem, name: str) -> _Engine:
+async def _start_engine(system: DutiesSystem, name: str) -> _Engine:
     address = free_address()
     arguments = ["--endpoint", name, "--listen", address, "--entry", system.cluster.url("e1")]
     arguments += ["--tokens-per-s", "15"]
     process = system.cluster.start_other(name, python_module("fakes.engine", *arguments))
+    await wait_until(lambda: http_answers(f"http://{address}/log"), f"{name} to answer")
     return _Engine(name, process, address)
 
 
@@ -50,10 +58,10 @@
     system = await DutiesSystem.found(tmp_path, drain_settle_s=2.0, drain_deadline_s=100.0)
     try:
         await system.rules.apply(rules_text(), 0)
-        first = _start_engine(system, "engine-1")
+        first = await _start_engine(system, "engine-1")
         stream = asyncio.create_task(_first_stream(system))
         await wait_until(first.ran, "the stream to begin")
-        second = _start_engine(system, "engine-2")
+        second = await _start_engine(system, "engine-2")
         await wait_until(lambda: _known(system, "engine-2"), "engine-2 to be known")
 
         drained = await system.rules.run("endpoint", "drain", "engine-1")
--- a/tests/integration/test_duties_usage.py
+++ b/tests/integration/test_duties_usage.py
@@ -71,6 +71,7 @@
         await _bring_back(system, report["reporter"], fault)
         await wait_until(lambda: _all_reported(system, 13), "all usage to be reported", 120.0)
 
+        assert await _reported_calls(system) == 13
         reports = await _reports(system)
         figures = {str(again["lines"]) for again in reports if again["window"] == report["window"]}
         assert len(figures) == 1
@@ -105,7 +106,7 @@
 
 
 async def _all_reported(system: DutiesSystem, calls: int) -> bool:
-    return await _reported_calls(system) == calls
+    return await _reported_calls(system) >= calls
 
 
 async def _call(system: DutiesSystem, count: int) -> None:
@@ -161,6 +162,7 @@
         await _call(system, 4)
 
         await wait_until(lambda: _all_reported(system, 9), "all usage to be reported", 120.0)
+        assert await _reported_calls(system) == 9
         assert await _calls(system) == 9
     finally:
         await system.stop()
