--- a/packages/ibisspring-entry/src/ibisspring_entry/lease/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/lease/service.py
@@ -24,9 +24,8 @@
     from ibisspring_core.settings import Settings
 
     RulesCallback = Callable[[Rules, Rules], None]
-    LapseCallback = Callable[[], None]
 
-WATCH_EVERY_S = 0.05
+WATCH_EVERY_S = 0.25
 
 
 class Lease:
@@ -44,7 +43,6 @@
         self._lapse_told = True
         self._start_told = False
         self._on_rules: list[RulesCallback] = []
-        self._on_lapse: list[LapseCallback] = []
         self._task: asyncio.Task[None] | None = None
         self._telling: asyncio.Task[None] | None = None
 
@@ -112,24 +110,18 @@
         """
         self._on_rules.append(callback)
 
-    def subscribe_lapse(self, callback: LapseCallback) -> None:
-        """
-        Be told when the lease lapses: keys may be withdrawn from then on without this entry
-        hearing of it, so running streams end as well.
-
-        :param callback: called once for each lapse.
-        """
-        self._on_lapse.append(callback)
-
     async def _renew_for_ever(self) -> None:
         while True:
+            start = boot_now()
             try:
                 changed = await self._renew()
             except Exception as error:
                 eliot.log_message("lease:renewal_failed", error=repr(error))
                 changed = False
-            # The leader answers an accepted change only once this entry says that it acts on it.
-            await asyncio.sleep(0.0 if changed else self._every_s)
+            # The leader holds the answer while nothing changes, so it paces the renewals; and an
+            # accepted change is answered only once this entry says that it acts on it.
+            left_s = 0.0 if changed else self._every_s - (boot_now() - start)
+            await asyncio.sleep(max(0.0, left_s))
 
     async def _renew(self) -> bool:
         """Renew once; True where the view changed."""
@@ -144,9 +136,10 @@
         changed = False
         if reply.view:
             view = decode(reply.view, EntryView)
-            changed = self._take(view, reply.peers_digest)
-            if self._holding.view is not view:
+            if not self._holding.accepts(view):
+                eliot.log_message("lease:view_refused", index=view.index)
                 return False
+            changed = self._take(view, reply.peers_digest)
         self._holding.extend(sent_s, reply.lease_s)
         self._lapse_told = False
         if registry is not None:
@@ -168,6 +161,7 @@
             endpoints=[encode(record) for record in records],
             endpoints_are_all=are_all,
             peers_digest=self._holding.peers_digest,
+            hold_s=self._every_s,
         )
 
     def _take(self, view: EntryView, peers_digest: int) -> bool:
@@ -198,8 +192,6 @@
         self._lapse_told = True
         self._counters.add("lease.lapsed")
         eliot.log_message("lease:lapsed")
-        for callback in self._on_lapse:
-            callback()
 
 
 __all__ = ["Lease"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -63,8 +63,11 @@
             if record is None:
                 yield self._failed(Reason.NO_ENDPOINT)
                 return
+            if self._request.note_endpoint is not None:
+                self._request.note_endpoint(record.endpoint)
             self._tries += 1
             held = len(self._held)
+            began = boot_now()
             attempt = self._open_try(record)
             with self._endpoints.work_on(record):
                 try:
@@ -75,6 +78,8 @@
                         self._endpoints.run_aside(attempt.cancel_upstream())
             outcome = attempt.outcome
             if outcome.reason is None:
+                made = max(1, len(self._held) - held)
+                self._endpoints.note_answer(record.endpoint, (boot_now() - began) / made)
                 yield End(self._request.request_id, len(self._held), record.endpoint, self._tries)
                 return
             self._note(record, outcome, len(self._held) - held)
@@ -128,6 +133,7 @@
         eliot.log_message(
             "generation:try_failed",
             request_id=self._request.request_id,
+            correlation_id=self._request.correlation_id,
             endpoint=record.endpoint,
             reason=outcome.reason.value,
             held=len(self._held),
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -27,6 +27,7 @@
         self._failed_on: set[Start] = set()
         self._tries = 0
         self._not_run = True
+        self._exhausted = False
         detail = f"no endpoint of {request.service} takes work"
         self._last = Refusal(Reason.NO_ENDPOINT, True, RETRY_AFTER_S, detail)
 
@@ -97,16 +98,25 @@
         return None
 
     async def _try(self) -> PlainAnswer | Refusal:
-        record = self._endpoints.pick(self._request.service, "", failed_on=self._failed_on)
+        record = self._endpoints.pick(
+            self._request.service,
+            "",
+            failed_on=self._failed_on,
+            repeatable=self._request.idempotent,
+        )
         if record is None:
+            self._exhausted = True
             return self._last
         self._tries += 1
         self._failed_on.add((record.endpoint, record.incarnation))
         try_id = f"{self._request.request_id}.{self._tries}"
+        began = boot_now()
         with self._endpoints.work_on(record):
             answer = await send_try(
                 self._endpoints.session, record, self._request, try_id, self._deadline
             )
+        if isinstance(answer, PlainAnswer):
+            self._endpoints.note_answer(record.endpoint, boot_now() - began)
         if isinstance(answer, Refusal):
             self._not_run = self._not_run and answer.not_run
             self._last = answer
@@ -116,7 +126,8 @@
     def _may_try_again(self, refusal: Refusal) -> bool:
         if self._tries >= MAX_TRIES or boot_now() >= self._deadline:
             return False
-        if refusal.reason is Reason.NO_ENDPOINT:
+        # Without an endpoint there is nothing to wait for: asking again at once would spin.
+        if self._exhausted:
             return False
         return self._endpoints.may_retry(refusal.reason, charged=not refusal.not_run)
 
