Judge a drain by the engine's own record when the stop order arrives

Cause: with the announced load taken out of the drain decision the test still passed: it looked at the platform before the stop order could have gone, and never after. Change: when the first stop order is seen, the engine's own record must say that its stream is done. Seen failing with in_flight fixed to 0: "the stop order went out before the stream's end, [''] == ['done']". Conclusion: a planned stop waits for the streams.

--- a/tests/integration/test_duties_drain.py
+++ b/tests/integration/test_duties_drain.py
@@ -18,7 +18,7 @@
 )
 from integration.rules_system import KEY, rules_text
 
-TOKENS = 120
+TOKENS = 180
 HEADERS = {"Authorization": f"Bearer {KEY}"}
 
 
@@ -28,9 +28,14 @@
         self.process = process
         self.address = address
 
+    async def ends(self) -> list[str]:
+        """How each request that it took ended; empty for one that runs."""
+        log = await get_json(f"http://{self.address}/log")
+        return [request["ended"] for request in log["requests"]]
+
     async def ran(self) -> int:
         """How many requests it took."""
-        return len((await get_json(f"http://{self.address}/log"))["requests"])
+        return len(await self.ends())
 
 
 async def _start_engine(system: DutiesSystem, name: str) -> _Engine:
@@ -69,12 +74,12 @@
         for _ in range(3):
             assert (await _generate(system, 4))[-1]["done"]
         assert await second.ran() == 3
-        assert await system.sent() == [], "the stop order went out before the stream's end"
+        (order,) = await system.wait_sent(1)
+        assert await first.ends() == ["done"], "the stop order went out before the stream's end"
         lines = await stream
 
         assert lines[-1]["done"]
         assert sum(len(line.get("tokens", ())) for line in lines) == TOKENS
-        (order,) = await system.wait_sent(1)
         assert (order["order"]["action"], order["order"]["endpoint"]) == ("stop", "engine-1")
         assert await first.ran() == 1
         assert await first.process.terminate() == 0
