--- a/packages/ibisspring-control/src/ibisspring_control/consensus/core.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/core.py
@@ -146,7 +146,10 @@
                 if begin_read(state, event):
                     replication.broadcast(state)
             case SnapshotTaken():
-                state.log.compact(event.meta, event.keep_from)
+                # One that the leader sent may have overtaken it; an older one in its place would
+                # put older members in force.
+                if event.meta.index > state.log.snapshot.index:
+                    state.log.compact(event.meta, event.keep_from)
             case ReplicaSeen():
                 membership.on_replica_seen(state, event)
             case Replace():
@@ -196,6 +199,11 @@
     def snapshot(self) -> SnapshotMeta:
         return self.state.log.snapshot
 
+    @property
+    def cluster(self) -> str:
+        """Id of the cluster whose log this replica holds; empty for none."""
+        return self.state.log.members.cluster
+
     @property
     def is_empty(self) -> bool:
         """Whether this replica never took part in a cluster."""
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/state.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/state.py
@@ -20,10 +20,12 @@
     import random
 
     from ibisspring_control.consensus.log import Log
+    from ibisspring_core.settings import ControlSettings
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
 LEADER = "leader"
+TICKS_PER_HEARTBEAT = 4
 
 
 @dataclass(frozen=True)
@@ -47,6 +49,21 @@
     max_in_flight: int = 16
     chunk_bytes: int = 256 * 1024
 
+    @classmethod
+    def from_config(cls, control: ControlSettings) -> CoreConfig:
+        """
+        Take the times from the settings.
+
+        :param control: checked settings of the control role.
+        :return: the configuration.
+        """
+        return cls(control.heartbeat_s, control.election_timeout_s, control.leader_lease_s)
+
+    @property
+    def tick_s(self) -> float:
+        """Seconds between looks at the clock."""
+        return self.heartbeat_s / TICKS_PER_HEARTBEAT
+
 
 @dataclass
 class Progress:
