Read usage windows and orders as the state machine's own types

Cause: in_charge had copies of UsageLine, UsageWindow and the open order from the time before the state machine was there: logic that stood twice.

--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/orders.py
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/orders.py
@@ -21,8 +21,9 @@
 from ibisspring_core.messages.commands import IntentRecorded, OrderIntent, OrderResolved
 
 if TYPE_CHECKING:
-    from ibisspring_control.in_charge.duty_state import DutyState, OpenOrder
     from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
+    from ibisspring_control.state import StateMachine
+    from ibisspring_control.state.orders import Order
     from ibisspring_core.counters import Counters
 
 PLATFORM = "platform"
@@ -86,7 +87,7 @@
     def __init__(
         self,
         consensus: Any,
-        state: DutyState,
+        state: StateMachine,
         watch: TenureWatch,
         counters: Counters,
         settings: OrderSettings,
@@ -130,7 +131,7 @@
                 return Refusal(Reason.CONFLICT, not_run=True, detail=str(recorded))
             return await self._send_committed(tenure, intent, recorded.fencing)
 
-    async def resume(self, tenure: Tenure, order: OpenOrder) -> OrderEnd | Refusal:
+    async def resume(self, tenure: Tenure, order: Order) -> OrderEnd | Refusal:
         """
         Find the end of an order that was left open, under its own id.
 
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/service.py
@@ -16,6 +16,7 @@
 from ibisspring_decisions.drain import DrainLimits
 
 if TYPE_CHECKING:
+    from ibisspring_control.state.orders import Order
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import Settings
 
@@ -137,7 +138,7 @@
         tenure = self._watch.current(now)
         if tenure is None:
             return
-        order_by_receiver: dict[str, Any] = {}
+        order_by_receiver: dict[str, Order] = {}
         for order in self._state.open_orders():
             order_by_receiver.setdefault(order.intent.receiver, order)
         limit = asyncio.Semaphore(RESUMED_AT_A_TIME)
@@ -145,7 +146,7 @@
             *(self._resume(tenure, order, limit) for order in order_by_receiver.values())
         )
 
-    async def _resume(self, tenure: Tenure, order: Any, limit: asyncio.Semaphore) -> None:
+    async def _resume(self, tenure: Tenure, order: Order, limit: asyncio.Semaphore) -> None:
         receiver = order.intent.receiver
         now = boot_now()
         if not self._backoff.ready(receiver, now):
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/usage_reports.py
+++ b/packages/ibisspring-control/src/ibisspring_control/in_charge/usage_reports.py
@@ -14,8 +14,9 @@
 from ibisspring_core.messages.commands import CloseWindow, WindowReported
 
 if TYPE_CHECKING:
-    from ibisspring_control.in_charge.duty_state import DutyState, UsageWindow
     from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
+    from ibisspring_control.state import StateMachine
+    from ibisspring_control.state.usage import UsageWindow
     from ibisspring_core.counters import Counters
 
 # Entries flush every second; what they flush after this is marked late in the next window.
@@ -49,7 +50,7 @@
     def __init__(
         self,
         consensus: Any,
-        state: DutyState,
+        state: StateMachine,
         watch: TenureWatch,
         counters: Counters,
         settings: ReportSettings,
--- a/tests/unit/control/in_charge/conftest.py
+++ b/tests/unit/control/in_charge/conftest.py
@@ -8,8 +8,9 @@
 from aiohttp.test_utils import TestServer
 
 from fakes import platform, usage
-from ibisspring_control.in_charge.duty_state import OpenOrder, UsageLine, UsageWindow
 from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
+from ibisspring_control.state.orders import Order
+from ibisspring_control.state.usage import UsageLine, UsageWindow
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Refusal
 from ibisspring_core.messages.codec import decode
@@ -42,7 +43,7 @@
     refuse_next: list[Refusal] = field(default_factory=list)
     commands: list[Any] = field(default_factory=list)
     window_by_index: dict[int, UsageWindow] = field(default_factory=dict)
-    open_by_id: dict[str, OpenOrder] = field(default_factory=dict)
+    open_by_id: dict[str, Order] = field(default_factory=dict)
     fencing: int = 0
     on_commit: Any = None
 
@@ -62,13 +63,15 @@
     def _apply(self, command: Any) -> Any:
         if isinstance(command, OrderIntent):
             self.fencing += 1
-            self.open_by_id[command.order_id] = OpenOrder(command, self.fencing)
+            self.open_by_id[command.order_id] = Order(
+                command.order_id, command.receiver, command.body, self.fencing, self.fencing, 0.0
+            )
             return IntentRecorded(self.fencing)
         if isinstance(command, OrderResolved):
             del self.open_by_id[command.order_id]
         if isinstance(command, CloseWindow):
             window = self.window_by_index[command.window]
-            self.window_by_index[command.window] = UsageWindow(window.window, True, window.lines)
+            self.window_by_index[command.window] = UsageWindow(window.window, window.lines, 1)
         if isinstance(command, WindowReported):
             del self.window_by_index[command.window]
         return Done()
@@ -76,18 +79,15 @@
     def unreported_windows(self) -> tuple[UsageWindow, ...]:
         return tuple(self.window_by_index[index] for index in sorted(self.window_by_index))
 
-    def open_orders(self) -> tuple[OpenOrder, ...]:
+    def open_orders(self) -> tuple[Order, ...]:
         return tuple(sorted(self.open_by_id.values(), key=lambda order: order.fencing))
 
-    def draining_endpoints(self) -> tuple[str, ...]:
-        return ()
-
 
 @pytest.fixture
 def control() -> Control:
     control = Control()
-    line = UsageLine("stoke-foundry", "scorer-lm", 70, 2, 1.5, False)
-    control.window_by_index[5] = UsageWindow(5, False, (line,))
+    line = UsageLine("stoke-foundry", "scorer-lm", False, 70, 2, 1.5)
+    control.window_by_index[5] = UsageWindow(5, (line,))
     return control
 
 
