--- a/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.messages.endpoints import Disproof, EndpointRecord
     from ibisspring_core.settings import Settings
 
 # Clocks of two VMs may run at rates that differ by some 100 ppm; one percent and a little is ample.
@@ -90,6 +90,10 @@
         """Endpoints that live entries know; only complete on the leader."""
         return self._endpoints.record_by_id
 
+    def take_disproofs(self) -> tuple[Disproof, ...]:
+        """Hand over what entries told of disproved announcements since the last call."""
+        return self._endpoints.take_disproofs()
+
     async def start(self, kernel: Kernel) -> None:
         """Find consensus and the state."""
         self._consensus = kernel.find("consensus")
@@ -131,6 +135,7 @@
         lease = self._note(request, received_s)
         for data in request.endpoints:
             self._endpoints.merge(data, received_s)
+        self._endpoints.note_disproofs(request.disproofs)
         self._changed.set()
         await self._hold(request, received_s)
         confirmed = await self._confirm_after_now()
@@ -176,14 +181,8 @@
             return
 
     async def _hold(self, request: control_pb2.RenewRequest, received_s: float) -> None:
-        """
-        Keep an up-to-date entry waiting, so that a change reaches it at once.
-
-        Holds end at common ticks: the answers of all entries then share one quorum round, and the
-        rounds a second do not grow with the number of entries.
-        """
-        longest_s = min(request.hold_s, MAX_HOLD_S, self.lease_s / 2)
-        end = (received_s + longest_s) // HOLD_TICK_S * HOLD_TICK_S
+        """Keep an up-to-date entry waiting, so that a change reaches it at once."""
+        end = hold_end_s(received_s, min(request.hold_s, MAX_HOLD_S, self.lease_s / 2))
         while self._views.is_current(request) and boot_now() < end:
             changed = self._view_changed
             try:
@@ -252,6 +251,10 @@
 
     async def _sweep(self, now: float) -> None:
         """Forget lapsed leases and endpoints that no entry speaks of any more."""
+        # Without it a reign would count from its first renewal or apply, and an apply to a system
+        # without entries would wait a whole lease however long the leader has led.
+        if self._consensus.is_leader:
+            self._note_reign()
         lapsed = [start for start, lease in self.lease_by_start.items() if lease.lapses_s <= now]
         for start in lapsed:
             del self.lease_by_start[start]
@@ -277,4 +280,18 @@
         return control_pb2.RenewReply(status=control_pb2.NOT_LEADER, leader_hint=hint or "")
 
 
-__all__ = ["EntryLease", "EntryLeases"]
+def hold_end_s(received_s: float, longest_s: float) -> float:
+    """
+    Find when a held renewal is answered at the latest.
+
+    Holds end at common ticks: the answers of all entries then share one quorum round, and the
+    rounds a second do not grow with the number of entries.
+
+    :param received_s: boot-clock second at which the renewal came in.
+    :param longest_s: longest hold that is allowed.
+    :return: boot-clock second.
+    """
+    return (received_s + longest_s) // HOLD_TICK_S * HOLD_TICK_S
+
+
+__all__ = ["EntryLease", "EntryLeases", "hold_end_s"]
--- a/tests/integration/test_duties_drain.py
+++ b/tests/integration/test_duties_drain.py
@@ -8,10 +8,17 @@
 import aiohttp
 
 from integration.duties_system import DutiesSystem
-from integration.processes import Process, free_address, get_json, python_module, wait_until
+from integration.processes import (
+    Process,
+    free_address,
+    get_json,
+    http_answers,
+    python_module,
+    wait_until,
+)
 from integration.rules_system import KEY, rules_text
 
-TOKENS = 120
+TOKENS = 180
 HEADERS = {"Authorization": f"Bearer {KEY}"}
 
 
@@ -21,16 +28,22 @@
         self.process = process
         self.address = address
 
+    async def ends(self) -> list[str]:
+        """How each request that it took ended; empty for one that runs."""
+        log = await get_json(f"http://{self.address}/log")
+        return [request["ended"] for request in log["requests"]]
+
     async def ran(self) -> int:
         """How many requests it took."""
-        return len((await get_json(f"http://{self.address}/log"))["requests"])
+        return len(await self.ends())
 
 
-def _start_engine(system: DutiesSystem, name: str) -> _Engine:
+async def _start_engine(system: DutiesSystem, name: str) -> _Engine:
     address = free_address()
     arguments = ["--endpoint", name, "--listen", address, "--entry", system.cluster.url("e1")]
     arguments += ["--tokens-per-s", "15"]
     process = system.cluster.start_other(name, python_module("fakes.engine", *arguments))
+    await wait_until(lambda: http_answers(f"http://{address}/log"), f"{name} to answer")
     return _Engine(name, process, address)
 
 
@@ -50,10 +63,10 @@
     system = await DutiesSystem.found(tmp_path, drain_settle_s=2.0, drain_deadline_s=100.0)
     try:
         await system.rules.apply(rules_text(), 0)
-        first = _start_engine(system, "engine-1")
+        first = await _start_engine(system, "engine-1")
         stream = asyncio.create_task(_first_stream(system))
         await wait_until(first.ran, "the stream to begin")
-        second = _start_engine(system, "engine-2")
+        second = await _start_engine(system, "engine-2")
         await wait_until(lambda: _known(system, "engine-2"), "engine-2 to be known")
 
         drained = await system.rules.run("endpoint", "drain", "engine-1")
@@ -61,12 +74,12 @@
         for _ in range(3):
             assert (await _generate(system, 4))[-1]["done"]
         assert await second.ran() == 3
-        assert await system.sent() == [], "the stop order went out before the stream's end"
+        (order,) = await system.wait_sent(1)
+        assert await first.ends() == ["done"], "the stop order went out before the stream's end"
         lines = await stream
 
         assert lines[-1]["done"]
         assert sum(len(line.get("tokens", ())) for line in lines) == TOKENS
-        (order,) = await system.wait_sent(1)
         assert (order["order"]["action"], order["order"]["endpoint"]) == ("stop", "engine-1")
         assert await first.ran() == 1
         assert await first.process.terminate() == 0
