Check in the measurement that streams end by their key

Cause: the last token under a withdrawn key read 0.0 ms, which could also have been streams that ended by something else.

--- a/bench/rules_in_force.py
+++ b/bench/rules_in_force.py
@@ -107,8 +107,12 @@
             session.post(f"{url}/v1/generate", json=body, headers=headers) as response,
         ):
             async for line in response.content:
-                if "tokens" in json.loads(line):
+                read = json.loads(line)
+                if "tokens" in read:
                     last_s[place] = time.monotonic()
+            reason = read.get("error", {}).get("reason")
+            if reason != "key_withdrawn":
+                raise SystemExit(f"a stream ended by {reason}, not by its key")
 
     async def start(self) -> None:
         await self.system.found()
