Look for stale samples only when the bound or a sample changed

Cause: an idle step of 4,096 samples was walked through five times a second. Change: Gathering.discard_stale returns at once where the bound is the one of its last look and no sample came since. Figures: test_rollouts_staleness.py and test_rollouts_labels.py 5 passed in 40 s, unit tests of rollouts 22 passed; the saving was not measured.

--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
@@ -86,6 +86,7 @@
         self._durations_s: list[float] = []
         self._opened_version = needs.bound().trainer_version
         self._trainer_waits = False
+        self._checked_bound: Bound | None = None
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -139,6 +140,9 @@
     def discard_stale(self) -> None:
         """Throw away finished samples that have become too old, before they cost a commit."""
         bound = self._needs.bound()
+        if bound == self._checked_bound:
+            return
+        self._checked_bound = bound
         for member in self._members:
             if member.sample is None or bound.allows(member.sample.oldest_version()):
                 continue
@@ -216,6 +220,8 @@
             self._durations_s.append(result.endpoint_s)
             self._wake.set()
             member.sample = await self._scored(result)
+            # It may have become too old while it waited for its score.
+            self._checked_bound = None
             member.failures = 0
         else:
             self._failed(member, plan, result)
