--- a/packages/ibisspring-entry/src/ibisspring_entry/http/callers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/callers.py
@@ -54,6 +54,36 @@
     return Caller(client_account, key)
 
 
+def admit(kernel: Kernel, request: falcon.asgi.Request) -> Caller | Refusal:
+    """
+    Let a caller's request in: its key is good, and its client account is within its rate.
+
+    :param kernel: the daemon's kernel.
+    :param request: the request; from here on it ends with its key.
+    :return: the caller, or why it is not served.
+    """
+    caller = identify(kernel, request)
+    if isinstance(caller, Refusal):
+        return caller
+    refused = kernel.find("admission").ask(caller.client_account)
+    if refused is not None:
+        return refused
+    opened = kernel.find("http").open_work.enter(caller.key, caller.client_account)
+    request.context.opened = opened
+    return caller
+
+
+def key_holds(kernel: Kernel, caller: Caller) -> bool:
+    """
+    Check that a caller's key still belongs to its client account.
+
+    :param kernel: the daemon's kernel.
+    :param caller: from `admit`, maybe some time ago.
+    :return: False also while the lease is lapsed.
+    """
+    return kernel.find("lease").client_account_of(caller.key) == caller.client_account
+
+
 def key_of(request: falcon.asgi.Request) -> str:
     """
     Read the key.
@@ -67,4 +97,4 @@
     return header[len(BEARER) :].strip()
 
 
-__all__ = ["Caller", "identify", "key_of"]
+__all__ = ["Caller", "admit", "identify", "key_holds", "key_of"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/generate.py
@@ -13,7 +13,8 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_entry.http.access import allowed_rules
 from ibisspring_entry.http.bodies import parse_body, read_body
-from ibisspring_entry.http.ending import admit, ended, key_holds, serve_until_ended
+from ibisspring_entry.http.callers import admit, key_holds
+from ibisspring_entry.http.ending import ended, serve_until_ended
 from ibisspring_entry.http.generate_wire import NDJSON, GenerateBody, line_of, whole_answer
 from ibisspring_entry.http.keyed_generation import KeyedGeneration
 from ibisspring_entry.http.refusals import refuse
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/services.py
@@ -10,8 +10,8 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_entry.http.access import allowed_rules
 from ibisspring_entry.http.bodies import read_body
-from ibisspring_entry.http.callers import Caller
-from ibisspring_entry.http.ending import admit, key_holds, serve_until_ended
+from ibisspring_entry.http.callers import Caller, admit, key_holds
+from ibisspring_entry.http.ending import serve_until_ended
 from ibisspring_entry.http.refusals import refuse
 from ibisspring_entry.http.usage import bill
 from ibisspring_entry.proxy.messages import PlainAnswer, PlainRequest
