--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -8,6 +8,7 @@
 
 import eliot
 import grpc
+import xxhash
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
@@ -18,15 +19,15 @@
 from ibisspring_entry.rollouts.peer_batches import serve_batch
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterable
 
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.views import PeerRecord
     from ibisspring_core.settings import Settings
     from ibisspring_entry.registry.table import EndpointTable
 
-EXCHANGE_EVERY_S = 0.5
-DIGEST_EVERY = 4
+EXCHANGE_EVERY_S = 1.0
+DIGEST_EVERY = 2
 """Every so many exchanges carry the digest, so that a gap is repaired within about two seconds."""
 
 EXCHANGE_TIMEOUT_S = 2.0
@@ -56,6 +57,19 @@
     wanted_by_service: dict[str, float]
 
 
+def begins_exchange(daemon: str, peer: str) -> bool:
+    """
+    Tell which entry of a pair calls the other; an answer carries as much as a call.
+
+    :param daemon: this entry.
+    :param peer: the other one.
+    :return: the same on both sides for one of them only, spread evenly over all entries.
+    """
+    first, second = sorted((daemon, peer))
+    even = xxhash.xxh64_intdigest(f"{first} {second}".encode()) % 2 == 0
+    return daemon == (first if even else second)
+
+
 class PeerExchange:
     """Hands this entry's endpoint records to the peers and takes theirs."""
 
@@ -66,6 +80,7 @@
         self._task_by_daemon: dict[str, asyncio.Task[None]] = {}
         self._peer_by_daemon: dict[str, PeerRecord] = {}
         self._told_by_daemon: dict[str, ToldByPeer] = {}
+        self._answered_by_daemon: dict[str, SentToPeer] = {}
         self._server: grpc.aio.Server | None = None
         self.demand_by_client_account: dict[str, float] = {}
         self.wanted_by_service: dict[str, float] = {}
@@ -115,6 +130,8 @@
             if daemon not in self._peer_by_daemon:
                 self._task_by_daemon.pop(daemon).cancel()
         for daemon in self._peer_by_daemon:
+            if not begins_exchange(self._daemon, daemon):
+                continue
             talking = self._task_by_daemon.get(daemon)
             if talking is None or talking.done():
                 self._task_by_daemon[daemon] = asyncio.create_task(self._talk(daemon))
@@ -133,7 +150,7 @@
                     channel = grpc.aio.insecure_channel(address, CHANNEL_OPTIONS)
                 with_digest = number % DIGEST_EVERY == 0
                 number += 1
-                if not await self._exchange(channel, sent, with_digest):
+                if not await self._exchange(daemon, channel, sent, with_digest):
                     # A channel that the network lost track of stays silent for good while a new one
                     # works: the deadline ends it.
                     await channel.close()
@@ -144,7 +161,7 @@
                 await channel.close()
 
     async def _exchange(
-        self, channel: grpc.aio.Channel, sent: SentToPeer, with_digest: bool
+        self, daemon: str, channel: grpc.aio.Channel, sent: SentToPeer, with_digest: bool
     ) -> bool:
         began = boot_now()
         delta = sent.delta(self._table.heard(), began)
@@ -170,31 +187,50 @@
         sent.acknowledged(delta, began)
         broken = take_all(self._table, reply.endpoints, reply.ages_s, began)
         self._counters.add("peer_record_broken", broken)
+        self._take_refreshes(reply.refreshes, began)
+        self._told_by_daemon[daemon] = ToldByPeer(
+            began, dict(reply.demand_by_client_account), dict(reply.wanted_by_service)
+        )
         return True
 
+    def _take_refreshes(self, refreshes: Iterable[entry_peer_pb2.Refresh], now: float) -> None:
+        for refresh in refreshes:
+            load = EndpointLoad(refresh.running, refresh.queued, refresh.capacity)
+            start = (refresh.endpoint, refresh.incarnation)
+            self._table.refresh(start, refresh.sequence, load, now - refresh.age_s)
+
     def answer(self, request: entry_peer_pb2.ExchangeRequest) -> entry_peer_pb2.ExchangeReply:
         """
         Answer a peer's exchange.
 
+        An answer that is lost leaves a gap, which the digest of a later exchange repairs.
+
         :param request: its records, digest and demand.
-        :return: all records where the digests differ.
+        :return: this entry's demand, and its newer records or, where the digests differ, all.
         """
         now = boot_now()
         broken = take_all(self._table, request.endpoints, request.ages_s, now)
         self._counters.add("peer_record_broken", broken)
-        for refresh in request.refreshes:
-            load = EndpointLoad(refresh.running, refresh.queued, refresh.capacity)
-            start = (refresh.endpoint, refresh.incarnation)
-            self._table.refresh(start, refresh.sequence, load, now - refresh.age_s)
+        self._take_refreshes(request.refreshes, now)
         self._told_by_daemon[request.daemon] = ToldByPeer(
             now, dict(request.demand_by_client_account), dict(request.wanted_by_service)
         )
-        known = self._table.heard_lately(request.unheard, now)
+        sent = self._answered_by_daemon.setdefault(request.daemon, SentToPeer())
+        delta = sent.delta(self._table.heard(), now)
+        # Whether the answer arrives is not known here; what a lost one leaves out is in the digest.
+        sent.acknowledged(delta, now)
+        known = [*delta.whole, *self._table.heard_lately(request.unheard, now)]
         if request.digest not in (0, self._table.digest()):
             self._counters.add("peer_digest_repaired")
             known = self._table.heard()
         records, ages_s = pack(known, now)
-        return entry_peer_pb2.ExchangeReply(endpoints=records, ages_s=ages_s)
+        return entry_peer_pb2.ExchangeReply(
+            endpoints=records,
+            ages_s=ages_s,
+            demand_by_client_account=self.demand_by_client_account,
+            wanted_by_service=self.wanted_by_service,
+            refreshes=delta.refreshes,
+        )
 
     def told(self, now: float) -> dict[str, ToldByPeer]:
         """
