Tell a caller that its peer lacks records

Cause: since one of each pair begins the exchange, a peer that begins none and started again between two exchanges was sent refreshes of records that it does not know; the digest repaired only what the caller lacked.

Change: the reply says that the digests differ (field `differs`), and the caller then sends whole records again.

Failing first: not seen, the flag is new; that the caller acts on it is not tested by itself. Found by reading.

--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -188,6 +188,10 @@
         broken = take_all(self._table, reply.endpoints, reply.ages_s, began)
         self._counters.add("peer_record_broken", broken)
         self._take_refreshes(reply.refreshes, began)
+        if reply.differs:
+            # It may have started again between two exchanges: refreshes of what it does not know
+            # are not taken there, and it begins no exchange with this entry itself.
+            sent.lost()
         self._told_by_daemon[daemon] = ToldByPeer(
             began, dict(reply.demand_by_client_account), dict(reply.wanted_by_service)
         )
@@ -220,7 +224,8 @@
         # Whether the answer arrives is not known here; what a lost one leaves out is in the digest.
         sent.acknowledged(delta, now)
         known = [*delta.whole, *self._table.heard_lately(request.unheard, now)]
-        if request.digest not in (0, self._table.digest()):
+        differs = request.digest not in (0, self._table.digest())
+        if differs:
             self._counters.add("peer_digest_repaired")
             known = self._table.heard()
         records, ages_s = pack(known, now)
@@ -230,6 +235,7 @@
             demand_by_client_account=self.demand_by_client_account,
             wanted_by_service=self.wanted_by_service,
             refreshes=delta.refreshes,
+            differs=differs,
         )
 
     def told(self, now: float) -> dict[str, ToldByPeer]:
