Bill a sample for the engines' time without its wait for a turn

Cause: rollouts timed a sample from its request to its end mark; since requests wait in the fair queue, that counts seconds in which no endpoint worked for the account. Seen failing without the change: 0.0001 s of elapsed time billed where the engine said 0.25 s (test_a_sample_is_billed_for_the_engines_time_without_its_wait). Ruled out: the callers' path, which bills End.endpoint_s already. Change: samples take endpoint_s from the end mark; what is used to find stragglers keeps the wait, since racing who only waits makes the line longer. Conclusion: usage of trainers and callers is counted alike.

--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/attempt.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -104,7 +103,6 @@
     :param engine: told which engine the tokens come from.
     :return: the whole sample with its label runs, or why there is none.
     """
-    started_s = time.monotonic()
     tokens: list[int] = []
     runs: tuple[LabelRun, ...] = ()
     stream = endpoints.generate(plan.request)
@@ -113,7 +111,7 @@
             if isinstance(item, Failed):
                 return Discarded("failed", item.refusal.reason, item.refusal.retry_after_s)
             if isinstance(item, End):
-                return _finish(plan, tokens, runs, item.total, time.monotonic() - started_s)
+                return _finish(plan, tokens, runs, item)
             if not isinstance(item, TokenRun) or not item.tokens:
                 continue
             engine.note_version(item.version)
@@ -137,13 +135,12 @@
     plan: AttemptPlan,
     tokens: list[int],
     runs: tuple[LabelRun, ...],
-    total: int,
-    endpoint_s: float,
+    end: End,
 ) -> Sample | Discarded:
-    if total != len(tokens) or not tokens:
+    if end.total != len(tokens) or not tokens:
         return Discarded("short")
     return Sample(
-        plan.sample, plan.group, plan.member, plan.prompt, tuple(tokens), runs, endpoint_s
+        plan.sample, plan.group, plan.member, plan.prompt, tuple(tokens), runs, end.endpoint_s
     )
 
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
@@ -212,12 +212,15 @@
         return AttemptPlan(sample, group.group, member.member, group.prompt, request)
 
     async def _attempt(self, member: Member, plan: AttemptPlan, engine: EngineInUse) -> None:
+        started_s = time.monotonic()
         result = await run_attempt(self._needs.endpoints, plan, self._needs.bound, engine)
         if member.taken:
             return
         if isinstance(result, Sample):
             member.take(asyncio.current_task())
-            self._durations_s.append(result.endpoint_s)
+            # With the wait for a turn: whoever only waits is no straggler, and racing it would make
+            # the line longer.
+            self._durations_s.append(time.monotonic() - started_s)
             self._wake.set()
             member.sample = await self._scored(result)
             # It may have become too old while it waited for its score.
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/samples.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/samples.py
@@ -32,7 +32,7 @@
 
     :param sample: id, unique over steps, epochs and attempts; it is delivered at most once.
     :param member: number of the sample in its group, from 0.
-    :param endpoint_s: seconds from the request to its end mark.
+    :param endpoint_s: seconds that engines worked on it, without its wait for a turn.
     :param score_version: version that the score is for; None without a scorer.
     """
 
--- a/tests/unit/entry/rollouts/stand_ins.py
+++ b/tests/unit/entry/rollouts/stand_ins.py
@@ -21,6 +21,7 @@
         self.asked: list[str] = []
         self.closed: list[str] = []
         self.hang_by_sample: dict[str, asyncio.Event] = {}
+        self.endpoint_s = 0.0
 
     async def generate(self, request: GenerateRequest) -> AsyncIterator[Any]:
         self.asked.append(request.request_id)
@@ -31,7 +32,7 @@
                 yield TokenRun(request.request_id, offset, (offset,), "", version, "n0")
             if request.request_id in self.hang_by_sample:
                 await self.hang_by_sample[request.request_id].wait()
-            yield End(request.request_id, len(labels), "n0")
+            yield End(request.request_id, len(labels), "n0", endpoint_s=self.endpoint_s)
         finally:
             self.closed.append(request.request_id)
 
--- a/tests/unit/entry/rollouts/test_gathering.py
+++ b/tests/unit/entry/rollouts/test_gathering.py
@@ -115,3 +115,20 @@
 
     assert first - second == {"t:1:1:0:1.1"}
     assert second - first == {"t:1:1:0:1.2"}
+
+
+async def test_a_sample_is_billed_for_the_engines_time_without_its_wait() -> None:
+    """
+    The engines are full and a step's samples wait long for their turn.
+
+    The trainer's account was billed for endpoint seconds in which no endpoint worked for it.
+    """
+    engines = Engines(lambda request: (4,))
+    engines.endpoint_s = 0.25
+    step, _ = gathering(engines, lambda: Bound(4, 0))
+
+    await _whole(step)
+    samples = step.whole() or ()
+    await step.stop()
+
+    assert [sample.endpoint_s for sample in samples] == [0.25] * 4
