Check that the reference names every setting, counter and reason

Cause: settings and counters were added side by side and their pages fell behind. Seen failing: load_timeout_s, owner_lost and 14 counters were nowhere described.

--- /dev/null
+++ b/tests/unit/docs/test_reference.py
@@ -0,0 +1,42 @@
+"""The reference pages name everything that an operator can set or watch."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from pathlib import Path
+
+import pytest
+
+from ibisspring_core.errors import Reason
+from ibisspring_core.settings import ControlSettings, EntrySettings, Settings
+
+REPOSITORY = Path(__file__).resolve().parents[3]
+REFERENCE = REPOSITORY / "docs" / "reference"
+COUNTED = re.compile(r'counters\.add\(\s*f?"([^"{]+)')
+
+
+@pytest.mark.parametrize("section", [Settings, ControlSettings, EntrySettings])
+def test_every_setting_is_documented(section: type) -> None:
+    page = (REFERENCE / "settings.md").read_text(encoding="utf-8")
+    sections = {"control", "entry", "statsd"}
+
+    names = {field.name for field in dataclasses.fields(section)} - sections
+
+    assert {name for name in names if f"`{name}`" not in page} == set()
+
+
+def test_every_counter_is_documented() -> None:
+    page = (REFERENCE / "counters.md").read_text(encoding="utf-8")
+    names = set()
+    for path in (REPOSITORY / "packages").rglob("*.py"):
+        names.update(COUNTED.findall(path.read_text(encoding="utf-8")))
+
+    assert len(names) > 20
+    assert {name for name in names if f"`{name}" not in page} == set()
+
+
+def test_every_reason_is_documented() -> None:
+    page = (REFERENCE / "api-errors.md").read_text(encoding="utf-8")
+
+    assert {reason.value for reason in Reason if f"`{reason.value}`" not in page} == set()
