Start, ask and break the tests' fakes in one place

Cause: four systems of the tests each held the same start, log and fault of a fake. Change: Fakes as their base; each keeps only what it adds. The check that a fake is known asks, as before, that every entry has accepted it. Conclusion: no check changed.

--- a/tests/integration/duties_system.py
+++ b/tests/integration/duties_system.py
@@ -5,9 +5,8 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
-
-from integration.processes import free_address, get_json, http_answers, python_module, wait_until
+from integration.fakes_of_test import Fakes
+from integration.processes import free_address, http_answers, python_module, wait_until
 from integration.proxy import FaultProxy, Mode
 from integration.rules_system import RulesSystem, rules_text
 
@@ -15,13 +14,13 @@
 PLACED = "place scorer-lm in birmingham, derby, stoke count {count} cheap at-most 40% # asked: t, 9"
 
 
-class DutiesSystem:
+class DutiesSystem(Fakes):
     """Three control daemons, one entry, the fakes, and proxies by (source, target)."""
 
     def __init__(self, rules: RulesSystem) -> None:
+        super().__init__(rules.cluster.start_other)
         self.rules = rules
         self.cluster = rules.cluster
-        self.address_by_fake: dict[str, str] = {}
         self.proxy_by_path: dict[tuple[str, str], FaultProxy] = {}
 
     @classmethod
@@ -35,10 +34,10 @@
         return system
 
     async def _start_fake(self, name: str) -> None:
-        self.address_by_fake[name] = free_address()
-        arguments = python_module(f"fakes.{name}", "--listen", self.address_by_fake[name])
+        self.address_by_name[name] = free_address()
+        arguments = python_module(f"fakes.{name}", "--listen", self.address_by_name[name])
         process = self.cluster.start_other(name, arguments)
-        url = f"http://{self.address_by_fake[name]}/log"
+        url = f"http://{self.address_by_name[name]}/log"
         await wait_until(lambda: http_answers(url), f"{name} to answer")
         # Another process may have taken the port in between and answer in its place.
         assert process.alive(), process.tail()
@@ -53,7 +52,7 @@
                 proxy = await self._add_proxy(source, target, listen)
                 sections[source]["control_addresses"][target] = proxy.address
         for source in CONTROLS:
-            for fake, address in self.address_by_fake.items():
+            for fake, address in self.address_by_name.items():
                 proxy = await self._add_proxy(source, fake, address)
                 sections[source]["control"][f"{fake}_url"] = f"http://{proxy.address}"
 
@@ -80,16 +79,6 @@
         applied = await self.rules.apply(rules_text(PLACED.format(count=count)), 0)
         assert applied.returncode == 0, applied.stderr
 
-    async def fault(self, fake: str, **faults: Any) -> None:
-        """Switch a fake's faults."""
-        url = f"http://{self.address_by_fake[fake]}/fault"
-        async with aiohttp.ClientSession() as session, session.post(url, json=faults) as response:
-            assert response.status == 200
-
-    async def log(self, fake: str) -> Any:
-        """What a fake has received."""
-        return await get_json(f"http://{self.address_by_fake[fake]}/log")
-
     async def sent(self) -> list[dict[str, Any]]:
         """The orders that the platform received, in the order of their arrival."""
         return (await self.log("platform"))["sent"]
--- a/tests/integration/lone_system.py
+++ b/tests/integration/lone_system.py
@@ -11,10 +11,10 @@
 import aiohttp
 
 from fakes.engine import token_at
+from integration.fakes_of_test import Fakes
 from integration.processes import (
     Process,
     free_address,
-    get_json,
     http_answers,
     python_module,
     wait_until,
@@ -52,13 +52,13 @@
     return [token_at(prompt, offset) for offset in range(count)]
 
 
-class LoneSystem:
+class LoneSystem(Fakes):
     """The processes by name."""
 
     def __init__(self, folder: Path) -> None:
+        super().__init__(self._start)
         self.folder = folder
         self.process_by_name: dict[str, Process] = {}
-        self.address_by_name: dict[str, str] = {}
         self.url = ""
 
     async def start_entry(self, **entry: Any) -> Process:
@@ -77,49 +77,22 @@
         }
         path = self.folder / "entry.json"
         path.write_text(json.dumps(options))
-        process = self._start("entry", "integration.lone_entry", str(path))
+        process = self._start("entry", python_module("integration.lone_entry", str(path)))
         await wait_until(lambda: http_answers(f"{self.url}/readyz"), "the entry to be ready")
         return process
 
     async def start_engine(self, name: str, **options: Any) -> Process:
-        return await self._start_endpoint("fakes.engine", name, options)
+        return await self.announce_fake("fakes.engine", name, [self.url], **options)
 
     async def start_plain(self, name: str, **options: Any) -> Process:
-        return await self._start_endpoint("fakes.plain", name, options)
-
-    async def _start_endpoint(self, module: str, name: str, options: dict[str, Any]) -> Process:
-        listen = options.pop("listen", free_address())
-        self.address_by_name[name] = listen
-        arguments = ["--endpoint", name, "--listen", listen, "--entry", self.url]
-        for option, value in options.items():
-            arguments += [f"--{option.replace('_', '-')}", str(value)]
-        process = self._start(name, module, *arguments)
-
-        async def known() -> bool:
-            try:
-                return self.url in (await self.log(name))["accepted_by"]
-            except (aiohttp.ClientError, OSError):
-                return False
-
-        await wait_until(known, f"{name} to be known to the entry")
-        return process
+        return await self.announce_fake("fakes.plain", name, [self.url], **options)
 
-    def _start(self, name: str, module: str, *arguments: str) -> Process:
-        process = Process(name, python_module(module, *arguments), self.folder / f"{name}.txt")
+    def _start(self, name: str, arguments: list[str]) -> Process:
+        process = Process(name, arguments, self.folder / f"{name}.txt")
         process.start()
         self.process_by_name[name] = process
         return process
 
-    async def log(self, name: str) -> dict[str, Any]:
-        """What a fake endpoint saw."""
-        return await get_json(f"http://{self.address_by_name[name]}/log")
-
-    async def fault(self, name: str, **faults: Any) -> None:
-        """Switch faults of a fake endpoint."""
-        url = f"http://{self.address_by_name[name]}/fault"
-        async with aiohttp.ClientSession() as session, session.post(url, json=faults) as response:
-            await response.read()
-
     async def generate(self, prompt: str, max_tokens: int, **body: Any) -> Answer:
         """A generation, streamed where not said otherwise."""
         body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": True, **body}
--- a/tests/integration/requests_system.py
+++ b/tests/integration/requests_system.py
@@ -7,19 +7,19 @@
 
 import aiohttp
 
+from integration.fakes_of_test import Fakes
 from integration.lone_system import Answer
-from integration.processes import free_address, get_json, python_module, wait_until
 from integration.rules_system import KEY, RulesSystem, rules_text
 
 
-class RequestsSystem:
+class RequestsSystem(Fakes):
     """Entries with their callers, over a `RulesSystem`."""
 
     def __init__(self, folder: Path, rules: RulesSystem) -> None:
+        super().__init__(rules.cluster.start_other)
         self.folder = folder
         self.rules = rules
         self.cluster = rules.cluster
-        self.address_by_name: dict[str, str] = {}
 
     @classmethod
     async def started(
@@ -50,33 +50,8 @@
 
         :param kind: `engine` or `plain`.
         """
-        listen = options.pop("listen", free_address())
-        self.address_by_name[name] = listen
-        arguments = ["--endpoint", name, "--listen", listen]
-        for entry in self.entries():
-            arguments += ["--entry", self.url(entry)]
-        for option, value in options.items():
-            arguments += [f"--{option.replace('_', '-')}", str(value)]
-        self.cluster.start_other(name, python_module(f"fakes.{kind}", *arguments))
-
-        async def known() -> bool:
-            try:
-                accepted_by = (await self.log(name))["accepted_by"]
-            except (aiohttp.ClientError, OSError):
-                return False
-            return len(accepted_by) == len(self.entries())
-
-        await wait_until(known, f"{name} to be known to all entries")
-
-    async def log(self, name: str) -> dict[str, Any]:
-        """What a fake endpoint saw."""
-        return await get_json(f"http://{self.address_by_name[name]}/log")
-
-    async def fault(self, name: str, **faults: Any) -> None:
-        """Switch faults of a fake endpoint."""
-        url = f"http://{self.address_by_name[name]}/fault"
-        async with aiohttp.ClientSession() as session, session.post(url, json=faults) as response:
-            await response.read()
+        entries = [self.url(entry) for entry in self.entries()]
+        await self.announce_fake(f"fakes.{kind}", name, entries, **options)
 
     async def ask(
         self, url: str, method: str, path: str, headers: dict[str, str] | None = None, **rest: Any
--- a/tests/integration/training_system.py
+++ b/tests/integration/training_system.py
@@ -7,11 +7,10 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
-
 from fakes.trainer import Trainer
 from ibisspring_core.rules import key_digest
 from integration.cluster import Cluster
+from integration.fakes_of_test import Fakes
 from integration.processes import (
     command_line,
     free_address,
@@ -32,12 +31,12 @@
 """
 
 
-class TrainingSystem:
+class TrainingSystem(Fakes):
     """The processes, and what a test asks of them."""
 
     def __init__(self, cluster: Cluster) -> None:
+        super().__init__(cluster.start_other)
         self.cluster = cluster
-        self.address_by_name: dict[str, str] = {}
         controls = [name for name in cluster.settings_by_daemon if name.startswith("c")]
         self.entries = [name for name in cluster.settings_by_daemon if name.startswith("e")]
         self.controls = controls
@@ -91,37 +90,12 @@
 
     async def start_endpoint(self, module: str, name: str, **options: Any) -> None:
         """Start a fake endpoint and wait until each entry knows it."""
-        listen = options.pop("listen", free_address())
-        self.address_by_name[name] = listen
-        arguments = ["--endpoint", name, "--listen", listen]
-        for entry in self.entries:
-            arguments += ["--entry", self.cluster.url(entry)]
-        for option, value in options.items():
-            arguments += [f"--{option.replace('_', '-')}", str(value)]
-        self.cluster.start_other(name, python_module(module, *arguments))
-        accepted = {self.cluster.url(entry) for entry in self.entries}
-
-        async def known() -> bool:
-            try:
-                return accepted <= set((await self.log(name))["accepted_by"])
-            except (aiohttp.ClientError, OSError):
-                return False
-
-        await wait_until(known, f"{name} to be known to the entries")
+        entries = [self.cluster.url(entry) for entry in self.entries]
+        await self.announce_fake(module, name, entries, **options)
 
     async def start_engine(self, name: str, **options: Any) -> None:
         await self.start_endpoint("fakes.engine", name, service=MODEL, **options)
 
-    async def log(self, name: str) -> dict[str, Any]:
-        """What a fake saw."""
-        return await get_json(f"http://{self.address_by_name[name]}/log")
-
-    async def fault(self, name: str, **faults: Any) -> None:
-        """Switch faults of a fake."""
-        url = f"http://{self.address_by_name[name]}/fault"
-        async with aiohttp.ClientSession() as session, session.post(url, json=faults) as response:
-            await response.read()
-
     async def fetch_until_whole(self, step: int, entry: int = 0) -> Any:
         """Ask through one entry until the batch is there."""
         found: list[Any] = []
