Name leadership and the leader's duties by the field's terms

Cause: a newcomer's reading met 'tenure' and 'reign' for the same thing, the users' phrase 'in charge' as a package, and 'hearsay' for relayed records. Change: the package leader_duties, Leadership, LeadershipWatch, relayed records; files and docs follow. Conclusion: no behaviour changed by the names.

--- a/packages/ibisspring-control/src/ibisspring_control/endpoint_table.py
+++ b/packages/ibisspring-control/src/ibisspring_control/endpoint_table.py
@@ -83,7 +83,7 @@
                 self._drop(endpoint)
 
     def clear(self) -> None:
-        """Forget everything, at the start of a reign."""
+        """Forget everything, when this daemon becomes the leader."""
         self.record_by_id.clear()
         self._heard_s_by_id.clear()
         self._disproofs.clear()
--- a/packages/ibisspring-control/src/ibisspring_control/engine_orders/service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/engine_orders/service.py
@@ -45,17 +45,17 @@
         """
         Subscribe to the timer.
 
-        :param kernel: holds state, entry_leases, in_charge, timer, counters.
+        :param kernel: holds state, entry_leases, leader_duties, timer, counters.
         """
         self._state = kernel.find("state")
         self._entry_leases = kernel.find("entry_leases")
-        self._in_charge = kernel.find("in_charge")
+        self._leader_duties = kernel.find("leader_duties")
         self._counters = kernel.find("counters")
         self._timer = kernel.find("timer")
         self._subscription = self._timer.subscribe("engine_orders", TICK_S, self._tick)
 
     async def stop(self) -> None:
-        """Send no more; an order under way is aborted by `in_charge` and stays open in the log."""
+        """Send no more; `leader_duties` aborts an order under way, which stays open in the log."""
         self._subscription.cancel()
         for task in tuple(self._sending):
             task.cancel()
@@ -67,23 +67,23 @@
 
         :param endpoint: id of the engine.
         :param role: the role, in the engine's own words.
-        :return: the order's end or a refusal, as for `in_charge.send_order`.
+        :return: the order's end or a refusal, as for `leader_duties.send_order`.
         """
         record = self._entry_leases.endpoint_by_id.get(endpoint)
         if record is None:
             return Refusal(Reason.NO_ENDPOINT, not_run=True, detail=f"{endpoint} is not announced")
         order_id = f"role-{endpoint}-{record.incarnation}-{record.sequence}-{role}"
         order = {"kind": "set_role", "model": record.service, "role": role}
-        return await self._in_charge.send_order(f"endpoint:{endpoint}", order_id, order)
+        return await self._leader_duties.send_order(f"endpoint:{endpoint}", order_id, order)
 
     async def _tick(self, now: float) -> None:
-        tenure = self._in_charge.tenure()
-        if tenure is None:
+        leadership = self._leader_duties.leadership()
+        if leadership is None:
             self._term = None
             return
-        if self._term != tenure.term:
+        if self._term != leadership.term:
             # What an earlier leader had under way is not known here; engines answer what they hold.
-            self._term = tenure.term
+            self._term = leadership.term
             self._loads = self._no_loads()
         engines = self._engines()
         self._loads.keep_only(engines)
@@ -92,7 +92,7 @@
         for target in self._targets():
             of_model = tuple(engine for engine in engines if engine.service == target.model)
             for load in self._loads.plan(target, of_model, now):
-                self._order(load, tenure.term)
+                self._order(load, leadership.term)
 
     def _no_loads(self) -> LoadTable:
         return LoadTable(self._settings.weight_store_concurrency, self._settings.load_timeout_s)
@@ -135,7 +135,7 @@
             f"load-{load.endpoint}-{load.incarnation}-{target.adapter}-{target.version}"
             f"-{term}.{load.attempt}"
         )
-        end = await self._in_charge.send_order(f"endpoint:{load.endpoint}", order_id, order)
+        end = await self._leader_duties.send_order(f"endpoint:{load.endpoint}", order_id, order)
         if isinstance(end, Refusal):
             if end.reason is Reason.MAY_HAVE_RUN:
                 return
--- a/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
@@ -69,8 +69,8 @@
         self.lease_by_start: dict[tuple[str, int], EntryLease] = {}
         self._usage_window_s = usage_window_s
         self._endpoints = EndpointTable()
-        self._reign_term = 0
-        self._reign_since_s = 0.0
+        self._leader_term = 0
+        self._leader_since_s = 0.0
         self._changed = asyncio.Event()
         self._view_changed = asyncio.Event()
         self._confirming: asyncio.Task[int | Refusal] | None = None
@@ -128,7 +128,7 @@
         if not self._consensus.is_leader:
             return self._not_leader()
         received_s = boot_now()
-        self._note_reign()
+        self._note_leadership()
         # Noted before any answer leaves: a lease that is granted but unknown here would let
         # `wait_in_force` answer while its entry still serves a withdrawn key. Noted for nothing,
         # when the quorum then fails, it only makes that wait longer.
@@ -163,7 +163,7 @@
         while True:
             if not self._consensus.is_leader:
                 return Refusal(Reason.NO_LEADER, False, 0.0, "this replica stopped leading")
-            self._note_reign()
+            self._note_leadership()
             now = boot_now()
             behind = [lease for lease in self.live() if lease.view_index < index]
             if not behind and now >= self._known_from_s():
@@ -204,16 +204,16 @@
             self._confirming = asyncio.create_task(self._consensus.confirm_read())
         return await asyncio.shield(self._confirming)
 
-    def _note_reign(self) -> None:
+    def _note_leadership(self) -> None:
         term = self._consensus.term
-        if term == self._reign_term:
+        if term == self._leader_term:
             return
-        self._reign_term = term
-        self._reign_since_s = boot_now()
+        self._leader_term = term
+        self._leader_since_s = boot_now()
         self.lease_by_start.clear()
         self._endpoints.clear()
         self._update_peers()
-        eliot.log_message("entry_leases:reign", term=term)
+        eliot.log_message("entry_leases:leader", term=term)
 
     def _longest_s(self) -> float:
         return self.lease_s * DRIFT + MARGIN_S
@@ -247,14 +247,14 @@
 
     def _known_from_s(self) -> float:
         """From then on no entry can hold a lease of an earlier leader."""
-        return self._reign_since_s + self._longest_s()
+        return self._leader_since_s + self._longest_s()
 
     async def _sweep(self, now: float) -> None:
         """Forget lapsed leases and endpoints that no entry speaks of any more."""
-        # Without it a reign would count from its first renewal or apply, and an apply to a system
+        # Without it leadership would count from the first renewal or apply, and an apply to a system
         # without entries would wait a whole lease however long the leader has led.
         if self._consensus.is_leader:
-            self._note_reign()
+            self._note_leadership()
         lapsed = [start for start, lease in self.lease_by_start.items() if lease.lapses_s <= now]
         for start in lapsed:
             del self.lease_by_start[start]
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/drains.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/drains.py
@@ -6,8 +6,8 @@
 
 import eliot
 
-from ibisspring_control.in_charge.orders import PLATFORM, Orders
-from ibisspring_control.in_charge.proposals import commit
+from ibisspring_control.leader_duties.orders import PLATFORM, Orders
+from ibisspring_control.leader_duties.proposals import commit
 from ibisspring_core.errors import Refusal
 from ibisspring_core.messages.commands import DrainEndpoint
 from ibisspring_core.request_ids import new_request_id
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_control.entry_leases import EntryLeases
-    from ibisspring_control.in_charge.tenure import Tenure
+    from ibisspring_control.leader_duties.leadership import Leadership
     from ibisspring_control.state import StateMachine
     from ibisspring_control.state.drains import Drain
     from ibisspring_core.counters import Counters
@@ -23,7 +23,7 @@
 
 # An endpoint that was drained and never came back is forgotten, so that its id may be used again.
 FORGET_ABSENT_S = 600.0
-OPERATOR = "in_charge"
+OPERATOR = "leader_duties"
 SERVING = "serving"
 
 
@@ -45,21 +45,21 @@
         self._orders = orders
         self._counters = counters
         self._limits = limits
-        # What one tenure has seen; another leader sees it anew and waits a little longer.
+        # What one leadership has seen; another leader sees it anew and waits a little longer.
         self._term = 0
         self._in_force_by_endpoint: dict[str, tuple[float, int]] = {}
         self._absent_since_by_endpoint: dict[str, float] = {}
 
-    async def run(self, tenure: Tenure, now: float, wall_s: float) -> None:
+    async def run(self, leadership: Leadership, now: float, wall_s: float) -> None:
         """
         Take each drain one step on.
 
-        :param tenure: the tenure under which stop orders are sent.
+        :param leadership: the leadership under which stop orders are sent.
         :param now: boot-clock seconds.
         :param wall_s: wall-clock seconds, the clock of the commands' stamps.
         """
-        if self._term != tenure.term:
-            self._term = tenure.term
+        if self._term != leadership.term:
+            self._term = leadership.term
             self._in_force_by_endpoint.clear()
             self._absent_since_by_endpoint.clear()
         for drain in tuple(self._state.drains.drain_by_endpoint.values()):
@@ -73,7 +73,7 @@
             self._absent_since_by_endpoint.pop(drain.endpoint, None)
             step = await self._decide(drain, record, now, wall_s)
             if step is not DrainStep.WAIT:
-                await self._stop(tenure, record, step)
+                await self._stop(leadership, record, step)
 
     async def _decide(
         self, drain: Drain, record: EndpointRecord, now: float, wall_s: float
@@ -91,7 +91,7 @@
         )
         return next_step(draining, self._limits, now)
 
-    async def _stop(self, tenure: Tenure, record: EndpointRecord, step: DrainStep) -> None:
+    async def _stop(self, leadership: Leadership, record: EndpointRecord, step: DrainStep) -> None:
         order_id = self._order_id(record)
         if order_id is None:
             return
@@ -106,7 +106,7 @@
         if step is DrainStep.STOP_AT_DEADLINE:
             self._counters.add("drain.deadline")
         eliot.log_message("drain:stop", endpoint=record.endpoint, step=step.value)
-        await self._orders.send(tenure, PLATFORM, order_id, order)
+        await self._orders.send(leadership, PLATFORM, order_id, order)
 
     def _order_id(self, record: EndpointRecord) -> str | None:
         """
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/fleet.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/fleet.py
@@ -8,8 +8,8 @@
 
 import eliot
 
-from ibisspring_control.in_charge.orders import PLATFORM, OrderEnd, Orders
-from ibisspring_control.in_charge.proposals import commit
+from ibisspring_control.leader_duties.orders import PLATFORM, OrderEnd, Orders
+from ibisspring_control.leader_duties.proposals import commit
 from ibisspring_core.errors import Reason
 from ibisspring_core.messages.commands import DrainEndpoint
 from ibisspring_core.request_ids import new_request_id
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_control.entry_leases import EntryLeases
-    from ibisspring_control.in_charge.tenure import Tenure
+    from ibisspring_control.leader_duties.leadership import Leadership
     from ibisspring_control.state import StateMachine
     from ibisspring_control.state.orders import Order
     from ibisspring_core.counters import Counters
@@ -28,7 +28,7 @@
 TABLE_FILL_S = 6.0
 # An endpoint that was ordered and has not announced itself by then is taken as failed.
 START_PATIENCE_S = 120.0
-OPERATOR = "in_charge"
+OPERATOR = "leader_duties"
 SERVING = "serving"
 
 
@@ -60,22 +60,22 @@
         self._seen_by_endpoint: dict[str, _Seen] = {}
         self._order_number = 0
 
-    async def run(self, tenure: Tenure, now: float, wall_s: float) -> None:
+    async def run(self, leadership: Leadership, now: float, wall_s: float) -> None:
         """
         Plan once.
 
-        :param tenure: the tenure under which orders are sent.
+        :param leadership: the leadership under which orders are sent.
         :param now: boot-clock seconds.
         :param wall_s: wall-clock seconds, the clock of the orders' stamps.
         """
-        if self._term != tenure.term:
-            self._term = tenure.term
+        if self._term != leadership.term:
+            self._term = leadership.term
             self._capacity = Capacity()
             self._seen_by_endpoint = {}
             self._order_number = 0
         # Endpoints are known through live entries alone: without one, a fleet that serves well
         # would look lost.
-        if now < tenure.acts_from_s + TABLE_FILL_S or not self._leases.live():
+        if now < leadership.acts_from_s + TABLE_FILL_S or not self._leases.live():
             return
         self._look(now, wall_s)
         placements = self._state.rules.rules.placement_by_service
@@ -85,7 +85,7 @@
                 service, wanted, self._running(service), self._pending(service, wall_s), now
             )
             for step in steps:
-                await self._carry_out(tenure, service, step, now)
+                await self._carry_out(leadership, service, step, now)
 
     def _look(self, now: float, wall_s: float) -> None:
         serving = {
@@ -139,7 +139,7 @@
         return tuple(pending)
 
     async def _carry_out(
-        self, tenure: Tenure, service: str, step: Start | Stop, now: float
+        self, leadership: Leadership, service: str, step: Start | Stop, now: float
     ) -> None:
         if isinstance(step, Stop):
             drain = DrainEndpoint(step.endpoint, OPERATOR)
@@ -154,8 +154,8 @@
             "endpoint": "",
             "count": 1,
         }
-        order_id = f"start-{service}-{tenure.term}-{self._order_number}"
-        end = await self._orders.send(tenure, PLATFORM, order_id, order)
+        order_id = f"start-{service}-{leadership.term}-{self._order_number}"
+        end = await self._orders.send(leadership, PLATFORM, order_id, order)
         if isinstance(end, OrderEnd) and end.outcome != "done":
             self._counters.refused(Reason.NO_ENDPOINT)
             self._capacity.note_unavailable(step.place, now)
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/tenure.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/leadership.py
@@ -10,7 +10,7 @@
 
 
 @dataclass(frozen=True)
-class Tenure:
+class Leadership:
     """
     One spell of leadership.
 
@@ -22,16 +22,16 @@
     acts_from_s: float
 
 
-class TenureWatch:
+class LeadershipWatch:
     """Follows the leadership of this replica and says what is left of its lease."""
 
     def __init__(self, consensus: Any, wait_s: float) -> None:
         self._consensus = consensus
         self._wait_s = wait_s
-        self._tenure: Tenure | None = None
+        self._leadership: Leadership | None = None
 
     @classmethod
-    def from_config(cls, consensus: Any, settings: ControlSettings) -> TenureWatch:
+    def from_config(cls, consensus: Any, settings: ControlSettings) -> LeadershipWatch:
         """
         Build the watch.
 
@@ -46,34 +46,34 @@
         """
         return cls(consensus, settings.leader_lease_s + settings.order_timeout_s)
 
-    def current(self, now: float) -> Tenure | None:
+    def current(self, now: float) -> Leadership | None:
         """
-        Find the tenure in which this replica may send right now.
+        Find the leadership in which this replica may send right now.
 
         :param now: boot-clock seconds.
-        :return: the tenure, or None while it follows or still waits for its predecessor.
+        :return: the leadership, or None while it follows or still waits for its predecessor.
         """
         if not self._consensus.is_leader:
-            self._tenure = None
+            self._leadership = None
             return None
         term = self._consensus.term
-        if self._tenure is None or self._tenure.term != term:
-            self._tenure = Tenure(term, now + self._wait_s)
-        if now < self._tenure.acts_from_s:
+        if self._leadership is None or self._leadership.term != term:
+            self._leadership = Leadership(term, now + self._wait_s)
+        if now < self._leadership.acts_from_s:
             return None
-        return self._tenure
+        return self._leadership
 
-    def lease_left_s(self, tenure: Tenure) -> float:
+    def lease_left_s(self, leadership: Leadership) -> float:
         """
-        Read what is left of the lease under which a tenure acts.
+        Read what is left of the lease under which a leadership acts.
 
-        :param tenure: from `current`.
+        :param leadership: from `current`.
         :return: seconds; 0 once the lease lapsed or another term began, also if this replica leads
             again.
         """
-        if not self._consensus.is_leader or self._consensus.term != tenure.term:
+        if not self._consensus.is_leader or self._consensus.term != leadership.term:
             return 0.0
         return max(0.0, self._consensus.lease_left_s())
 
 
-__all__ = ["Tenure", "TenureWatch"]
+__all__ = ["Leadership", "LeadershipWatch"]
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/orders.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/orders.py
@@ -10,18 +10,18 @@
 
 import eliot
 
-from ibisspring_control.in_charge.guarded_http import (
+from ibisspring_control.leader_duties.guarded_http import (
     HttpAnswer,
     HttpRequest,
     NoAnswer,
     send_guarded,
 )
-from ibisspring_control.in_charge.proposals import commit
+from ibisspring_control.leader_duties.proposals import commit
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.commands import IntentRecorded, OrderIntent, OrderResolved
 
 if TYPE_CHECKING:
-    from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
+    from ibisspring_control.leader_duties.leadership import Leadership, LeadershipWatch
     from ibisspring_control.state import StateMachine
     from ibisspring_control.state.orders import Order
     from ibisspring_core.counters import Counters
@@ -88,7 +88,7 @@
         self,
         consensus: Any,
         state: StateMachine,
-        watch: TenureWatch,
+        watch: LeadershipWatch,
         counters: Counters,
         settings: OrderSettings,
         url_of: UrlOf,
@@ -104,12 +104,12 @@
         self._lock_by_receiver: dict[str, asyncio.Lock] = {}
 
     async def send(
-        self, tenure: Tenure, receiver: str, order_id: str, order: dict[str, Any]
+        self, leadership: Leadership, receiver: str, order_id: str, order: dict[str, Any]
     ) -> OrderEnd | Refusal:
         """
         Commit an order's intent, send it and record its end.
 
-        :param tenure: the tenure under which it is sent.
+        :param leadership: the leadership under which it is sent.
         :param receiver: `platform` or `endpoint:<id>`.
         :param order_id: its idempotency key, unique for ever.
         :param order: the order's fields but for `fencing`.
@@ -129,13 +129,13 @@
                 return recorded
             if not isinstance(recorded, IntentRecorded):
                 return Refusal(Reason.CONFLICT, not_run=True, detail=str(recorded))
-            return await self._send_committed(tenure, intent, recorded.fencing)
+            return await self._send_committed(leadership, intent, recorded.fencing)
 
-    async def resume(self, tenure: Tenure, order: Order) -> OrderEnd | Refusal:
+    async def resume(self, leadership: Leadership, order: Order) -> OrderEnd | Refusal:
         """
         Find the end of an order that was left open, under its own id.
 
-        :param tenure: the tenure under which it is asked about or sent again.
+        :param leadership: the leadership under which it is asked about or sent again.
         :param order: the open order.
         :return: as for `send`.
         """
@@ -143,13 +143,13 @@
             if not self._is_open(order.intent.order_id):
                 return OrderEnd("done", "it ended in the meantime")
             if order.intent.receiver == PLATFORM:
-                end = await self._ask(tenure, order.intent.order_id)
+                end = await self._ask(leadership, order.intent.order_id)
                 if isinstance(end, Refusal):
                     return end
                 if end is not None:
                     return await self._resolve(order.intent, end)
             self._counters.retried(Reason.MAY_HAVE_RUN)
-            return await self._send_committed(tenure, order.intent, order.fencing)
+            return await self._send_committed(leadership, order.intent, order.fencing)
 
     def _is_open(self, order_id: str) -> bool:
         return any(order.intent.order_id == order_id for order in self._state.open_orders())
@@ -170,7 +170,7 @@
         return self._lock_by_receiver.setdefault(receiver, asyncio.Lock())
 
     async def _send_committed(
-        self, tenure: Tenure, intent: OrderIntent, fencing: int
+        self, leadership: Leadership, intent: OrderIntent, fencing: int
     ) -> OrderEnd | Refusal:
         base_url = self._url_of(intent.receiver)
         if base_url is None:
@@ -178,11 +178,11 @@
         headers = {
             "Content-Type": "application/json",
             "Idempotency-Key": intent.order_id,
-            "X-Sender": f"{self._settings.sender}/{tenure.term}",
+            "X-Sender": f"{self._settings.sender}/{leadership.term}",
         }
         body = wire_body(intent.body, fencing)
         answer = await self._exchange(
-            tenure, HttpRequest("POST", f"{base_url}/orders", body, headers)
+            leadership, HttpRequest("POST", f"{base_url}/orders", body, headers)
         )
         if isinstance(answer, NoAnswer):
             return self._unanswered(intent, answer)
@@ -191,9 +191,9 @@
             return self._unanswered(intent, NoAnswer(True, f"HTTP {answer.status}"))
         return await self._resolve(intent, end)
 
-    async def _ask(self, tenure: Tenure, order_id: str) -> OrderEnd | Refusal | None:
+    async def _ask(self, leadership: Leadership, order_id: str) -> OrderEnd | Refusal | None:
         url = f"{self._settings.platform_url}/orders/{order_id}"
-        answer = await self._exchange(tenure, HttpRequest("GET", url))
+        answer = await self._exchange(leadership, HttpRequest("GET", url))
         if isinstance(answer, NoAnswer):
             self._counters.retried(Reason.TIMEOUT)
             return Refusal(Reason.MAY_HAVE_RUN, not_run=False, detail=answer.detail)
@@ -204,10 +204,12 @@
             return Refusal(Reason.MAY_HAVE_RUN, not_run=False, detail=f"HTTP {answer.status}")
         return end
 
-    async def _exchange(self, tenure: Tenure, request: HttpRequest) -> HttpAnswer | NoAnswer:
+    async def _exchange(
+        self, leadership: Leadership, request: HttpRequest
+    ) -> HttpAnswer | NoAnswer:
         return await send_guarded(
             request,
-            lambda: self._watch.lease_left_s(tenure),
+            lambda: self._watch.lease_left_s(leadership),
             self._settings.least_lease_s,
             self._settings.timeout_s,
         )
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/service.py
@@ -1,16 +1,16 @@
-"""The service `in_charge`: runs the leader's duties while its lease lasts."""
+"""The service `leader_duties`: runs the leader's duties while its lease lasts."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from ibisspring_control.in_charge.backoff import Backoff
-from ibisspring_control.in_charge.drains import Drains
-from ibisspring_control.in_charge.fleet import Fleet
-from ibisspring_control.in_charge.orders import PLATFORM, OrderEnd, Orders, OrderSettings
-from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
-from ibisspring_control.in_charge.usage_reports import ReportSettings, UsageReports
+from ibisspring_control.leader_duties.backoff import Backoff
+from ibisspring_control.leader_duties.drains import Drains
+from ibisspring_control.leader_duties.fleet import Fleet
+from ibisspring_control.leader_duties.leadership import Leadership, LeadershipWatch
+from ibisspring_control.leader_duties.orders import PLATFORM, OrderEnd, Orders, OrderSettings
+from ibisspring_control.leader_duties.usage_reports import ReportSettings, UsageReports
 from ibisspring_core.clock import boot_now, wall_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_decisions.drain import DrainLimits
@@ -32,7 +32,7 @@
 USAGE = "usage"
 
 
-class InCharge:
+class LeaderDuties:
     """
     Sends platform orders, engine orders and usage reports, in the leader alone.
 
@@ -40,7 +40,7 @@
     sends nothing.
     """
 
-    name = "in_charge"
+    name = "leader_duties"
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
@@ -48,7 +48,7 @@
         self._backoff = Backoff()
 
     @classmethod
-    def from_config(cls, settings: Settings) -> InCharge:
+    def from_config(cls, settings: Settings) -> LeaderDuties:
         """
         Build the service.
 
@@ -70,14 +70,14 @@
         if control.platform_url:
             callback_by_name["endpoints"] = (ENDPOINTS_TICK_S, self._keep_endpoints)
         for name, (interval_s, callback) in callback_by_name.items():
-            subscription = timer.subscribe(f"in_charge:{name}", interval_s, callback)
+            subscription = timer.subscribe(f"leader_duties:{name}", interval_s, callback)
             self._subscriptions.append(subscription)
 
     def _build_duties(self, consensus: Any, counters: Any) -> None:
         control = self._settings.control
         daemon = self._settings.daemon
         state = self._state
-        self._watch = TenureWatch.from_config(consensus, control)
+        self._watch = LeadershipWatch.from_config(consensus, control)
         least_lease_s = min(control.order_timeout_s, control.leader_lease_s / 2)
         order_settings = OrderSettings(
             daemon, control.platform_url, control.order_timeout_s, least_lease_s
@@ -100,9 +100,9 @@
         for subscription in self._subscriptions:
             subscription.cancel()
 
-    def tenure(self) -> Tenure | None:
+    def leadership(self) -> Leadership | None:
         """
-        Find the tenure in which this replica may act now.
+        Find the leadership in which this replica may act now.
 
         :return: None while it follows or waits out its predecessor.
         """
@@ -120,10 +120,10 @@
         :return: its end; `NO_LEADER` when not in charge, `MAY_HAVE_RUN` when no answer came (it
             is resolved later under the same id).
         """
-        tenure = self.tenure()
-        if tenure is None:
+        leadership = self.leadership()
+        if leadership is None:
             return Refusal(Reason.NO_LEADER, not_run=True, detail="not in charge")
-        return await self._orders.send(tenure, receiver, order_id, order)
+        return await self._orders.send(leadership, receiver, order_id, order)
 
     def _url_of(self, receiver: str) -> str | None:
         if receiver == PLATFORM:
@@ -135,42 +135,42 @@
         return f"http://{record.address}"
 
     async def _resume_orders(self, now: float) -> None:
-        tenure = self._watch.current(now)
-        if tenure is None:
+        leadership = self._watch.current(now)
+        if leadership is None:
             return
         order_by_receiver: dict[str, Order] = {}
         for order in self._state.open_orders():
             order_by_receiver.setdefault(order.intent.receiver, order)
         limit = asyncio.Semaphore(RESUMED_AT_A_TIME)
         await asyncio.gather(
-            *(self._resume(tenure, order, limit) for order in order_by_receiver.values())
+            *(self._resume(leadership, order, limit) for order in order_by_receiver.values())
         )
 
-    async def _resume(self, tenure: Tenure, order: Order, limit: asyncio.Semaphore) -> None:
+    async def _resume(self, leadership: Leadership, order: Order, limit: asyncio.Semaphore) -> None:
         receiver = order.intent.receiver
         now = boot_now()
         if not self._backoff.ready(receiver, now):
             return
         # To a new leader, whose table of endpoints still fills, each receiver looks gone.
-        if self._url_of(receiver) is None and now < tenure.acts_from_s + ABSENT_S:
+        if self._url_of(receiver) is None and now < leadership.acts_from_s + ABSENT_S:
             return
         async with limit:
-            end = await self._orders.resume(tenure, order)
+            end = await self._orders.resume(leadership, order)
         self._backoff.note(receiver, isinstance(end, Refusal), boot_now())
 
     async def _report_usage(self, now: float) -> None:
-        tenure = self._watch.current(now)
-        if tenure is None or not self._backoff.ready(USAGE, now):
+        leadership = self._watch.current(now)
+        if leadership is None or not self._backoff.ready(USAGE, now):
             return
-        whole = await self._usage.run(tenure, wall_now())
+        whole = await self._usage.run(leadership, wall_now())
         self._backoff.note(USAGE, not whole, boot_now())
 
     async def _keep_endpoints(self, now: float) -> None:
-        tenure = self._watch.current(now)
-        if tenure is None:
+        leadership = self._watch.current(now)
+        if leadership is None:
             return
-        await self._drains.run(tenure, now, wall_now())
-        await self._fleet.run(tenure, now, wall_now())
+        await self._drains.run(leadership, now, wall_now())
+        await self._fleet.run(leadership, now, wall_now())
 
 
-__all__ = ["InCharge"]
+__all__ = ["LeaderDuties"]
--- a/packages/ibisspring-control/src/ibisspring_control/in_charge/usage_reports.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/usage_reports.py
@@ -8,13 +8,13 @@
 
 import eliot
 
-from ibisspring_control.in_charge.guarded_http import HttpRequest, NoAnswer, send_guarded
-from ibisspring_control.in_charge.proposals import commit
+from ibisspring_control.leader_duties.guarded_http import HttpRequest, NoAnswer, send_guarded
+from ibisspring_control.leader_duties.proposals import commit
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.commands import CloseWindow, WindowReported
 
 if TYPE_CHECKING:
-    from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
+    from ibisspring_control.leader_duties.leadership import Leadership, LeadershipWatch
     from ibisspring_control.state import StateMachine
     from ibisspring_control.state.usage import UsageWindow
     from ibisspring_core.counters import Counters
@@ -51,7 +51,7 @@
         self,
         consensus: Any,
         state: StateMachine,
-        watch: TenureWatch,
+        watch: LeadershipWatch,
         counters: Counters,
         settings: ReportSettings,
     ) -> None:
@@ -62,11 +62,11 @@
         self._settings = settings
         self._conflicts: set[int] = set()
 
-    async def run(self, tenure: Tenure, wall_s: float) -> bool:
+    async def run(self, leadership: Leadership, wall_s: float) -> bool:
         """
         Close the windows that are over and report the closed ones.
 
-        :param tenure: the tenure under which reports are sent.
+        :param leadership: the leadership under which reports are sent.
         :param wall_s: wall-clock seconds.
         :return: False when a report or a commit has to be tried again.
         """
@@ -83,14 +83,14 @@
         for window in self._state.unreported_windows():
             if not window.closed or window.window in self._conflicts:
                 continue
-            if not await self._report(tenure, window):
+            if not await self._report(leadership, window):
                 return False
         return True
 
-    async def _report(self, tenure: Tenure, window: UsageWindow) -> bool:
+    async def _report(self, leadership: Leadership, window: UsageWindow) -> bool:
         answer = await send_guarded(
-            self._request(tenure, window),
-            lambda: self._watch.lease_left_s(tenure),
+            self._request(leadership, window),
+            lambda: self._watch.lease_left_s(leadership),
             self._settings.least_lease_s,
             self._settings.timeout_s,
         )
@@ -113,13 +113,13 @@
         eliot.log_message("usage:reported", window=window.window)
         return not isinstance(recorded, Refusal)
 
-    def _request(self, tenure: Tenure, window: UsageWindow) -> HttpRequest:
+    def _request(self, leadership: Leadership, window: UsageWindow) -> HttpRequest:
         report = {
             "window": window.window,
             "from": window.window * self._settings.window_s,
             "to": (window.window + 1) * self._settings.window_s,
             "reporter": self._settings.reporter,
-            "fencing": tenure.term,
+            "fencing": leadership.term,
             "lines": [asdict(line) for line in window.lines],
         }
         headers = {
--- a/packages/ibisspring-control/src/ibisspring_control/role.py
+++ b/packages/ibisspring-control/src/ibisspring_control/role.py
@@ -7,7 +7,7 @@
 from ibisspring_control.consensus import ConsensusNode
 from ibisspring_control.engine_orders import EngineOrders
 from ibisspring_control.entry_leases import EntryLeases
-from ibisspring_control.in_charge import InCharge
+from ibisspring_control.leader_duties import LeaderDuties
 from ibisspring_control.rpc.server import ControlRpc
 from ibisspring_control.state import StateMachine
 
@@ -27,7 +27,7 @@
         StateMachine.from_config(settings),
         ConsensusNode.from_config(settings),
         EntryLeases.from_config(settings),
-        InCharge.from_config(settings),
+        LeaderDuties.from_config(settings),
         EngineOrders.from_config(settings),
         ControlRpc.from_config(settings),
     )
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peer_sent.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peer_sent.py
@@ -46,8 +46,8 @@
         """
         Choose what the peer lacks.
 
-        Hearsay is not passed on: every entry hears from every other, and n entries that pass on
-        what they heard would send n^2 copies of each announcement.
+        Relayed records are not passed on: every entry hears from every other, and n entries that
+        pass on what they heard would send n^2 copies of each announcement.
 
         :param heard: this entry's table.
         :param now: seconds on this entry's boot clock.
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/table.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/table.py
@@ -23,8 +23,8 @@
 
 FORGET_AFTER_TTLS = 12
 """
-A record that is gone stays for so many TTLs, so that late hearsay cannot bring it back; after that
-its own age keeps hearsay out.
+A record that is gone stays for so many TTLs, so that a late relayed record cannot bring it back;
+after that its own age keeps relayed records out.
 """
 
 
@@ -52,7 +52,7 @@
 
     def take(self, record: EndpointRecord, heard_at: float, first_hand: bool = True) -> str:
         """
-        Take an announcement, first-hand or by hearsay.
+        Take an announcement, first-hand or relayed.
 
         :param record: what the endpoint announced.
         :param heard_at: when the endpoint was heard, on this entry's clock.
--- a/tests/unit/control/in_charge/conftest.py
+++ b/tests/unit/control/leader_duties/conftest.py
@@ -8,7 +8,7 @@
 from aiohttp.test_utils import TestServer
 
 from fakes import platform, usage
-from ibisspring_control.in_charge.tenure import Tenure, TenureWatch
+from ibisspring_control.leader_duties.leadership import Leadership, LeadershipWatch
 from ibisspring_control.state.orders import Order
 from ibisspring_control.state.usage import UsageLine, UsageWindow
 from ibisspring_core.counters import Counters
@@ -92,13 +92,13 @@
 
 
 @pytest.fixture
-def watch(control: Control) -> TenureWatch:
-    return TenureWatch(control, 0.0)
+def watch(control: Control) -> LeadershipWatch:
+    return LeadershipWatch(control, 0.0)
 
 
 @pytest.fixture
-def tenure() -> Tenure:
-    return Tenure(1, 0.0)
+def leadership() -> Leadership:
+    return Leadership(1, 0.0)
 
 
 @pytest.fixture
--- a/tests/unit/control/in_charge/test_fleet.py
+++ b/tests/unit/control/leader_duties/test_fleet.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from ibisspring_control.in_charge.fleet import START_PATIENCE_S, TABLE_FILL_S, Fleet
-from ibisspring_control.in_charge.orders import OrderEnd
+from ibisspring_control.leader_duties.fleet import START_PATIENCE_S, TABLE_FILL_S, Fleet
+from ibisspring_control.leader_duties.orders import OrderEnd
 from ibisspring_control.state.orders import Order
 from ibisspring_core.messages.commands import DrainEndpoint
 from ibisspring_core.messages.endpoints import EndpointRecord
@@ -32,7 +32,7 @@
     def live(self) -> tuple[str, ...]:
         return self.entries
 
-    async def send(self, tenure, receiver: str, order_id: str, order: dict) -> OrderEnd:
+    async def send(self, leadership, receiver: str, order_id: str, order: dict) -> OrderEnd:
         self.sent.append(order)
         body = json.dumps(order).encode()
         number = len(self.sent)
@@ -66,47 +66,47 @@
 
 
 async def test_a_new_leader_does_not_order_a_fleet_that_it_cannot_see(
-    fleet, system, tenure
+    fleet, system, leadership
 ) -> None:
     # The table of endpoints is empty at first, and stays empty while no entry lives: a leader that
     # planned on it would pay for the whole fleet a second time.
-    await fleet.run(tenure, TABLE_FILL_S - 1.0, WALL_S)
+    await fleet.run(leadership, TABLE_FILL_S - 1.0, WALL_S)
     system.entries = ()
-    await fleet.run(tenure, READY_S, WALL_S)
+    await fleet.run(leadership, READY_S, WALL_S)
 
     assert system.sent == []
 
 
-async def test_what_was_ordered_counts_until_it_announces_itself(fleet, system, tenure) -> None:
+async def test_what_was_ordered_counts_until_it_announces_itself(fleet, system, leadership) -> None:
     # Endpoints take a minute to start. A leader that counted only announced ones would order them
     # again with each look.
-    await fleet.run(tenure, READY_S, WALL_S)
-    await fleet.run(tenure, READY_S + 1.0, WALL_S + 1.0)
+    await fleet.run(leadership, READY_S, WALL_S)
+    await fleet.run(leadership, READY_S + 1.0, WALL_S + 1.0)
     assert len(system.sent) == 4
     for number, order in enumerate(system.sent[:3]):
         system.announce(f"lm-{number}", order)
-    await fleet.run(tenure, READY_S + 60.0, WALL_S + 60.0)
+    await fleet.run(leadership, READY_S + 60.0, WALL_S + 60.0)
     assert len(system.sent) == 4
 
     # The fourth never came; it is ordered again once its time is over.
     late_s = START_PATIENCE_S + 1.0
-    await fleet.run(tenure, READY_S + late_s, WALL_S + late_s)
+    await fleet.run(leadership, READY_S + late_s, WALL_S + late_s)
 
     assert len(system.sent) == 5
 
 
 async def test_a_reclaimed_endpoint_is_replaced_by_the_standard_kind(
-    fleet, system, tenure, counters
+    fleet, system, leadership, counters
 ) -> None:
     # Both cheap endpoints of derby are reclaimed in one moment.
     for number in range(4):
         kind = "cheap" if number < 2 else "standard"
         system.announce(f"lm-{number}", {"kind": kind, "data_centre": "derby"})
-    await fleet.run(tenure, READY_S, WALL_S)
+    await fleet.run(leadership, READY_S, WALL_S)
     del system.endpoint_by_id["lm-0"]
     del system.endpoint_by_id["lm-1"]
 
-    await fleet.run(tenure, READY_S + 1.0, WALL_S + 1.0)
+    await fleet.run(leadership, READY_S + 1.0, WALL_S + 1.0)
 
     places = [(order["data_centre"], order["kind"]) for order in system.sent]
     assert ("derby", "cheap") not in places
@@ -115,15 +115,15 @@
 
 
 async def test_a_surplus_is_drained_and_never_stopped_outright(
-    fleet, system, control, tenure
+    fleet, system, control, leadership
 ) -> None:
     for number in range(5):
         kind = "cheap" if number < 2 else "standard"
         centre = "derby" if number % 2 else "stoke"
         system.announce(f"lm-{number}", {"kind": kind, "data_centre": centre})
-    await fleet.run(tenure, READY_S, WALL_S)
+    await fleet.run(leadership, READY_S, WALL_S)
 
-    await fleet.run(tenure, READY_S + 61.0, WALL_S + 61.0)
+    await fleet.run(leadership, READY_S + 61.0, WALL_S + 61.0)
 
     assert system.sent == []
     (drain,) = control.commands
--- a/tests/unit/control/in_charge/test_guarded_http.py
+++ b/tests/unit/control/leader_duties/test_guarded_http.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from ibisspring_control.in_charge.guarded_http import HttpRequest, NoAnswer, send_guarded
+from ibisspring_control.leader_duties.guarded_http import HttpRequest, NoAnswer, send_guarded
 from ibisspring_core.clock import boot_now
 from integration.processes import wait_until
 from integration.proxy import FaultProxy, Mode
--- a/tests/unit/control/in_charge/test_tenure.py
+++ b/tests/unit/control/leader_duties/test_leadership.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
-from ibisspring_control.in_charge.tenure import TenureWatch
+from ibisspring_control.leader_duties.leadership import LeadershipWatch
 
 
 def test_a_new_leader_waits_out_its_predecessor(control) -> None:
-    watch = TenureWatch(control, wait_s=2.8)
+    watch = LeadershipWatch(control, wait_s=2.8)
 
     assert watch.current(100.0) is None
     assert watch.current(102.7) is None
@@ -12,7 +12,7 @@
 
 
 def test_a_replica_that_leads_again_waits_again(control) -> None:
-    watch = TenureWatch(control, wait_s=2.8)
+    watch = LeadershipWatch(control, wait_s=2.8)
     watch.current(100.0)
     old = watch.current(103.0)
 
--- a/tests/unit/control/in_charge/test_orders.py
+++ b/tests/unit/control/leader_duties/test_orders.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ibisspring_control.in_charge.orders import OrderEnd, Orders, OrderSettings
+from ibisspring_control.leader_duties.orders import OrderEnd, Orders, OrderSettings
 from ibisspring_core.errors import Reason, Refusal
 from integration.processes import wait_until
 
@@ -19,12 +19,12 @@
 
 
 async def test_the_intent_is_committed_before_the_order_is_sent(
-    control, orders, tenure, fake_platform
+    control, orders, leadership, fake_platform
 ) -> None:
     sent_at_commit = []
     control.on_commit = lambda command: sent_at_commit.append(len(fake_platform.sent))
 
-    end = await orders.send(tenure, "platform", "o1", START)
+    end = await orders.send(leadership, "platform", "o1", START)
 
     assert end == OrderEnd("done")
     assert sent_at_commit == [0, 1]
@@ -35,11 +35,11 @@
 
 
 async def test_an_order_is_not_sent_on_a_lease_that_does_not_outlast_it(
-    control, orders, tenure, fake_platform
+    control, orders, leadership, fake_platform
 ) -> None:
     control.lease_s = 0.3
 
-    refusal = await orders.send(tenure, "platform", "o1", START)
+    refusal = await orders.send(leadership, "platform", "o1", START)
 
     assert isinstance(refusal, Refusal)
     assert (refusal.reason, refusal.not_run) == (Reason.LEASE_LAPSED, True)
@@ -48,17 +48,17 @@
 
 
 async def test_an_order_whose_answer_was_lost_ends_under_its_own_id_and_bytes(
-    control, orders, tenure, fake_platform
+    control, orders, leadership, fake_platform
 ) -> None:
     # The platform carries an order out and its answer is lost; the order stays open in the log.
     # A new attempt under a new id, or with other bytes, would start a second endpoint.
     fake_platform.faults.drop_answer = True
-    refusal = await orders.send(tenure, "platform", "o1", START)
+    refusal = await orders.send(leadership, "platform", "o1", START)
     assert refusal.reason is Reason.MAY_HAVE_RUN
 
     fake_platform.faults.drop_answer = False
     (open_order,) = control.open_orders()
-    end = await orders.resume(tenure, open_order)
+    end = await orders.resume(leadership, open_order)
 
     assert end == OrderEnd("done")
     assert len(fake_platform.started) == 1
@@ -66,52 +66,56 @@
 
 
 async def test_an_order_that_never_arrived_is_sent_again_byte_for_byte(
-    control, orders, tenure, fake_platform
+    control, orders, leadership, fake_platform
 ) -> None:
     control.lease_s = 0.0
-    await orders.send(tenure, "platform", "o1", START)
+    await orders.send(leadership, "platform", "o1", START)
     control.lease_s = 10.0
     (open_order,) = control.open_orders()
 
-    await orders.resume(tenure, open_order)
+    await orders.resume(leadership, open_order)
 
     (sent,) = fake_platform.sent
     assert json.loads(open_order.intent.body) == {"order_id": "o1", **START}
     assert sent.order == {"fencing": 1, "order_id": "o1", **START}
 
 
-async def test_an_unavailable_kind_is_a_known_end(control, orders, tenure, fake_platform) -> None:
+async def test_an_unavailable_kind_is_a_known_end(
+    control, orders, leadership, fake_platform
+) -> None:
     fake_platform.faults.unavailable = ["derby/cheap"]
 
-    end = await orders.send(tenure, "platform", "o1", START)
+    end = await orders.send(leadership, "platform", "o1", START)
 
     assert end == OrderEnd("unavailable", "derby/cheap")
     assert control.commands[-1].outcome == "refused"
 
 
-async def test_a_new_order_does_not_overtake_an_open_one(control, orders, tenure, fake_platform):
+async def test_a_new_order_does_not_overtake_an_open_one(
+    control, orders, leadership, fake_platform
+):
     # The first order's answer is lost. Sent now, a second one would carry a higher fencing number,
     # and a platform that checks would refuse the first for good when it is resolved.
     fake_platform.faults.drop_answer = True
-    await orders.send(tenure, "platform", "o1", START)
+    await orders.send(leadership, "platform", "o1", START)
 
-    refusal = await orders.send(tenure, "platform", "o2", START)
+    refusal = await orders.send(leadership, "platform", "o2", START)
 
     assert (refusal.reason, refusal.not_run) == (Reason.IN_PROGRESS, True)
     assert [sent.order_id for sent in fake_platform.sent] == ["o1"]
 
 
 async def test_an_order_that_ended_while_it_waited_is_not_sent_again(
-    control, orders, tenure, fake_platform
+    control, orders, leadership, fake_platform
 ) -> None:
     # The tick that resumes open orders sees one that `send` has under way: without a second look
     # behind the lock it would go out twice.
     fake_platform.faults.answer_late_s = 0.3
-    sending = asyncio.create_task(orders.send(tenure, "platform", "o1", START))
+    sending = asyncio.create_task(orders.send(leadership, "platform", "o1", START))
     await wait_until(lambda: fake_platform.sent, "the order to arrive")
     (open_order,) = control.open_orders()
 
-    await orders.resume(tenure, open_order)
+    await orders.resume(leadership, open_order)
 
     assert await sending == OrderEnd("done")
     assert len(fake_platform.sent) == 1
--- a/tests/unit/control/in_charge/test_usage_reports.py
+++ b/tests/unit/control/leader_duties/test_usage_reports.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ibisspring_control.in_charge.usage_reports import ReportSettings, UsageReports
+from ibisspring_control.leader_duties.usage_reports import ReportSettings, UsageReports
 from ibisspring_core.messages.commands import CloseWindow, WindowReported
 
 OVER_S = 6 * 60 + 10.0
@@ -15,12 +15,12 @@
 
 
 async def test_a_window_is_closed_then_reported_then_recorded(
-    control, reports, tenure, fake_usage
+    control, reports, leadership, fake_usage
 ) -> None:
     reports_at_commit = []
     control.on_commit = lambda command: reports_at_commit.append(len(fake_usage.reports))
 
-    await reports.run(tenure, OVER_S)
+    await reports.run(leadership, OVER_S)
 
     assert control.commands == [CloseWindow(5), WindowReported(5)]
     assert reports_at_commit == [0, 1]
@@ -29,22 +29,24 @@
     assert report["lines"][0]["tokens"] == 70
 
 
-async def test_a_window_that_is_not_over_stays_open(control, reports, tenure, fake_usage) -> None:
-    await reports.run(tenure, 6 * 60 + 1.0)
+async def test_a_window_that_is_not_over_stays_open(
+    control, reports, leadership, fake_usage
+) -> None:
+    await reports.run(leadership, 6 * 60 + 1.0)
 
     assert control.commands == []
     assert fake_usage.reports == []
 
 
 async def test_a_report_whose_answer_was_lost_comes_again_with_the_same_figures(
-    control, reports, tenure, fake_usage
+    control, reports, leadership, fake_usage
 ) -> None:
     # The interface takes a report and its answer is lost. The next try carries the figures that
     # the log fixed and the same key, so nothing is counted twice and nothing differs.
     fake_usage.faults.drop_answer = True
-    await reports.run(tenure, OVER_S)
+    await reports.run(leadership, OVER_S)
     fake_usage.faults.drop_answer = False
-    await reports.run(tenure, OVER_S)
+    await reports.run(leadership, OVER_S)
 
     first, second = fake_usage.reports
     assert first["lines"] == second["lines"]
@@ -52,9 +54,11 @@
     assert control.commands[-1] == WindowReported(5)
 
 
-async def test_nothing_is_reported_on_a_lapsed_lease(control, reports, tenure, fake_usage) -> None:
+async def test_nothing_is_reported_on_a_lapsed_lease(
+    control, reports, leadership, fake_usage
+) -> None:
     control.lease_s = 0.0
 
-    await reports.run(tenure, OVER_S)
+    await reports.run(leadership, OVER_S)
 
     assert fake_usage.reports == []
--- a/tests/unit/control/test_entry_leases.py
+++ b/tests/unit/control/test_entry_leases.py
@@ -123,13 +123,13 @@
 
 
 async def test_a_reign_counts_from_its_beginning_not_from_its_first_apply(system) -> None:
-    await wait_until(lambda: system.leases._reign_term == 1, "the reign to be noted")
-    since_s = system.leases._reign_since_s
+    await wait_until(lambda: system.leases._leader_term == 1, "the leadership to be noted")
+    since_s = system.leases._leader_since_s
     index = system.apply_rules()
 
     await system.leases.wait_in_force(index, LONG_S)
 
-    assert system.leases._reign_since_s == since_s
+    assert system.leases._leader_since_s == since_s
 
 
 async def test_a_replica_without_its_quorum_grants_nothing(system) -> None:
