--- a/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
@@ -251,8 +251,8 @@
 
     async def _sweep(self, now: float) -> None:
         """Forget lapsed leases and endpoints that no entry speaks of any more."""
-        # Without it leadership would count from the first renewal or apply, and an apply to a system
-        # without entries would wait a whole lease however long the leader has led.
+        # Without it leadership would count from the first renewal or apply: an apply to a system
+        # without entries would wait a whole lease, however long the leader has led.
         if self._consensus.is_leader:
             self._note_leadership()
         lapsed = [start for start, lease in self.lease_by_start.items() if lease.lapses_s <= now]
