--- a/packages/ibisspring-control/src/ibisspring_control/consensus/replication.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/replication.py
@@ -147,14 +147,9 @@
 
 def on_append_reply(state: CoreState, sender: ReplicaId, reply: AppendReply) -> None:
     """Take in a follower's answer."""
-    if reply.term > state.hard.term:
-        become_follower(state, reply.term, None, "a newer term")
-        return
-    progress = _answering(state, sender, reply.term)
+    progress = _answering(state, sender, reply)
     if progress is None:
         return
-    progress.answered_at = state.now
-    progress.acked_round = max(progress.acked_round, reply.round)
     if reply.success:
         _advance(progress, reply.match_index)
     elif progress.match_index < reply.previous_index:
@@ -174,11 +169,22 @@
     progress.next_index = max(reply.match_index, progress.match_index) + 1
 
 
-def _answering(state: CoreState, sender: ReplicaId, term: int) -> Progress | None:
-    if state.role != LEADER or term != state.hard.term:
+def _answering(
+    state: CoreState, sender: ReplicaId, reply: AppendReply | SnapshotReply
+) -> Progress | None:
+    """Take in what every answer tells; None where it counts for nothing here."""
+    if reply.term > state.hard.term:
+        become_follower(state, reply.term, None, "a newer term")
+        return None
+    if state.role != LEADER or reply.term != state.hard.term:
         return None
     # The key is the disk as well: answers of a wiped disk under an old name count for nothing.
-    return state.progress_by_replica.get(sender)
+    progress = state.progress_by_replica.get(sender)
+    if progress is None:
+        return None
+    progress.answered_at = state.now
+    progress.acked_round = max(progress.acked_round, reply.round)
+    return progress
 
 
 def _advance(progress: Progress, match_index: int) -> None:
@@ -194,14 +200,9 @@
 
 def on_snapshot_reply(state: CoreState, sender: ReplicaId, reply: SnapshotReply) -> None:
     """Send the next chunk, or go on with entries once the snapshot is in force there."""
-    if reply.term > state.hard.term:
-        become_follower(state, reply.term, None, "a newer term")
-        return
-    progress = _answering(state, sender, reply.term)
+    progress = _answering(state, sender, reply)
     if progress is None:
         return
-    progress.answered_at = state.now
-    progress.acked_round = max(progress.acked_round, reply.round)
     if reply.installed:
         progress.match_index = max(progress.match_index, reply.index)
         progress.next_index = max(progress.match_index + 1, progress.next_index)
