Remove a leadership subscription that nobody uses

Cause: reading the whole change: ConsensusNode.subscribe_leadership had no caller; the duties ask for leadership at their ticks. Its list and loop only hid that the node keeps one flag. Ruled out for now: drains.py and fleet.py, orders.py and usage_reports.py share only their constructors' parameters; the fakes' options differ in what follows. Change: the subscription goes, the flag is named _leads; the demo's special case goes.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -120,9 +120,7 @@
             ("archive-1", "fakes.plain", "archive-app", "birmingham"),
             ("scorer-1", "fakes.scorer", "reader-scores", "derby"),
         ):
-            arguments = ["--listen", free_address(), "--service", service]
-            if module != "fakes.scorer":
-                arguments += ["--endpoint", name]
+            arguments = ["--endpoint", name, "--listen", free_address(), "--service", service]
             arguments += ["--data-centre", data_centre, *entries]
             self.cluster.start_other(name, python_module(module, *arguments))
         say("four endpoints announce themselves; no list of them stands anywhere")
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
+++ b/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
@@ -6,7 +6,6 @@
 import os
 import random
 import signal
-from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -31,8 +30,6 @@
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import Settings
 
-LeadershipCallback = Callable[[bool, int], None]
-
 FOLDER = "consensus"
 
 
@@ -51,8 +48,7 @@
         self.group_commit = True
         self.waiting = Waiting(retry_after_s=control.election_timeout_s)
         self._snapshot_under_way = False
-        self._announced = False
-        self._callbacks: list[LeadershipCallback] = []
+        self._leads = False
         self._commands: list[tuple[int, bytes]] = []
         self._reads: list[asyncio.Future[int | Refusal]] = []
 
@@ -110,7 +106,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether this replica leads and has applied all that was committed before its term."""
-        return self._announced and not self.failed
+        return self._leads and not self.failed
 
     @property
     def term(self) -> int:
@@ -137,14 +133,6 @@
             return 0.0
         return max(0.0, self.core.lease_until() - boot_now())
 
-    def subscribe_leadership(self, callback: LeadershipCallback) -> None:
-        """
-        Call `callback(is_leader, term)` on the event loop at each change.
-
-        :param callback: a plain function; it gets True once the state machine is up to date.
-        """
-        self._callbacks.append(callback)
-
     async def propose(self, data: bytes) -> Committed | Refusal:
         """
         Commit a command and apply it.
@@ -203,7 +191,7 @@
         try:
             for effect in self.core.step(event, boot_now()):
                 self._carry_out(effect)
-            self._announce()
+            self._note_leadership()
         except Exception as error:
             # Effects that were not carried out are promises that are not kept: entries that were
             # never written, or applied by half. A restart begins again from what is synced.
@@ -247,16 +235,9 @@
         if self.applied_index - self.core.snapshot.index >= self.settings.control.snapshot_every:
             self.take_snapshot()
 
-    def _announce(self) -> None:
-        """
-        Tell the subscribers once the state machine holds all of earlier terms, and at the end.
-        """
-        leads = self.core.is_leader and self.applied_index >= self.core.state.noop_index
-        if leads == self._announced:
-            return
-        self._announced = leads
-        for callback in self._callbacks:
-            callback(leads, self.core.term)
+    def _note_leadership(self) -> None:
+        """Lead only once the state machine holds all of earlier terms."""
+        self._leads = self.core.is_leader and self.applied_index >= self.core.state.noop_index
 
     def take_snapshot(self) -> bool:
         """
@@ -296,4 +277,4 @@
         self.dispatch(events.ReplicaSeen(identity.replica, identity.cluster))
 
 
-__all__ = ["FOLDER", "ConsensusNode", "LeadershipCallback"]
+__all__ = ["FOLDER", "ConsensusNode"]
