Move the consensus into a package of its own

Cause: a second replicated log (jobs on the store VMs) needs the consensus, which took its addresses and folder from the control role's settings. Ruled out: a copy; settings of the control role for stores. Change: package ibisspring-consensus; a replica is built from ReplicaConfig (folder, addresses by a function, name of the state machine), peers start with the first message to them. Tests moved with it, their assertions unchanged.

--- a/bench/_commit_replica.py
+++ b/bench/_commit_replica.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from fakes import replica
-from ibisspring_control.consensus import Committed, ConsensusNode
+from ibisspring_consensus import Committed, ConsensusNode
 from ibisspring_core.logs import start_logging
 from ibisspring_core.settings import load_settings
 
--- /dev/null
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/__init__.py
@@ -0,0 +1,9 @@
+"""Our own consensus: a replicated log of commands, in the manner of Raft."""
+
+from __future__ import annotations
+
+from ibisspring_consensus.config import ReplicaConfig
+from ibisspring_consensus.node import ConsensusNode
+from ibisspring_consensus.proposals import Committed
+
+__all__ = ["Committed", "ConsensusNode", "ReplicaConfig"]
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/core.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/core.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus import election, following, membership, replication
-from ibisspring_control.consensus.events import (
+from ibisspring_consensus import election, following, membership, replication
+from ibisspring_consensus.events import (
     Bootstrap,
     ConfirmRead,
     Effect,
@@ -27,9 +27,9 @@
     SnapshotTaken,
     Tick,
 )
-from ibisspring_control.consensus.lease import begin_read, lease_until, settle_reads
-from ibisspring_control.consensus.log import Log
-from ibisspring_control.consensus.messages import (
+from ibisspring_consensus.lease import begin_read, lease_until, settle_reads
+from ibisspring_consensus.log import Log
+from ibisspring_consensus.messages import (
     AppendReply,
     AppendRequest,
     Entry,
@@ -44,7 +44,7 @@
     VoteReply,
     VoteRequest,
 )
-from ibisspring_control.consensus.state import LEADER, CoreConfig, CoreState, reset_election
+from ibisspring_consensus.state import LEADER, CoreConfig, CoreState, reset_election
 
 if TYPE_CHECKING:
     import random
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/election.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/election.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from ibisspring_control.consensus.events import BecameLeader
-from ibisspring_control.consensus.lease import begin_round
-from ibisspring_control.consensus.messages import (
+from ibisspring_consensus.events import BecameLeader
+from ibisspring_consensus.lease import begin_round
+from ibisspring_consensus.messages import (
     NOOP,
     Entry,
     HardState,
@@ -13,8 +13,8 @@
     VoteReply,
     VoteRequest,
 )
-from ibisspring_control.consensus.quorum import counts, is_quorum
-from ibisspring_control.consensus.state import (
+from ibisspring_consensus.quorum import counts, is_quorum
+from ibisspring_consensus.state import (
     CANDIDATE,
     FOLLOWER,
     LEADER,
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/events.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/events.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ibisspring_control.consensus.messages import (
+    from ibisspring_consensus.messages import (
         Entry,
         HardState,
         Members,
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/following.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/following.py
@@ -4,8 +4,8 @@
 
 import zlib
 
-from ibisspring_control.consensus.events import InstallSnapshot
-from ibisspring_control.consensus.messages import (
+from ibisspring_consensus.events import InstallSnapshot
+from ibisspring_consensus.messages import (
     AppendReply,
     AppendRequest,
     Entry,
@@ -13,7 +13,7 @@
     SnapshotChunk,
     SnapshotReply,
 )
-from ibisspring_control.consensus.state import (
+from ibisspring_consensus.state import (
     CoreState,
     PendingPersist,
     become_follower,
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/lease.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/lease.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus.events import ConfirmRead, ReadConfirmed, ReadRefused
-from ibisspring_control.consensus.quorum import is_quorum, quorum_value
-from ibisspring_control.consensus.state import LEADER, CoreState, PendingRead
+from ibisspring_consensus.events import ConfirmRead, ReadConfirmed, ReadRefused
+from ibisspring_consensus.quorum import is_quorum, quorum_value
+from ibisspring_consensus.state import LEADER, CoreState, PendingRead
 
 if TYPE_CHECKING:
-    from ibisspring_control.consensus.messages import ReplicaId
+    from ibisspring_consensus.messages import ReplicaId
 
 
 def begin_round(state: CoreState) -> None:
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/log.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ibisspring_control.consensus.messages import MEMBERS, Entry, Members, SnapshotMeta
+from ibisspring_consensus.messages import MEMBERS, Entry, Members, SnapshotMeta
 from ibisspring_core.messages.codec import decode
 
 
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/manage.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/manage.py
@@ -11,13 +11,13 @@
 import grpc.aio
 import msgspec
 
-from ibisspring_control.consensus import events
-from ibisspring_control.consensus.messages import Members, ReplicaId
-from ibisspring_control.consensus.peer import Identity, open_channel
+from ibisspring_consensus import events
+from ibisspring_consensus.messages import Members, ReplicaId
+from ibisspring_consensus.peer import Identity, open_channel
 from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
 
 if TYPE_CHECKING:
-    from ibisspring_control.consensus.node import ConsensusNode
+    from ibisspring_consensus.node import ConsensusNode
 
 IDENTIFY_TIMEOUT_S = 2.0
 BOOTSTRAP_BOUND_S = 30.0
@@ -125,26 +125,28 @@
 
 async def bootstrap(node: ConsensusNode) -> Managed:
     """
-    Found the cluster of all control daemons in the settings.
+    Found the cluster of all daemons that its configuration names.
 
     Every one of them must answer and be empty. A cluster that lost some of its disks is therefore
     never founded a second time beside what the others still hold; and only the first daemon by name
     founds, so that two operators cannot found two.
     """
-    first = min(node.settings.control_addresses)
-    if node.settings.daemon != first:
+    config = node.replica_config
+    first = min(config.founders)
+    if config.daemon != first:
         return Managed(False, leader_hint=first, detail=f"ask {first}, which founds the cluster")
     found = [Identity(node.replica, node.core.is_empty)]
-    for daemon, address in sorted(node.settings.control_addresses.items()):
-        if daemon == node.settings.daemon:
+    for daemon in sorted(config.founders):
+        if daemon == config.daemon:
             continue
+        address = config.address_of(daemon)
         identity = await identify(address)
         if identity is None or identity.replica.daemon != daemon:
             return Managed(False, detail=f"{daemon} does not answer at {address}; nothing was done")
         found.append(identity)
     taken = [identity.replica.daemon for identity in found if not identity.empty]
     if taken or not node.core.is_empty:
-        names = ", ".join(taken) or node.settings.daemon
+        names = ", ".join(taken) or config.daemon
         return Managed(False, detail=f"{names} already holds state; nothing was done")
     voters = tuple(sorted(identity.replica for identity in found))
     node.dispatch(events.Bootstrap(Members(voters, cluster=secrets.token_hex(8))))
@@ -164,9 +166,9 @@
     if not node.is_leader:
         return Managed(False, leader_hint=node.leader_hint, detail="this replica does not lead")
     new_daemon = arguments.get("new") or arguments["daemon"]
-    address = node.settings.control_addresses.get(new_daemon)
+    address = node.replica_config.address_of(new_daemon)
     if address is None:
-        return Managed(False, detail=f"{new_daemon} is not in control_addresses")
+        return Managed(False, detail=f"{new_daemon} has no address in the settings")
     identity = await identify(address)
     if identity is None:
         return Managed(False, detail=f"{new_daemon} does not answer at {address}")
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/membership.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus.messages import (
+from ibisspring_consensus.messages import (
     MEMBERS,
     Entry,
     HardState,
@@ -13,9 +13,9 @@
     Members,
     ReplicaId,
 )
-from ibisspring_control.consensus.quorum import everyone
-from ibisspring_control.consensus.replication import append
-from ibisspring_control.consensus.state import (
+from ibisspring_consensus.quorum import everyone
+from ibisspring_consensus.replication import append
+from ibisspring_consensus.state import (
     LEADER,
     CoreState,
     persist,
@@ -23,7 +23,7 @@
 from ibisspring_core.messages.codec import encode
 
 if TYPE_CHECKING:
-    from ibisspring_control.consensus.events import Bootstrap, Replace, ReplicaSeen
+    from ibisspring_consensus.events import Bootstrap, Replace, ReplicaSeen
 
 
 def on_bootstrap(state: CoreState, event: Bootstrap) -> None:
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/node.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
@@ -6,47 +6,43 @@
 import os
 import random
 import signal
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import eliot
 
-from ibisspring_control.consensus import events
-from ibisspring_control.consensus.core import Core
-from ibisspring_control.consensus.files import Damage
-from ibisspring_control.consensus.messages import COMMAND, Entry, ReplicaId
-from ibisspring_control.consensus.peers import Peers
-from ibisspring_control.consensus.proposals import Committed, Waiting, copy_result
-from ibisspring_control.consensus.snapshots import snapshot_job
-from ibisspring_control.consensus.state import CoreConfig
-from ibisspring_control.consensus.storage import Storage
-from ibisspring_control.consensus.writer import Writer
+from ibisspring_consensus import events
+from ibisspring_consensus.config import ReplicaConfig
+from ibisspring_consensus.core import Core
+from ibisspring_consensus.files import Damage
+from ibisspring_consensus.messages import COMMAND, Entry, ReplicaId
+from ibisspring_consensus.peers import Peers
+from ibisspring_consensus.proposals import Committed, Waiting, copy_result
+from ibisspring_consensus.snapshots import snapshot_job
+from ibisspring_consensus.storage import Storage
+from ibisspring_consensus.writer import Writer
 from ibisspring_core.clock import boot_now
 
 if TYPE_CHECKING:
-    from ibisspring_control.consensus.messages import SnapshotMeta
-    from ibisspring_control.consensus.peer import Identity
+    from ibisspring_consensus.messages import SnapshotMeta
+    from ibisspring_consensus.peer import Identity
     from ibisspring_core.errors import Refusal
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import Settings
 
-FOLDER = "consensus"
-
 
 class ConsensusNode:
     """One replica as a service."""
 
     name = "consensus"
 
-    def __init__(self, settings: Settings) -> None:
-        control = settings.control
-        self.settings = settings
-        self.config = CoreConfig.from_config(control)
+    def __init__(self, replica: ReplicaConfig) -> None:
+        self.replica_config = replica
+        self.config = replica.core
         self.core: Core | None = None
         self.applied_index = 0
         self.failed = False
         self.group_commit = True
-        self.waiting = Waiting(retry_after_s=control.election_timeout_s)
+        self.waiting = Waiting(retry_after_s=replica.core.election_timeout_s)
         self._snapshot_under_way = False
         self._leads = False
         self._commands: list[tuple[int, bytes]] = []
@@ -60,20 +56,20 @@
         :param settings: checked settings of a daemon with the control role.
         :return: the service; files are opened at its start.
         """
-        return cls(settings)
+        return cls(ReplicaConfig.from_config(settings))
 
     async def start(self, kernel: Kernel) -> None:
         """Open the disk, restore the state machine and begin to tick."""
-        self._state = kernel.find("state")
+        config = self.replica_config
+        self._state = kernel.find(config.state)
         self._counters = kernel.find("counters")
         timer = kernel.find("timer")
-        folder = Path(self.settings.data_folder) / FOLDER
-        storage = await asyncio.to_thread(Storage.from_folder, folder)
+        storage = await asyncio.to_thread(Storage.from_folder, config.folder)
         if isinstance(storage, Damage):
             eliot.log_message("consensus:damaged", damage=str(storage))
             # The one way out of a start: the daemon ends and its output says why.
             raise SystemExit(f"ibisspringd: refusing to start: {storage}")
-        self.replica = ReplicaId(self.settings.daemon, storage.disk_id)
+        self.replica = ReplicaId(config.daemon, storage.disk_id)
         self._restore(storage)
         self.core = Core.from_stored(
             self.replica, self.config, storage.stored, random.Random(), boot_now()
@@ -81,9 +77,8 @@
         self.writer = Writer(storage, self._synced, self._fail)
         self.writer.start()
         self._peers = Peers.from_config(
-            self.settings, self.replica, self._read_chunk, self._identified, self._counters
+            config, self.replica, self._read_chunk, self._identified, self._counters
         )
-        self._peers.start()
         self._ticks = timer.subscribe("consensus", self.config.tick_s, self._tick)
 
     def _restore(self, storage: Storage) -> None:
@@ -232,7 +227,7 @@
                 result = self._state.apply(entry.index, entry.data)
             self.applied_index = entry.index
             self.waiting.applied(entry.index, entry.term, result)
-        if self.applied_index - self.core.snapshot.index >= self.settings.control.snapshot_every:
+        if self.applied_index - self.core.snapshot.index >= self.replica_config.snapshot_every:
             self.take_snapshot()
 
     def _note_leadership(self) -> None:
@@ -277,4 +272,4 @@
         self.dispatch(events.ReplicaSeen(identity.replica, identity.cluster))
 
 
-__all__ = ["FOLDER", "ConsensusNode"]
+__all__ = ["ConsensusNode"]
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/peer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
@@ -11,7 +11,7 @@
 import grpc
 import grpc.aio
 
-from ibisspring_control.consensus.messages import MESSAGES, Message, ReplicaId, SnapshotChunk
+from ibisspring_consensus.messages import MESSAGES, Message, ReplicaId, SnapshotChunk
 from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
 
 if TYPE_CHECKING:
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/quorum.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/quorum.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ibisspring_control.consensus.messages import Members, ReplicaId
+    from ibisspring_consensus.messages import Members, ReplicaId
 
 
 def groups(members: Members) -> tuple[tuple[ReplicaId, ...], ...]:
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/replication.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/replication.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from ibisspring_control.consensus.events import ProposalRefused, Propose, Proposed
-from ibisspring_control.consensus.lease import (
+from ibisspring_consensus.events import ProposalRefused, Propose, Proposed
+from ibisspring_consensus.lease import (
     begin_round,
     quorum_answered_at,
     settle_reads,
 )
-from ibisspring_control.consensus.messages import (
+from ibisspring_consensus.messages import (
     COMMAND,
     AppendReply,
     AppendRequest,
@@ -18,8 +18,8 @@
     SnapshotReply,
     TimeoutNow,
 )
-from ibisspring_control.consensus.quorum import counts, quorum_value
-from ibisspring_control.consensus.state import (
+from ibisspring_consensus.quorum import counts, quorum_value
+from ibisspring_consensus.state import (
     LEADER,
     CoreState,
     Progress,
--- a/packages/ibisspring-control/src/ibisspring_control/rpc/consensus_service.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/rpc_service.py
@@ -6,15 +6,15 @@
 
 import msgspec
 
-from ibisspring_control.consensus import events
-from ibisspring_control.consensus.manage import manage
-from ibisspring_control.consensus.messages import MESSAGES, ReplicaId
+from ibisspring_consensus import events
+from ibisspring_consensus.manage import manage
+from ibisspring_consensus.messages import MESSAGES, ReplicaId
 from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
 
 if TYPE_CHECKING:
     import grpc.aio
 
-    from ibisspring_control.consensus.node import ConsensusNode
+    from ibisspring_consensus.node import ConsensusNode
     from ibisspring_core.counters import Counters
     from ibisspring_core.kernel import Kernel
 
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/snapshots.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/snapshots.py
@@ -5,14 +5,14 @@
 import zlib
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus.messages import SnapshotMeta
-from ibisspring_control.consensus.storage import SegmentStart
-from ibisspring_control.consensus.writer import StoreSnapshot
+from ibisspring_consensus.messages import SnapshotMeta
+from ibisspring_consensus.storage import SegmentStart
+from ibisspring_consensus.writer import StoreSnapshot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ibisspring_control.consensus.log import Log
+    from ibisspring_consensus.log import Log
 
 # Entries kept before a snapshot: a follower that lags this much needs no snapshot.
 TAIL_ENTRIES = 256
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/state.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus.events import (
+from ibisspring_consensus.events import (
     Apply,
     Effect,
     Persist,
@@ -13,13 +13,13 @@
     Send,
     SteppedDown,
 )
-from ibisspring_control.consensus.messages import Entry, HardState, Members, Message, ReplicaId
-from ibisspring_control.consensus.quorum import everyone
+from ibisspring_consensus.messages import Entry, HardState, Members, Message, ReplicaId
+from ibisspring_consensus.quorum import everyone
 
 if TYPE_CHECKING:
     import random
 
-    from ibisspring_control.consensus.log import Log
+    from ibisspring_consensus.log import Log
     from ibisspring_core.settings import ControlSettings
 
 FOLLOWER = "follower"
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/storage.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/storage.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus.core import StoredState
-from ibisspring_control.consensus.files import (
+from ibisspring_consensus.core import StoredState
+from ibisspring_consensus.files import (
     HEADER,
     Damage,
     frame,
@@ -22,7 +22,7 @@
     replace_file,
     sync_folder,
 )
-from ibisspring_control.consensus.messages import Entry, HardState, SnapshotMeta
+from ibisspring_consensus.messages import Entry, HardState, SnapshotMeta
 from ibisspring_core.messages.codec import decode, encode
 
 if TYPE_CHECKING:
--- a/packages/ibisspring-control/src/ibisspring_control/consensus/writer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
@@ -10,14 +10,14 @@
 
 import eliot
 
-from ibisspring_control.consensus.events import InstallSnapshot, Persist
-from ibisspring_control.consensus.storage import LogChange, SegmentStart
+from ibisspring_consensus.events import InstallSnapshot, Persist
+from ibisspring_consensus.storage import LogChange, SegmentStart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ibisspring_control.consensus.messages import Entry, SnapshotMeta
-    from ibisspring_control.consensus.storage import Storage
+    from ibisspring_consensus.messages import Entry, SnapshotMeta
+    from ibisspring_consensus.storage import Storage
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-control/src/ibisspring_control/role.py
+++ b/packages/ibisspring-control/src/ibisspring_control/role.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus import ConsensusNode
+from ibisspring_consensus import ConsensusNode
 from ibisspring_control.engine_orders import EngineOrders
 from ibisspring_control.entry_leases import EntryLeases
 from ibisspring_control.leader_duties import LeaderDuties
--- a/packages/ibisspring-control/src/ibisspring_control/rpc/server.py
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/server.py
@@ -7,7 +7,7 @@
 import grpc
 import grpc.aio
 
-from ibisspring_control.consensus.peer import MAX_MESSAGE_BYTES, TCP_USER_TIMEOUT_MS
+from ibisspring_consensus.peer import MAX_MESSAGE_BYTES, TCP_USER_TIMEOUT_MS
 from ibisspring_core.pb import consensus_pb2_grpc, control_pb2_grpc
 
 if TYPE_CHECKING:
@@ -50,7 +50,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Listen."""
-        from ibisspring_control.rpc.consensus_service import ConsensusService
+        from ibisspring_consensus.rpc_service import ConsensusService
 
         self._server = grpc.aio.server(options=SERVER_OPTIONS)
         consensus_pb2_grpc.add_ConsensusServicer_to_server(
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -12,7 +12,7 @@
 import click
 from aiohttp import web
 
-from ibisspring_control.consensus import Committed, ConsensusNode
+from ibisspring_consensus import Committed, ConsensusNode
 from ibisspring_control.rpc.server import ControlRpc
 from ibisspring_core.counters import Counters
 from ibisspring_core.kernel import Kernel
--- a/tests/unit/control/consensus/guards.py
+++ b/tests/unit/consensus/guards.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ibisspring_control.consensus import core, election, following, lease, membership, replication
-from ibisspring_control.consensus.state import send
+from ibisspring_consensus import core, election, following, lease, membership, replication
+from ibisspring_consensus.state import send
 
 if TYPE_CHECKING:
     import pytest
--- a/tests/unit/control/consensus/random_run.py
+++ b/tests/unit/consensus/random_run.py
@@ -7,11 +7,11 @@
 import zlib
 from dataclasses import replace
 
-from unit.control.consensus.run_nodes import Disk, Node, StoreSnapshot
+from unit.consensus.run_nodes import Disk, Node, StoreSnapshot
 
-from ibisspring_control.consensus import events
-from ibisspring_control.consensus.core import Core, StoredState
-from ibisspring_control.consensus.messages import (
+from ibisspring_consensus import events
+from ibisspring_consensus.core import Core, StoredState
+from ibisspring_consensus.messages import (
     MEMBERS,
     Entry,
     Members,
@@ -20,8 +20,8 @@
     SnapshotMeta,
     VoteReply,
 )
-from ibisspring_control.consensus.quorum import is_quorum
-from ibisspring_control.consensus.state import CoreConfig
+from ibisspring_consensus.quorum import is_quorum
+from ibisspring_consensus.state import CoreConfig
 from ibisspring_core.messages.codec import decode
 
 CONFIG = CoreConfig(max_append_bytes=40, max_in_flight=3, chunk_bytes=24)
--- a/tests/unit/control/consensus/run_nodes.py
+++ b/tests/unit/consensus/run_nodes.py
@@ -5,9 +5,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from ibisspring_control.consensus import events
-from ibisspring_control.consensus.core import Core
-from ibisspring_control.consensus.messages import Entry, HardState, ReplicaId, SnapshotMeta
+from ibisspring_consensus import events
+from ibisspring_consensus.core import Core
+from ibisspring_consensus.messages import Entry, HardState, ReplicaId, SnapshotMeta
 
 
 @dataclass(frozen=True)
--- a/tests/unit/control/consensus/test_core_fuzz.py
+++ b/tests/unit/consensus/test_core_fuzz.py
@@ -5,8 +5,8 @@
 import os
 
 import pytest
-from unit.control.consensus import guards
-from unit.control.consensus.random_run import run
+from unit.consensus import guards
+from unit.consensus.random_run import run
 
 STEPS = 4000
 # Found with each guard taken out; the same runs pass with it.
--- a/tests/unit/control/consensus/test_core_scenarios.py
+++ b/tests/unit/consensus/test_core_scenarios.py
@@ -5,11 +5,11 @@
 from dataclasses import replace
 
 import pytest
-from unit.control.consensus import guards
-from unit.control.consensus.random_run import RandomRun
+from unit.consensus import guards
+from unit.consensus.random_run import RandomRun
 
-from ibisspring_control.consensus import events
-from ibisspring_control.consensus.messages import AppendReply, AppendRequest, VoteReply, VoteRequest
+from ibisspring_consensus import events
+from ibisspring_consensus.messages import AppendReply, AppendRequest, VoteReply, VoteRequest
 
 ANY = object
 
--- a/tests/unit/control/consensus/test_storage.py
+++ b/tests/unit/consensus/test_storage.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from ibisspring_control.consensus import files
-from ibisspring_control.consensus.files import HEADER, Damage
-from ibisspring_control.consensus.messages import (
+from ibisspring_consensus import files
+from ibisspring_consensus.files import HEADER, Damage
+from ibisspring_consensus.messages import (
     COMMAND,
     Entry,
     HardState,
@@ -16,7 +16,7 @@
     ReplicaId,
     SnapshotMeta,
 )
-from ibisspring_control.consensus.storage import LogChange, SegmentStart, Storage
+from ibisspring_consensus.storage import LogChange, SegmentStart, Storage
 
 VOTE = HardState(3, ReplicaId("c2", "d2"))
 
@@ -144,7 +144,7 @@
             left[0] -= 1
             return plain(*arguments)
 
-        monkeypatch.setattr(f"ibisspring_control.consensus.storage.{name}", counted)
+        monkeypatch.setattr(f"ibisspring_consensus.storage.{name}", counted)
     crashed = _snapshot_until_crash(storage)
     monkeypatch.undo()
     again = opened(folder)
--- a/tests/unit/control/consensus/test_writer.py
+++ b/tests/unit/consensus/test_writer.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from ibisspring_control.consensus.events import Persist
-from ibisspring_control.consensus.messages import COMMAND, Entry
-from ibisspring_control.consensus.storage import Storage
-from ibisspring_control.consensus.writer import Writer
+from ibisspring_consensus.events import Persist
+from ibisspring_consensus.messages import COMMAND, Entry
+from ibisspring_consensus.storage import Storage
+from ibisspring_consensus.writer import Writer
 
 
 def persist(sequence: int) -> Persist:
