--- a/Makefile
+++ b/Makefile
@@ -14,13 +14,13 @@
 setup: $(STAMP)
 
 lint: setup
-	$(VENV)/bin/black --check -q packages tests bench demo
-	$(VENV)/bin/ruff check packages tests bench demo
+	$(VENV)/bin/black --check -q packages platform tests bench demo
+	$(VENV)/bin/ruff check packages platform tests bench demo
 
 format: setup
-	$(VENV)/bin/black -q packages tests bench demo
-	$(VENV)/bin/ruff check --fix packages tests bench demo
-	$(VENV)/bin/black -q packages tests bench demo
+	$(VENV)/bin/black -q packages platform tests bench demo
+	$(VENV)/bin/ruff check --fix packages platform tests bench demo
+	$(VENV)/bin/black -q packages platform tests bench demo
 
 test: setup
 	$(PYTHON) -m pytest -q -n 4 --dist worksteal
--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -5,12 +5,12 @@
 import time
 
 from bench._report import print_table
+from ibisspring_core.endpoint_table import EndpointTable, Heard
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_core.pb import entry_peer_pb2
 from ibisspring_entry.registry.peer_sent import Delta, SentToPeer
 from ibisspring_entry.registry.peer_wire import pack, take_all
 from ibisspring_entry.registry.peers import EXCHANGE_EVERY_S
-from ibisspring_entry.registry.table import EndpointTable, Heard
 
 SIZES = ((5, 3), (16, 9), (60, 38), (600, 380))
 ANNOUNCE_EVERY_S = 1.0
--- a/packages/ibisspring-control/src/ibisspring_control/leader_duties/orders.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/orders.py
@@ -10,14 +10,14 @@
 
 import eliot
 
-from ibisspring_control.leader_duties.guarded_http import (
+from ibisspring_control.leader_duties.proposals import commit
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.guarded_http import (
     HttpAnswer,
     HttpRequest,
     NoAnswer,
     send_guarded,
 )
-from ibisspring_control.leader_duties.proposals import commit
-from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.commands import IntentRecorded, OrderIntent, OrderResolved
 
 if TYPE_CHECKING:
--- a/packages/ibisspring-control/src/ibisspring_control/leader_duties/usage_reports.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/usage_reports.py
@@ -8,9 +8,9 @@
 
 import eliot
 
-from ibisspring_control.leader_duties.guarded_http import HttpRequest, NoAnswer, send_guarded
 from ibisspring_control.leader_duties.proposals import commit
 from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.guarded_http import HttpRequest, NoAnswer, send_guarded
 from ibisspring_core.messages.commands import CloseWindow, WindowReported
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -0,0 +1,175 @@
+"""The service `directory_view`: what the directory's leader last told this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import eliot
+
+from ibisspring_core.clock import boot_now, wall_now
+from ibisspring_core.endpoint_table import SERVING, EndpointTable
+from ibisspring_core.errors import Refusal
+from ibisspring_core.leader_client import LeaderClient
+from ibisspring_core.messages.directory import Renew, Unchanged, UsageCount, View
+from ibisspring_core.routes.index import RouteIndex
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.settings.vm import VmSettings
+
+# The leader answers at once when something changes. Held longer, a daemon would be taken for out
+# of touch; held shorter, each of hundreds of daemons would cost the leader more.
+HOLD_S = 0.4
+CALL_TIMEOUT_S = 1.0
+RENEW_TIMEOUT_S = 3.0
+# An entry that hears no leader for this long serves nobody any more: keys may have been withdrawn.
+# Far longer than an election, so that the loss of control VMs does not stop callers.
+SERVE_WITHOUT_CONTROL_S = 20.0
+KEEP_ENDPOINTS_S = 3600.0
+
+UsageSource = Callable[[int], tuple[UsageCount, ...]]
+Describe = Callable[[Renew], Renew]
+
+
+class DirectoryView:
+    """Renews all the time and tells the parts that subscribe when something changed."""
+
+    name = "directory_view"
+
+    def __init__(self, settings: VmSettings) -> None:
+        self._settings = settings
+        self._incarnation = secrets.token_hex(8)
+        self._on_change: list[Callable[[], None]] = []
+        self._usage: UsageSource = lambda closed: ()
+        self._describe: Describe = lambda renew: renew
+        self._heard_at: float | None = None
+        self._wall_offset_s = wall_now() - boot_now()
+        self.view = View(0, 0)
+        self.index: RouteIndex | None = None
+        self.endpoints = EndpointTable(KEEP_ENDPOINTS_S)
+        self._task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(cls, settings: VmSettings) -> DirectoryView:
+        """
+        Build the service.
+
+        :param settings: checked settings of an entry or a store.
+        :return: the service.
+        """
+        return cls(settings)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to renew."""
+        self._counters = kernel.find("counters")
+        self._leader = LeaderClient(kernel.find("peer_client"), self._addresses)
+        self._task = asyncio.create_task(self._run(), name="directory_view")
+
+    async def stop(self) -> None:
+        """Renew no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+        self._on_change.append(callback)
+
+    def send_usage(self, source: UsageSource) -> None:
+        """Send with each renewal what `source` gives for the newest closed window."""
+        self._usage = source
+
+    def describe(self, describe: Describe) -> None:
+        """Let a part add to each renewal what it knows of this daemon."""
+        self._describe = describe
+
+    @property
+    def table_version(self) -> int:
+        """Version of the route table in force here; -1 before the first."""
+        return self.index.table.version if self.index is not None else -1
+
+    def may_serve(self) -> bool:
+        """Whether a route table is in force here and the directory was heard lately."""
+        if self.index is None or self._heard_at is None:
+            return False
+        return boot_now() - self._heard_at <= SERVE_WITHOUT_CONTROL_S
+
+    def wall_s(self) -> float:
+        """The time of day that most daemons agree on, in seconds since 1970."""
+        return boot_now() + self._wall_offset_s
+
+    def serving(self, service: str) -> tuple[EndpointRecord, ...]:
+        """Endpoints of a service that may get new work."""
+        return self.endpoints.serving(service, boot_now())
+
+    def _addresses(self) -> tuple[str, ...]:
+        return tuple(dict.fromkeys((*self.view.controls, *self._settings.seeds)))
+
+    async def _run(self) -> None:
+        while True:
+            await self._renew()
+
+    async def _renew(self) -> None:
+        settings = self._settings
+        renew = Renew(
+            address=settings.peer_address,
+            daemon=settings.daemon,
+            data_centre=settings.data_centre,
+            incarnation=self._incarnation,
+            role=settings.role,
+            epoch=self.view.epoch,
+            revision=self.view.revision,
+            table_version=self.table_version,
+            hold_s=HOLD_S,
+            usage=self._usage(self.view.closed_window),
+            wall_s=wall_now(),
+        )
+        answer = await self._leader.call(self._describe(renew), RENEW_TIMEOUT_S, CALL_TIMEOUT_S)
+        if isinstance(answer, Refusal):
+            self._counters.add("directory_view.renewal_failed")
+            eliot.log_message("directory_view:no_leader", detail=answer.detail)
+            return
+        self._heard_at = boot_now()
+        self._wall_offset_s = answer.wall_s - self._heard_at
+        if isinstance(answer, Unchanged):
+            self.view = replace(self.view, closed_window=answer.closed_window)
+            return
+        self._take(answer)
+
+    def _take(self, view: View) -> None:
+        # The table in force here never goes back: a deposed leader may still answer one call with
+        # what it knew.
+        if view.epoch < self.view.epoch:
+            self._counters.add("directory_view.older_epoch")
+            return
+        if view.table is not None and view.table.version > self.table_version:
+            self.index = RouteIndex(view.table)
+            eliot.log_message("directory_view:table", version=view.table.version)
+        self._take_endpoints(view)
+        self.view = replace(view, table=None)
+        for callback in self._on_change:
+            callback()
+
+    def _take_endpoints(self, view: View) -> None:
+        """
+        Take over the leader's endpoints.
+
+        A leader that has just been elected has heard only some of them; until it has, those that it
+        does not name stay as they were known.
+        """
+        now = boot_now()
+        table = self.endpoints if view.learning else EndpointTable(KEEP_ENDPOINTS_S)
+        for placed in view.endpoints:
+            table.take(placed.record, now)
+        before = {one.record.endpoint for one in self.endpoints.heard()}
+        after = {one.record.endpoint for one in table.heard() if one.record.state == SERVING}
+        if before != after:
+            eliot.log_message("directory_view:endpoints", serving=sorted(after))
+        self.endpoints = table
+
+
+__all__ = ["DirectoryView"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/table.py
+++ b/packages/ibisspring-core/src/ibisspring_core/endpoint_table.py
@@ -96,6 +96,17 @@
         changes = {"sequence": sequence, "load": load, "state": SERVING}
         self.take(dataclasses.replace(known.record, **changes), heard_at, first_hand=False)
 
+    def set_versions(self, endpoint: str, version_by_adapter: dict[str, int]) -> None:
+        """
+        Take in the versions that an engine has between two of its announcements.
+
+        :param endpoint: one that is known.
+        :param version_by_adapter: weight version by name.
+        """
+        heard = self._heard_by_endpoint[endpoint]
+        record = dataclasses.replace(heard.record, version_by_adapter=version_by_adapter)
+        self._put(dataclasses.replace(heard, record=record), heard)
+
     def _take_again(self, known: Heard, heard_at: float) -> str:
         if heard_at > known.heard_at:
             self._heard_by_endpoint[known.record.endpoint] = dataclasses.replace(
@@ -143,15 +154,32 @@
         :param now: seconds on this entry's boot clock.
         :return: their records.
         """
+        owner_by_address = self._owner_by_address()
         found = []
         for heard in self._heard_by_endpoint.values():
-            if heard.record.service != service or heard.record.state != SERVING:
+            record = heard.record
+            if record.service != service or record.state != SERVING:
                 continue
             if now - heard.heard_at > self._ttl_s:
                 continue
-            found.append(heard.record)
+            if owner_by_address[record.address] > record.incarnation:
+                continue
+            found.append(record)
         return tuple(found)
 
+    def _owner_by_address(self) -> dict[str, int]:
+        """
+        Find the newest incarnation at each address.
+
+        An announcement held up on its way may arrive after its sender has ended and another
+        endpoint began at the same address: both would be taken for serving there.
+        """
+        newest: dict[str, int] = {}
+        for heard in self._heard_by_endpoint.values():
+            record = heard.record
+            newest[record.address] = max(newest.get(record.address, 0), record.incarnation)
+        return newest
+
     def heard(self) -> tuple[Heard, ...]:
         """All that is known, what is gone included."""
         return tuple(self._heard_by_endpoint.values())
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -0,0 +1,277 @@
+"""Messages about jobs: many requests that are submitted at once and run later."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+COMPLETED = "completed"
+ABANDONED = "abandoned"
+
+
+@dataclass(frozen=True)
+class JobItem:
+    """
+    One request of a job.
+
+    :param item: its id, which is also the id of the request at an endpoint.
+    :param path: path at the endpoint.
+    :param headers: pairs of name and value, as the caller gave them.
+    :param tokens: prompt tokens and the most output tokens together.
+    :param expected_tokens: the caller's estimate of its output; 0 for none.
+    :param group: items of a group share their prompt and are worth something only together.
+    """
+
+    item: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+    group: str = ""
+    expected_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class Job:
+    """
+    One job as a caller submitted it.
+
+    :param job: its id.
+    :param client_account: who submitted it; only this account reads it.
+    :param host: host of its route, which endpoints are told as well.
+    :param due_s: seconds from the submission until all results are due.
+    :param give_up_s: seconds from the submission after which an item may be given up.
+    :param max_attempts: failures after which an item is given up.
+    :param min_version: oldest weight version that may make its results.
+    :param wanted_groups: whole groups that the trainer waits for.
+    :param single_version: one weight version must make a whole result.
+    :param submitted_s: wall clock of the submission, seconds since 1970.
+    """
+
+    job: str
+    client_account: str
+    host: str
+    service: str
+    model: str
+    items: tuple[JobItem, ...]
+    due_s: float
+    give_up_s: float
+    max_attempts: int
+    priority: int = 0
+    min_version: int = 0
+    wanted_groups: int = 0
+    single_version: bool = False
+    submitted_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class ItemResult:
+    """
+    How an item ended.
+
+    :param state: COMPLETED or ABANDONED.
+    :param output: data of all events in order, joined by line feeds.
+    :param versions: weight versions that made it, in the order in which they began.
+    """
+
+    item: str
+    state: str
+    output: str = ""
+    versions: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True)
+class SubmitJob:
+    """Asks to accept a job once."""
+
+    job: Job
+
+
+@dataclass(frozen=True)
+class JobAccepted:
+    """A majority of the stores holds the job."""
+
+
+@dataclass(frozen=True)
+class UnknownJob:
+    """No such job exists for this client account, surely."""
+
+
+@dataclass(frozen=True)
+class ReadResults:
+    """
+    Asks for results by position.
+
+    :param after: first position, from 0.
+    :param hold_s: seconds to wait for a result at that position.
+    :param max_bytes: most bytes of output; at least one result is given where there is one.
+    """
+
+    job: str
+    client_account: str
+    after: int
+    hold_s: float
+    max_bytes: int
+
+
+@dataclass(frozen=True)
+class ResultsRead:
+    """
+    Results from a position on.
+
+    :param total: items of the job.
+    """
+
+    total: int
+    results: tuple[ItemResult, ...]
+
+
+@dataclass(frozen=True)
+class ReadBody:
+    """Asks for the body of an item that is not listed yet."""
+
+    job: str
+    client_account: str
+    item: str
+
+
+@dataclass(frozen=True)
+class BodyRead:
+    """The body; None for an item that is listed, ended or not of the job."""
+
+    body: bytes | None
+
+
+@dataclass(frozen=True)
+class EndJob:
+    """Asks to end a job; results that stand stay readable."""
+
+    job: str
+    client_account: str
+
+
+@dataclass(frozen=True)
+class JobEnded:
+    """Nothing of the job starts to run from here on."""
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """
+    An item to be run at an endpoint.
+
+    :param number: names the assignment under one epoch.
+    :param endpoint: id of the endpoint.
+    :param incarnation: incarnation of the endpoint.
+    :param address: IP:port of the endpoint.
+    :param expected_version: weight version that the endpoint is believed to have; None for any.
+    :param resume_after: events that an earlier run made already; 0 begins anew.
+    :param deadline_s: seconds that the run may take.
+    """
+
+    number: int
+    job: str
+    item: JobItem
+    client_account: str
+    host: str
+    service: str
+    endpoint: str
+    incarnation: int
+    address: str
+    expected_version: int | None
+    resume_after: int
+    deadline_s: float
+
+
+@dataclass(frozen=True)
+class TakeWork:
+    """
+    A runner asks for work.
+
+    :param runner: address of the daemon that runs it.
+    :param epoch: epoch of the dispatcher that it worked for last.
+    :param sequence: rises with each of the runner's calls of an incarnation.
+    :param running: numbers of the assignments that it holds under that epoch.
+    :param free: how many more it takes.
+    :param hold_s: seconds to wait for work.
+    """
+
+    runner: str
+    data_centre: str
+    incarnation: str
+    epoch: int
+    sequence: int
+    running: tuple[int, ...]
+    free: int
+    hold_s: float
+
+
+@dataclass(frozen=True)
+class Work:
+    """
+    What a runner is to do.
+
+    :param epoch: rises with each leader of the jobs' log; work of an earlier epoch ends.
+    :param cancelled: numbers of assignments to stop.
+    """
+
+    epoch: int
+    assignments: tuple[Assignment, ...] = ()
+    cancelled: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """
+    How a run ended.
+
+    :param kind: `done`; `failed`, where the endpoint said that this run failed; `impossible`, where
+        it said that no run can succeed; `broken`, where the stream broke or went silent;
+        `turned_away`, where the endpoint did not run it; `stale`, where it has another version.
+    :param output: data of the events that this run made, joined by line feeds.
+    :param events: how many these are.
+    :param versions: weight versions that made them, in order.
+    """
+
+    number: int
+    kind: str
+    output: str = ""
+    events: int = 0
+    versions: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True)
+class ReportWork:
+    """A runner tells how runs ended; sent until it is answered."""
+
+    runner: str
+    epoch: int
+    outcomes: tuple[Outcome, ...]
+
+
+@dataclass(frozen=True)
+class WorkReported:
+    """The outcomes were taken in, or belong to an earlier epoch."""
+
+
+__all__ = [
+    "ABANDONED",
+    "COMPLETED",
+    "Assignment",
+    "BodyRead",
+    "EndJob",
+    "ItemResult",
+    "Job",
+    "JobAccepted",
+    "JobEnded",
+    "JobItem",
+    "Outcome",
+    "ReadBody",
+    "ReadResults",
+    "ReportWork",
+    "ResultsRead",
+    "SubmitJob",
+    "TakeWork",
+    "UnknownJob",
+    "Work",
+    "WorkReported",
+]
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
@@ -0,0 +1,43 @@
+"""The closed set of messages that daemons call each other with."""
+
+from __future__ import annotations
+
+from ibisspring_core.errors import Refusal
+from ibisspring_core.leader_client import NotLeader
+from ibisspring_core.messages import directory, jobs
+from ibisspring_core.messages.codec import KindCodec
+
+PEER_MESSAGES = KindCodec.from_types(
+    Refusal,
+    NotLeader,
+    directory.Announce,
+    directory.Announced,
+    directory.Identify,
+    directory.Member,
+    directory.NameVersion,
+    directory.ReadTable,
+    directory.Renew,
+    directory.ReplaceTable,
+    directory.Retire,
+    directory.Retiring,
+    directory.TableRead,
+    directory.TableReplaced,
+    directory.Unchanged,
+    directory.VersionNamed,
+    directory.View,
+    jobs.BodyRead,
+    jobs.EndJob,
+    jobs.JobAccepted,
+    jobs.JobEnded,
+    jobs.ReadBody,
+    jobs.ReadResults,
+    jobs.ReportWork,
+    jobs.ResultsRead,
+    jobs.SubmitJob,
+    jobs.TakeWork,
+    jobs.UnknownJob,
+    jobs.Work,
+    jobs.WorkReported,
+)
+
+__all__ = ["PEER_MESSAGES"]
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
@@ -0,0 +1,160 @@
+"""Typed calls between the daemons: one gRPC method that carries messages of a closed set."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+import eliot
+import grpc
+import grpc.aio
+import msgspec
+
+from ibisspring_core.errors import Reason, Refusal
+
+if TYPE_CHECKING:
+    from ibisspring_core.counters import Counters
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.codec import KindCodec
+
+SERVICE = "ibisspring.Peer"
+METHOD = f"/{SERVICE}/Call"
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# Two lost packets on a healthy path are sent again within this time; a dead path is left by then.
+TCP_USER_TIMEOUT_MS = 1000
+_OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", TCP_USER_TIMEOUT_MS),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 500),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.so_reuseport", 0),
+)
+STOP_GRACE_S = 1.0
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+class PeerServer:
+    """The daemon's one gRPC server; parts register what they answer before it starts."""
+
+    name = "peer_server"
+
+    def __init__(self, listen: str, codec: KindCodec) -> None:
+        self._listen = listen
+        self._codec = codec
+        self._handler_by_type: dict[type[Any], Handler] = {}
+        self._servicers: list[Callable[[grpc.aio.Server], None]] = []
+        self._server: grpc.aio.Server | None = None
+
+    def answer(self, message_type: type[Any], handler: Handler) -> None:
+        """
+        Register what answers a message.
+
+        :param message_type: a type of the codec's set.
+        :param handler: coroutine function; its result is of the codec's set as well.
+        """
+        self._handler_by_type[message_type] = handler
+
+    def add_servicer(self, add: Callable[[grpc.aio.Server], None]) -> None:
+        """Register a generated service; `add` is called with the server before it starts."""
+        self._servicers.append(add)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen."""
+        server = grpc.aio.server(options=_OPTIONS)
+        method = grpc.unary_unary_rpc_method_handler(self._call)
+        server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(SERVICE, {"Call": method}),)
+        )
+        for add in self._servicers:
+            add(server)
+        server.add_insecure_port(self._listen)
+        await server.start()
+        self._server = server
+
+    async def stop(self) -> None:
+        """Take no new calls and give those under way a moment."""
+        if self._server is not None:
+            await self._server.stop(STOP_GRACE_S)
+
+    async def _call(self, data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        message = self._codec.decode(data)
+        handler = self._handler_by_type.get(type(message))
+        if handler is None:
+            refusal = Refusal(Reason.BAD_REQUEST, True, None, f"no {type(message).__name__} here")
+            return self._codec.encode(refusal)
+        try:
+            return self._codec.encode(await handler(message))
+        except Exception as error:
+            eliot.log_message("peer_rpc:failed", message=type(message).__name__, error=repr(error))
+            raise
+
+
+class PeerClient:
+    """The channels to other daemons, by address."""
+
+    name = "peer_client"
+
+    def __init__(self, codec: KindCodec, counters: Counters) -> None:
+        self._codec = codec
+        self._counters = counters
+        self._channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Nothing to start: a channel opens with the first call over it."""
+
+    async def stop(self) -> None:
+        """Close all channels."""
+        for channel in self._channel_by_address.values():
+            await channel.close()
+        self._channel_by_address.clear()
+
+    async def call(self, address: str, message: Any, timeout_s: float) -> Any:
+        """
+        Call another daemon once.
+
+        :param address: IP:port of its peer server.
+        :param message: a message of the codec's set.
+        :param timeout_s: seconds to wait for the answer.
+        :return: its answer; a `Refusal` with ENDPOINT_SILENT where none came.
+        """
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            self._channel_by_address[address] = channel
+        method = channel.unary_unary(METHOD)
+        try:
+            return self._codec.decode(await method(self._codec.encode(message), timeout=timeout_s))
+        except grpc.aio.AioRpcError as error:
+            code = error.code().name.lower()
+            self._counters.add(f"peer_call_failed.{code}")
+            self._leave(address, channel)
+            return Refusal(Reason.ENDPOINT_SILENT, False, None, f"{address}: {code}")
+        except msgspec.DecodeError as error:
+            self._counters.add("peer_call_failed.unreadable")
+            return Refusal(Reason.MISMATCHED_ANSWER, False, None, f"{address}: {error}")
+
+    def _leave(self, address: str, channel: grpc.aio.Channel) -> None:
+        """
+        Leave a channel after a failure.
+
+        A connection whose other end lost track of it accepts bytes for ever and returns nothing,
+        while a new one works. Other calls over the channel fail as well and are tried again.
+        """
+        if self._channel_by_address.get(address) is not channel:
+            return
+        del self._channel_by_address[address]
+        task = asyncio.ensure_future(channel.close(STOP_GRACE_S))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+__all__ = ["PeerClient", "PeerServer"]
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/__init__.py
@@ -0,0 +1,29 @@
+"""Routes: which requests go to which service, for whom, and within what bounds."""
+
+from __future__ import annotations
+
+from ibisspring_core.routes.check import check_table
+from ibisspring_core.routes.index import RouteIndex
+from ibisspring_core.routes.model import (
+    ClientAccount,
+    JobTerms,
+    RepeatRule,
+    Route,
+    RouteTable,
+    ScalingTerms,
+    ServiceTerms,
+    Share,
+)
+
+__all__ = [
+    "ClientAccount",
+    "JobTerms",
+    "RepeatRule",
+    "Route",
+    "RouteIndex",
+    "RouteTable",
+    "ScalingTerms",
+    "ServiceTerms",
+    "Share",
+    "check_table",
+]
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/check.py
@@ -0,0 +1,63 @@
+"""Checks of a route table that no single field shows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisspring_core.errors import Finding
+
+if TYPE_CHECKING:
+    from ibisspring_core.routes.model import Route, RouteTable
+
+
+def check_table(table: RouteTable) -> tuple[Finding, ...]:
+    """
+    Check a route table.
+
+    :param table: what was sent.
+    :return: all findings, each with its place; none for a table that may come into force.
+    """
+    findings: list[Finding] = []
+
+    def report(place: str, message: str) -> None:
+        findings.append(Finding(place, 0, 0, message))
+
+    services = {service.name for service in table.services}
+    seen: set[tuple[str, str]] = set()
+    for number, route in enumerate(table.routes):
+        place = f"routes[{number}]"
+        for message in _route_faults(route, services):
+            report(place, message)
+        if (route.host, route.prefix) in seen:
+            report(place, f"{route.host}{route.prefix} is routed twice")
+        seen.add((route.host, route.prefix))
+    account_by_key: dict[str, str] = {}
+    for number, account in enumerate(table.accounts):
+        for key in account.keys:
+            # One account may hold a key twice; shared, it would not tell who called.
+            if account_by_key.setdefault(key, account.name) != account.name:
+                report(f"accounts[{number}]", f"shares a key with {account_by_key[key]!r}")
+    return tuple(findings)
+
+
+def _route_faults(route: Route, services: set[str]) -> list[str]:
+    faults = []
+    for share in route.shares:
+        if share.service not in services:
+            faults.append(f"service {share.service!r} is unknown")
+    if not route.shares:
+        faults.append("names no service")
+    if any(share.weight < 0 for share in route.shares):
+        faults.append("a weight is negative")
+    if sum(share.weight for share in route.shares) <= 0:
+        faults.append("the weights add up to 0")
+    if route.timeout_s <= 0:
+        faults.append("the timeout is 0")
+    if not route.host:
+        faults.append("names no host")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        faults.append("the prefix must begin and end with a slash")
+    return faults
+
+
+__all__ = ["check_table"]
--- /dev/null
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
@@ -0,0 +1,140 @@
+"""
+Which item of which job runs next, at which engine.
+
+Load pattern: every few seconds a trainer submits a hundred items at once, in groups that share a
+prompt and are worth something only when whole; one item in twelve is five times as long as the
+others; engines work on a fixed number at a time, differ in speed, and are left in mid-run. Several
+trainers share them.
+
+Without it, each entry would place its own items by load reports that lag: two of them flood the
+same engine while another is idle, long items begin last and hold up their groups for seconds, and a
+group is read into the memory of every engine.
+
+Grounds: the earliest due job first, since a step that is late is worth least. Within a job the long
+items first, by their callers' estimate: with twice as many items as places, a long one that begins
+last ends a whole item's time after all others. A group goes to the engine that holds its prompt
+already, while that one has room.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+# A group's prompt is worth more than an even spread while the engine is not this many items fuller
+# than the emptiest.
+AFFINITY_ITEMS = 2
+
+
+@dataclass(frozen=True)
+class WaitingItem:
+    """
+    An item that may begin.
+
+    :param key: job and item.
+    :param due_s: when its job is due, on the caller's clock.
+    :param carried: it belongs to a group that an earlier job left unfinished.
+    :param expected_tokens: tokens that its output likely has.
+    :param tokens: tokens that it takes in memory at most.
+    :param engines: engines that may run it.
+    """
+
+    key: tuple[str, str]
+    group: tuple[str, str]
+    due_s: float
+    priority: int
+    carried: bool
+    expected_tokens: int
+    tokens: int
+    engines: frozenset[str]
+
+
+@dataclass
+class EngineRoom:
+    """
+    What an engine has left.
+
+    :param slots: items that it still takes.
+    :param tokens: memory that is left.
+    :param running: items on it.
+    :param slowness: time that it takes for an item against the fastest; 1.0 for that one.
+    :param groups: groups whose prompt it holds.
+    """
+
+    engine: str
+    slots: int
+    tokens: int
+    running: int
+    slowness: float
+    groups: set[tuple[str, str]]
+
+
+@dataclass(frozen=True)
+class Placement:
+    """An item to begin at an engine."""
+
+    key: tuple[str, str]
+    engine: str
+
+
+def order_of(item: WaitingItem) -> tuple[int, float, bool, int, tuple[str, str]]:
+    """
+    Rank an item among those that wait; the lowest begins first.
+
+    :return: a sort key.
+    """
+    return (item.priority, item.due_s, not item.carried, -item.expected_tokens, item.key)
+
+
+def place(items: Iterable[WaitingItem], rooms: Sequence[EngineRoom]) -> tuple[Placement, ...]:
+    """
+    Place items in their order while engines have room.
+
+    :param items: items in the order of `order_of`.
+    :param rooms: engines; changed as items are placed.
+    :return: the placements in order.
+    """
+    room_by_engine = {room.engine: room for room in rooms}
+    placements = []
+    free = sum(room.slots for room in rooms)
+    for item in items:
+        if free <= 0:
+            break
+        fitting = [
+            room_by_engine[engine]
+            for engine in item.engines
+            if engine in room_by_engine and _fits(room_by_engine[engine], item)
+        ]
+        if not fitting:
+            continue
+        room = _best(fitting, item)
+        room.slots -= 1
+        room.tokens -= item.tokens
+        room.running += 1
+        room.groups.add(item.group)
+        free -= 1
+        placements.append(Placement(item.key, room.engine))
+    return tuple(placements)
+
+
+def _fits(room: EngineRoom, item: WaitingItem) -> bool:
+    if room.slots <= 0:
+        return False
+    # Alone, an item may take more than what is reckoned: the engine itself decides.
+    return item.tokens <= room.tokens or room.running == 0
+
+
+def _best(fitting: list[EngineRoom], item: WaitingItem) -> EngineRoom:
+    """Take the engine that likely ends the item first, its group's if that one is near."""
+
+    def cost(room: EngineRoom) -> tuple[float, str]:
+        near = AFFINITY_ITEMS if item.group in room.groups else 0
+        return ((room.running + 1 - near) * room.slowness, room.engine)
+
+    return min(fitting, key=cost)
+
+
+__all__ = ["EngineRoom", "Placement", "WaitingItem", "order_of", "place"]
--- /dev/null
+++ b/packages/ibisspring-directory/src/ibisspring_directory/role.py
@@ -0,0 +1,52 @@
+"""The services of the control role of a daemon that finds all others by seeds."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from ibisspring_consensus import ConsensusNode, ReplicaConfig
+from ibisspring_consensus.config import FOLDER
+from ibisspring_consensus.servicer import ConsensusServicer
+from ibisspring_consensus.state import CoreConfig
+from ibisspring_directory.duties import Duties
+from ibisspring_directory.engine_loads import EngineLoads
+from ibisspring_directory.founding import Founding
+from ibisspring_directory.membership import ControlMembership
+from ibisspring_directory.service import Directory
+from ibisspring_directory.state import DirectoryState
+from ibisspring_directory.usage_reports import UsageReports
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Service
+    from ibisspring_core.settings.vm import VmSettings
+
+
+def build_services(settings: VmSettings) -> tuple[Service, ...]:
+    """
+    Build the services of this role in start order.
+
+    :param settings: checked settings.
+    :return: the services.
+    """
+    replica = ReplicaConfig(
+        daemon=settings.peer_address,
+        folder=Path(settings.data_folder) / FOLDER,
+        core=CoreConfig(),
+        address_of=lambda daemon: daemon,
+        founders=tuple(sorted(settings.seeds)),
+    )
+    return (
+        DirectoryState(),
+        ConsensusNode(replica),
+        ConsensusServicer(),
+        Directory.from_config(settings),
+        Founding.from_config(settings),
+        ControlMembership.from_config(settings),
+        Duties.from_config(settings),
+        UsageReports.from_config(settings),
+        EngineLoads.from_config(settings),
+    )
+
+
+__all__ = ["build_services"]
--- /dev/null
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -0,0 +1,382 @@
+"""The service `directory`: answers daemons, operators, trainers and endpoints on the leader."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from ibisspring_core.clock import boot_now, wall_now
+from ibisspring_core.endpoint_table import GONE, LEAVING, EndpointTable
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.leader_client import NotLeader
+from ibisspring_core.messages.directory import (
+    Announce,
+    Announced,
+    Identify,
+    Member,
+    NameVersion,
+    Placed,
+    ReadTable,
+    Renew,
+    ReplaceTable,
+    Retire,
+    Retiring,
+    TableRead,
+    TableReplaced,
+    Unchanged,
+    VersionNamed,
+    View,
+)
+from ibisspring_directory.commands import (
+    COMMANDS,
+    EndpointLeaves,
+    PutTable,
+    PutVersion,
+    RetireStore,
+)
+from ibisspring_directory.sessions import IN_TOUCH_S, Sessions
+from ibisspring_directory.usage import WindowCounts
+from ibisspring_directory.views import Revision
+
+if TYPE_CHECKING:
+    from ibisspring_consensus.proposals import Committed
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.settings.vm import VmSettings
+    from ibisspring_directory.sessions import Session
+
+SWEEP_S = 0.2
+# Beats may be late by seconds; a dead endpoint is left earlier by the requests that fail there.
+SILENT_ANNOUNCEMENTS = 4
+# A new leader hears all endpoints within two announcements; until then entries keep what they knew.
+LEARN_ANNOUNCEMENTS = 2.5
+# Operators wait this long at most for entries that renew and still lack the change: less than the
+# time after which they would take the order for lost.
+MAX_IN_FORCE_WAIT_S = 2.5
+JOB_VOTERS_NEEDED = 3
+
+
+class Directory:
+    """Volatile knowledge of the leader beside the replicated state."""
+
+    name = "directory"
+
+    def __init__(self, settings: VmSettings) -> None:
+        self.settings = settings
+        self.sessions = Sessions()
+        self.revision = Revision()
+        self.counts = WindowCounts()
+        self.led_since = 0.0
+        self._ttl_s = settings.announce_every_s * SILENT_ANNOUNCEMENTS
+        self._learn_s = settings.announce_every_s * LEARN_ANNOUNCEMENTS
+        self.endpoints = EndpointTable(self._ttl_s)
+        self._term = 0
+        self._seen: tuple[Any, ...] = ()
+
+    @classmethod
+    def from_config(cls, settings: VmSettings) -> Directory:
+        """
+        Build the service.
+
+        :param settings: checked settings of a control VM.
+        :return: the service.
+        """
+        return cls(settings)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Register what is answered here."""
+        self.consensus = kernel.find("consensus")
+        self.state = kernel.find("state")
+        self._counters = kernel.find("counters")
+        self.state.subscribe(self.revision.rise)
+        server = kernel.find("peer_server")
+        server.answer(Renew, self.renew)
+        server.answer(Identify, self.identify)
+        on_leader = {
+            Announce: self.announce,
+            ReplaceTable: self.replace_table,
+            ReadTable: self.read_table,
+            NameVersion: self.name_version,
+            Retire: self.retire,
+        }
+        for message_type, handler in on_leader.items():
+            server.answer(message_type, self._only_leading(handler))
+        self._sweeps = kernel.find("timer").subscribe("directory", SWEEP_S, self._sweep)
+
+    async def stop(self) -> None:
+        """End the sweeps."""
+        self._sweeps.cancel()
+
+    def leads(self) -> bool:
+        """Whether this daemon surely is the directory's only leader."""
+        return self.consensus.is_leader and self.consensus.lease_left_s() > 0
+
+    def not_leader(self) -> NotLeader:
+        """Whom to ask instead."""
+        return NotLeader(self.consensus.leader_hint)
+
+    def _only_leading(self, handler: Any) -> Any:
+        async def answer(message: Any) -> Any:
+            if not self.leads():
+                return self.not_leader()
+            self._note_term()
+            return await handler(message)
+
+        return answer
+
+    def _note_term(self) -> None:
+        """Begin anew where this daemon leads under another term than before."""
+        if self._term == self.consensus.term:
+            return
+        self._term = self.consensus.term
+        self.led_since = boot_now()
+        self.sessions.clear()
+        self.counts.clear()
+        self.endpoints = EndpointTable(self._ttl_s)
+        self.revision.rise()
+        eliot.log_message("directory:leads", term=self._term, daemon=self.settings.daemon)
+
+    async def _sweep(self, now: float) -> None:
+        if not self.leads():
+            return
+        self._note_term()
+        self.sessions.forget(now)
+        for endpoint in self.endpoints.expire(now):
+            eliot.log_message("directory:endpoint_silent", endpoint=endpoint, bound_s=self._ttl_s)
+            self._counters.add("directory.endpoint_silent")
+        leader = self.sessions.job_leader(now)
+        seen = (
+            self.sessions.members(now, "store"),
+            leader.renew.address if leader else "",
+            now - self.led_since > self._learn_s,
+        )
+        if seen != self._seen or self.endpoints.changed:
+            self._seen = seen
+            self.endpoints.changed.clear()
+            self.revision.rise()
+
+    def own_wall_s(self) -> float:
+        """This VM's wall clock, which may be off."""
+        return wall_now()
+
+    def wall_s(self) -> float:
+        """The time of day that most daemons agree on, in seconds since 1970."""
+        now = boot_now()
+        return now + self.sessions.wall_offset_s(now, wall_now() - now)
+
+    async def identify(self, message: Identify) -> Member:
+        """Tell who this control daemon is."""
+        return own_member(self.settings, self.consensus)
+
+    async def renew(self, renew: Renew) -> Any:
+        """Answer a daemon's renewal with what is new, waiting for it where nothing is."""
+        if not self.leads():
+            return self.not_leader()
+        self._note_term()
+        epoch = self._term
+        led_before = self.sessions.job_leader(boot_now())
+        if self.sessions.take(renew, boot_now()):
+            eliot.log_message("directory:daemon", daemon=renew.daemon, role=renew.role)
+        self.counts.take(renew, self.state.closed_window)
+        leads_now = self.sessions.job_leader(boot_now())
+        if leads_now is not None and leads_now.renew.address != _address_of(led_before):
+            self.revision.rise()
+        held = renew.epoch == epoch and renew.table_version == self.state.table_version
+
+        def is_new() -> bool:
+            return not held or self.revision.number > renew.revision
+
+        if not is_new():
+            # A daemon that waits here is in touch, and all that it has is in force there.
+            await self.revision.wait(renew.hold_s, is_new)
+        if not self.leads() or self._term != epoch:
+            return self.not_leader()
+        if not is_new():
+            return Unchanged(self.wall_s(), self.state.closed_window)
+        return self._view(renew)
+
+    def _view(self, renew: Renew) -> View:
+        now = boot_now()
+        state = self.state
+        leader = self.sessions.job_leader(now)
+        lacks_table = renew.table_version != state.table_version
+        placed = []
+        for heard in self.endpoints.heard():
+            if heard.record.state != GONE:
+                placed.append(Placed(heard.record, now - heard.heard_at))
+        return View(
+            epoch=self._term,
+            revision=self.revision.number,
+            table=state.table if lacks_table else None,
+            table_version=state.table_version,
+            endpoints=tuple(placed),
+            learning=now - self.led_since <= self._learn_s,
+            version_by_model=dict(state.version_by_model),
+            stores=self.sessions.members(now, "store"),
+            job_leader=leader.renew.address if leader else "",
+            job_group=state.job_group,
+            controls=tuple(voter.daemon for voter in self.consensus.core.members.voters),
+            wall_s=self.wall_s(),
+            closed_window=state.closed_window,
+            retiring=state.retiring,
+        )
+
+    async def propose(self, command: Any) -> Committed | Refusal:
+        """Commit a command of the directory."""
+        return await self.consensus.propose(COMMANDS.encode(command))
+
+    async def announce(self, announce: Announce) -> Any:
+        """Take in an endpoint's announcement; a leaving one is committed before it is answered."""
+        record = announce.record
+        # Committed, a departure outlives this leader: a "serving" that was held up on its way must
+        # not bring the endpoint back under the next one.
+        if record.state == LEAVING:
+            key = (record.endpoint, record.incarnation)
+            if key not in self.state.left:
+                committed = await self.propose(EndpointLeaves(*key, LEAVING))
+                if isinstance(committed, Refusal):
+                    return committed
+        self.take_record(record)
+        return Announced(self.settings.peer_address)
+
+    def take_record(self, record: Any) -> None:
+        """Merge an announcement and let the daemons know where something changed."""
+        now = boot_now()
+        if record.state != LEAVING and (record.endpoint, record.incarnation) in self.state.left:
+            return
+        known = self.endpoints.record_of(record.endpoint)
+        if known is not None and known.incarnation == record.incarnation:
+            record = replace(record, version_by_adapter=_newest_versions(known, record))
+        reason = self.endpoints.take(record, now)
+        if reason:
+            self._counters.add("directory.announcement_dropped")
+        if self.endpoints.changed:
+            eliot.log_message(
+                "directory:endpoint",
+                endpoint=record.endpoint,
+                service=record.service,
+                state=record.state,
+                address=record.address,
+                versions=record.version_by_adapter,
+            )
+            self.endpoints.changed.clear()
+            self.revision.rise()
+
+    def learn_versions(self, known: EndpointRecord, version_by_model: dict[str, int]) -> None:
+        """Take in what an engine said of its versions between two announcements."""
+        # A later sequence than the known one would make the engine's next announcement look old.
+        self.endpoints.set_versions(known.endpoint, version_by_model)
+        self.endpoints.changed.clear()
+        self.revision.rise()
+
+    async def replace_table(self, message: ReplaceTable) -> Any:
+        """Commit a route table and answer once it is in force at the entries in touch."""
+        version = message.table.version
+        if version > self.state.table_version:
+            committed = await self.propose(PutTable(message.table, message.document))
+            if isinstance(committed, Refusal):
+                return committed
+            eliot.log_message("directory:table", version=version, routes=len(message.table.routes))
+        if not await self._in_force(self.state.table_version):
+            self._counters.add("directory.table_not_everywhere")
+        if not self.leads():
+            return Refusal(Reason.MAY_HAVE_RUN, False, None, "the leader changed")
+        return TableReplaced(self.state.table_version)
+
+    async def _in_force(self, version: int) -> bool:
+        """
+        Wait until no entry in touch serves by an older table.
+
+        A leader that has just been elected knows no entry yet and would call a table in force that
+        nobody has heard of, so it waits for their renewals first.
+        """
+
+        def everywhere() -> bool:
+            now = boot_now()
+            known = now > self.led_since + IN_TOUCH_S
+            return known and not self.sessions.lacking(version, now)
+
+        end_s = boot_now() + MAX_IN_FORCE_WAIT_S
+        while not everywhere():
+            if boot_now() > end_s or not self.leads():
+                return False
+            await self.revision.wait(0.05, everywhere)
+        return True
+
+    async def read_table(self, message: ReadTable) -> Any:
+        """Read the newest table once a quorum confirmed that none is newer."""
+        confirmed = await self.consensus.confirm_read()
+        if isinstance(confirmed, Refusal):
+            return confirmed
+        return TableRead(self.state.table_version, self.state.document)
+
+    async def name_version(self, message: NameVersion) -> Any:
+        """Record a version that a trainer named."""
+        if message.version > self.state.version_by_model.get(message.model, 0):
+            committed = await self.propose(PutVersion(message.model, message.version))
+            if isinstance(committed, Refusal):
+                return committed
+            eliot.log_message("directory:version", model=message.model, version=message.version)
+        return VersionNamed()
+
+    async def retire(self, message: Retire) -> Any:
+        """Begin to empty a store, or tell how far it is."""
+        now = boot_now()
+        address = self.sessions.address_of(message.daemon)
+        leader = self.sessions.job_leader(now)
+        if address is None and now < self.led_since + IN_TOUCH_S:
+            return Refusal(Reason.NO_LEADER, True, IN_TOUCH_S, "a new leader knows no store yet")
+        if address is None:
+            return Retiring("unknown")
+        if message.begin and address not in self.state.retiring:
+            stores = {member.address for member in self.sessions.members(now, "store")}
+            left = stores - {address} - set(self.state.retiring)
+            if len(left) < JOB_VOTERS_NEEDED:
+                return Retiring("too_few")
+            committed = await self.propose(RetireStore(address))
+            if isinstance(committed, Refusal):
+                return committed
+            eliot.log_message("directory:retire", daemon=message.daemon, address=address)
+        if address not in self.state.retiring or leader is None:
+            return Retiring("active")
+        return Retiring("active" if address in leader.renew.job_members else "completed")
+
+
+def _address_of(session: Session | None) -> str:
+    return session.renew.address if session is not None else ""
+
+
+def _newest_versions(known: EndpointRecord, record: EndpointRecord) -> dict[str, int]:
+    """
+    Join the versions of two announcements of one start.
+
+    Versions only rise there; an announcement that was on its way while the engine loaded would
+    otherwise bring the earlier version back for one announcement, and the load would be ordered a
+    second time.
+    """
+    joined = dict(record.version_by_adapter)
+    for name, version in known.version_by_adapter.items():
+        joined[name] = max(joined.get(name, 0), version)
+    return joined
+
+
+def own_member(settings: VmSettings, consensus: Any) -> Member:
+    """
+    Describe this daemon's disk.
+
+    :param consensus: its replica.
+    :return: the member.
+    """
+    return Member(
+        settings.peer_address,
+        settings.daemon,
+        settings.data_centre,
+        consensus.replica.disk_id,
+        consensus.core.is_empty,
+        consensus.core.cluster,
+    )
+
+
+__all__ = ["Directory", "own_member"]
--- /dev/null
+++ b/packages/ibisspring-directory/src/ibisspring_directory/usage_reports.py
@@ -0,0 +1,99 @@
+"""The service `usage_reports`: closes usage windows and reports each with one set of figures."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import eliot
+
+from ibisspring_core.errors import Refusal
+from ibisspring_core.guarded_http import HttpAnswer
+from ibisspring_directory.commands import CloseWindow, WindowReported
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.settings.vm import VmSettings
+
+TICK_S = 0.25
+# Entries send their counts with renewals, twice a second; the rest of the time until a report is
+# due is left for a change of leader and for a platform that is slow or down.
+CLOSE_AFTER_S = 2.5
+REPORT_TIMEOUT_S = 4.0
+# After a long outage the newest windows are still of use; each missing one would cost a call.
+MAX_BACKLOG = 12
+
+
+class UsageReports:
+    """One window after the other, in order."""
+
+    name = "usage_reports"
+
+    def __init__(self, settings: VmSettings) -> None:
+        self._window_s = settings.usage_window_s
+
+    @classmethod
+    def from_config(cls, settings: VmSettings) -> UsageReports:
+        """
+        Build the service.
+
+        :param settings: checked settings of a control VM.
+        :return: the service.
+        """
+        return cls(settings)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to look at the clock."""
+        self._directory = kernel.find("directory")
+        self._duties = kernel.find("duties")
+        self._outside = kernel.find("outside")
+        self._counters = kernel.find("counters")
+        self._ticks = kernel.find("timer").subscribe("usage_reports", TICK_S, self._tick)
+
+    async def stop(self) -> None:
+        """End the ticks."""
+        self._ticks.cancel()
+
+    async def _tick(self, now: float) -> None:
+        if not self._window_s or not self._duties.in_charge():
+            return
+        await self._close_due()
+        for window in list(self._directory.state.window_by_number.values()):
+            if not await self._report(window):
+                return
+
+    async def _close_due(self) -> None:
+        """
+        Fix the figures of the windows that ended.
+
+        They are committed before they are reported: a leader that takes over reports the same
+        figures again, never others for the same window.
+        """
+        directory = self._directory
+        newest = math.floor((directory.wall_s() - CLOSE_AFTER_S) / self._window_s) - 1
+        closed = directory.state.closed_window
+        first = newest if closed < 0 else max(closed + 1, newest - MAX_BACKLOG)
+        for window in range(first, newest + 1):
+            command = CloseWindow(window, directory.counts.close(window))
+            if isinstance(await directory.propose(command), Refusal):
+                return
+
+    async def _report(self, window: CloseWindow) -> bool:
+        request = self._outside.usage_report(window.window, window.counts, self._duties.duty())
+        answer = await self._duties.send(request, REPORT_TIMEOUT_S)
+        accepted = isinstance(answer, HttpAnswer) and 200 <= answer.status < 300
+        eliot.log_message(
+            "usage_reports:sent",
+            window=window.window,
+            total=sum(count for _, count in window.counts),
+            accepted=accepted,
+            answer=str(answer.status if isinstance(answer, HttpAnswer) else answer.detail),
+        )
+        self._counters.add("usage_reports.accepted" if accepted else "usage_reports.failed")
+        if not accepted:
+            return False
+        await self._directory.propose(WindowReported(window.window))
+        return True
+
+
+__all__ = ["UsageReports"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
@@ -2,46 +2,24 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 import functools
 from typing import TYPE_CHECKING
 
 import uvicorn
 
+from ibisspring_core.embedded_server import EmbeddedServer
 from ibisspring_entry.http.caller_connection import CallerConnection
 
 if TYPE_CHECKING:
-    import socket
-    from collections.abc import Iterator
-
+    from ibisspring_core.caller_leaving import Application
     from ibisspring_core.counters import Counters
     from ibisspring_core.settings import EntrySettings
-    from ibisspring_entry.http.caller_leaving import Application
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 30
 BACKLOG = 1024
 
 
-class EmbeddedServer(uvicorn.Server):
-    """A server that leaves the signals to the daemon and tells when it listens."""
-
-    def __init__(self, config: uvicorn.Config) -> None:
-        super().__init__(config)
-        self.listening = asyncio.Event()
-
-    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        """Listen, then say so."""
-        await super().startup(sockets)
-        self.listening.set()
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Capture none."""
-        yield
-
-
 def make_server(
     application: Application, settings: EntrySettings, counters: Counters
 ) -> EmbeddedServer:
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
@@ -8,9 +8,9 @@
 import eliot
 import falcon.asgi
 
+from ibisspring_core.caller_leaving import end_with_caller
 from ibisspring_core.errors import Reason
 from ibisspring_entry.http.announce import AnnounceResource
-from ibisspring_entry.http.caller_leaving import end_with_caller
 from ibisspring_entry.http.generate import GenerateResource
 from ibisspring_entry.http.health import HealthResource, ReadyResource
 from ibisspring_entry.http.middleware import RequestIds, Stopping, add_error_handlers
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/announcement.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/announcement.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from ibisspring_core.endpoint_table import KINDS, ROLES, STATES
 from ibisspring_core.errors import Finding
 from ibisspring_core.messages.endpoints import EndpointRecord
-from ibisspring_entry.registry.table import KINDS, ROLES, STATES
 
 MAX_NAME = 200
 MAX_PREFIXES = 256
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peer_sent.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peer_sent.py
@@ -7,14 +7,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ibisspring_core.endpoint_table import SERVING
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.pb import entry_peer_pb2
-from ibisspring_entry.registry.table import SERVING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ibisspring_entry.registry.table import Heard
+    from ibisspring_core.endpoint_table import Heard
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peer_wire.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peer_wire.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from ibisspring_entry.registry.table import EndpointTable, Heard
+    from ibisspring_core.endpoint_table import EndpointTable, Heard
 
 
 def pack(heard: Iterable[Heard], now: float) -> tuple[list[bytes], list[float]]:
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/peers.py
@@ -21,10 +21,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable
 
+    from ibisspring_core.endpoint_table import EndpointTable
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.views import PeerRecord
     from ibisspring_core.settings import Settings
-    from ibisspring_entry.registry.table import EndpointTable
 
 EXCHANGE_EVERY_S = 1.0
 DIGEST_EVERY = 2
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/service.py
@@ -7,8 +7,8 @@
 import eliot
 
 from ibisspring_core.clock import boot_now
+from ibisspring_core.endpoint_table import EndpointTable
 from ibisspring_entry.registry.peers import PeerExchange
-from ibisspring_entry.registry.table import EndpointTable
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
--- /dev/null
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/__init__.py
@@ -0,0 +1,3 @@
+"""What an entry does for callers by the route table."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/connections.py
@@ -0,0 +1,81 @@
+"""The connections to endpoints."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import aiohttp
+from yarl import URL
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_gateway.wire import Headers
+
+# An endpoint on a VM without power answers no opening packet; another one is tried after this.
+CONNECT_TIMEOUT_S = 0.5
+# Endpoints accept a bounded number of connections from all daemons together.
+CONNECTIONS_PER_ENDPOINT = 16
+IDLE_S = 20.0
+# Bytes that an endpoint does not acknowledge for this long are lost: its VM has no power.
+TCP_USER_TIMEOUT_MS = 1500
+_OWN_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+READ_CHUNK_BYTES = 64 * 1024
+
+
+class Connections:
+    """The service `connections`: one pool for all endpoints."""
+
+    name = "connections"
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Open the pool."""
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=CONNECTIONS_PER_ENDPOINT,
+            keepalive_timeout=IDLE_S,
+            socket_factory=_open_socket,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=_OWN_HEADERS,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        )
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    def request(
+        self, method: str, address: str, target: str, headers: Headers, body: bytes
+    ) -> aiohttp.client._RequestContextManager:
+        """
+        Send a request as it is.
+
+        :param address: IP:port.
+        :param target: path and query, not changed.
+        :return: a context manager of the answer.
+        """
+        return self._session.request(
+            method,
+            URL(f"http://{address}{target}", encoded=True),
+            headers=headers,
+            data=body or None,
+            allow_redirects=False,
+        )
+
+
+def _open_socket(address: tuple) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    return opened
+
+
+__all__ = ["READ_CHUNK_BYTES", "Connections"]
--- /dev/null
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -0,0 +1,148 @@
+"""One run of one item at one engine: a stream of events that may break anywhere."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from ibisspring_core.clock import boot_now
+from ibisspring_core.messages.jobs import Outcome
+from ibisspring_gateway.wire import Verdict
+
+if TYPE_CHECKING:
+    from ibisspring_core.messages.jobs import Assignment
+    from ibisspring_gateway.connections import Connections
+    from ibisspring_gateway.wire import EndpointWire
+
+# The first event takes a whole line at the engine; later ones come steadily, a tenth of a second
+# apart when the engine is slow by four times.
+FIRST_SILENCE_S = 3.0
+SILENCE_S = 1.2
+# An event is some hundred bytes.
+MAX_EVENT_BYTES = 1024 * 1024
+EVENT_END = b"\n\n"
+
+
+@dataclass
+class _Text:
+    """What a run made so far."""
+
+    data: list[str] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    version: int | None = None
+    whole: bool = False
+
+    def outcome(self, number: int, kind: str) -> Outcome:
+        versions = tuple(self.versions)
+        return Outcome(number, kind, "\n".join(self.data), len(self.data), versions)
+
+
+async def run_item(assignment: Assignment, connections: Connections, wire: EndpointWire) -> Outcome:
+    """
+    Run an item.
+
+    :param assignment: what to run, where, and after which event.
+    :return: how it ended, with the whole events that it made.
+    """
+    text = _Text()
+    end_s = boot_now() + assignment.deadline_s
+    try:
+        kind = await _stream(assignment, connections, wire, text, end_s)
+    except (TimeoutError, aiohttp.ClientError, OSError):
+        kind = "broken"
+    if kind == "done" and not text.whole:
+        kind = "broken"
+    return text.outcome(assignment.number, kind)
+
+
+async def _stream(
+    assignment: Assignment,
+    connections: Connections,
+    wire: EndpointWire,
+    text: _Text,
+    end_s: float,
+) -> str:
+    item = assignment.item
+    sending = connections.request(
+        "POST", assignment.address, item.path, wire.run_headers(assignment), item.body
+    )
+    async with asyncio.timeout(FIRST_SILENCE_S):
+        response = await sending
+    try:
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in response.raw_headers
+        )
+        kind = _kind_of(wire.run_verdict(assignment, response.status, headers), response.status)
+        if kind != "done":
+            return kind
+        text.version = wire.run_version(headers)
+        await _read_events(assignment, response, wire, text, end_s)
+        return "done"
+    finally:
+        # A stream that was not read to its end leaves bytes that belong to no later answer, and an
+        # engine at work for nobody.
+        if text.whole:
+            response.release()
+        else:
+            response.close()
+
+
+def _kind_of(verdict: Verdict, status: int) -> str:
+    kind_by_verdict = {
+        Verdict.TURNED_AWAY: "turned_away",
+        Verdict.OTHER_ENDPOINT: "stale",
+        Verdict.NOT_OURS: "broken",
+    }
+    if verdict in kind_by_verdict:
+        return kind_by_verdict[verdict]
+    if status == 200:
+        return "done"
+    return "impossible" if status == 422 else "failed"
+
+
+async def _read_events(
+    assignment: Assignment,
+    response: aiohttp.ClientResponse,
+    wire: EndpointWire,
+    text: _Text,
+    end_s: float,
+) -> None:
+    buffer = b""
+    silence_s = FIRST_SILENCE_S
+    while True:
+        async with asyncio.timeout(min(silence_s, end_s - boot_now())):
+            chunk = await response.content.readany()
+        if not chunk:
+            break
+        buffer += chunk
+        *blocks, buffer = buffer.split(EVENT_END)
+        for block in blocks:
+            if not _take_event(assignment, wire.read_event(block), text):
+                return
+            silence_s = SILENCE_S
+        if len(buffer) > MAX_EVENT_BYTES:
+            return
+    # The length or the last chunk was there, or the reader would have raised.
+    text.whole = not buffer.strip() and bool(text.data)
+
+
+def _take_event(assignment: Assignment, event: object, text: _Text) -> bool:
+    """Take the next event; False where it is not the one that must come next."""
+    if event is None or event.number != assignment.resume_after + len(text.data) + 1:
+        return False
+    if event.version is not None:
+        text.version = event.version
+    # A text without the word of its engine on what made it is worth nothing: no label is guessed.
+    if text.version is None:
+        return False
+    if not text.versions or text.versions[-1] != text.version:
+        text.versions.append(text.version)
+    text.data.append(event.data)
+    return True
+
+
+__all__ = ["run_item"]
--- /dev/null
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
@@ -0,0 +1,34 @@
+"""The services of the entry role of a daemon that finds all others by seeds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisspring_core.directory_view import DirectoryView
+from ibisspring_gateway.connections import Connections
+from ibisspring_gateway.forward import Forwarder
+from ibisspring_gateway.runner import Runner
+from ibisspring_gateway.usage import UsageCounts
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Service
+    from ibisspring_core.settings.vm import VmSettings
+
+
+def build_services(settings: VmSettings) -> tuple[Service, ...]:
+    """
+    Build the services of this role in start order.
+
+    :param settings: checked settings.
+    :return: the services.
+    """
+    return (
+        DirectoryView.from_config(settings),
+        UsageCounts.from_config(settings),
+        Connections(),
+        Forwarder.from_config(settings),
+        Runner.from_config(settings),
+    )
+
+
+__all__ = ["build_services"]
--- /dev/null
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -0,0 +1,164 @@
+"""The service `runner`: takes items from the jobs' dispatcher and runs them at engines."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+import eliot
+
+from ibisspring_core.errors import Refusal
+from ibisspring_core.leader_client import LeaderClient
+from ibisspring_core.messages.jobs import Outcome, ReportWork, TakeWork, Work
+from ibisspring_gateway.item_run import run_item
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.jobs import Assignment
+    from ibisspring_core.settings.vm import VmSettings
+
+# One entry reads this many streams at once at most; the engines of today have 60 places together.
+MOST_RUNS = 48
+HOLD_S = 0.4
+CALL_TIMEOUT_S = 1.0
+FIND_LEADER_S = 3.0
+# Outcomes that come close together travel and are committed together.
+GATHER_S = 0.02
+
+
+class Runner:
+    """One task asks for work, one reports, and each run has its own."""
+
+    name = "runner"
+
+    def __init__(self, settings: VmSettings) -> None:
+        self._settings = settings
+        self._incarnation = secrets.token_hex(8)
+        self._epoch = 0
+        self._sequence = 0
+        self._stopping = False
+        self._task_by_number: dict[int, asyncio.Task[None]] = {}
+        self._outcomes: list[Outcome] = []
+        self._reported = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(cls, settings: VmSettings) -> Runner:
+        """
+        Build the service.
+
+        :param settings: checked settings of an entry.
+        :return: the service.
+        """
+        return cls(settings)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to ask for work."""
+        self._view = kernel.find("directory_view")
+        self._connections = kernel.find("connections")
+        self._wire = kernel.find("endpoint_wire")
+        self._counters = kernel.find("counters")
+        self.leader = LeaderClient(kernel.find("peer_client"), self.job_addresses)
+        self._tasks = [
+            asyncio.create_task(self._take(), name="runner:take"),
+            asyncio.create_task(self._report(), name="runner:report"),
+        ]
+
+    async def stop(self) -> None:
+        """End all runs; their items begin again elsewhere."""
+        for task in (*self._tasks, *self._task_by_number.values()):
+            task.cancel()
+
+    def drain(self) -> None:
+        """Take no more work; what runs goes on."""
+        self._stopping = True
+
+    @property
+    def running(self) -> int:
+        """Items that run here."""
+        return len(self._task_by_number)
+
+    def job_addresses(self) -> tuple[str, ...]:
+        """Peer addresses where the leader of the jobs' log may be, the likeliest first."""
+        view = self._view.view
+        founders = view.job_group.founders if view.job_group is not None else ()
+        stores = (*(one.address for one in view.stores), *(one.address for one in founders))
+        hint = (view.job_leader,) if view.job_leader else ()
+        return tuple(dict.fromkeys((*hint, *stores)))
+
+    async def _take(self) -> None:
+        while True:
+            self._sequence += 1
+            free = 0 if self._stopping else MOST_RUNS - len(self._task_by_number)
+            call = TakeWork(
+                runner=self._settings.peer_address,
+                data_centre=self._settings.data_centre,
+                incarnation=self._incarnation,
+                epoch=self._epoch,
+                sequence=self._sequence,
+                running=tuple(self._task_by_number),
+                free=free,
+                hold_s=HOLD_S,
+            )
+            answer = await self.leader.call(call, FIND_LEADER_S, CALL_TIMEOUT_S)
+            if not isinstance(answer, Work):
+                detail = answer.detail if isinstance(answer, Refusal) else repr(answer)
+                eliot.log_message("runner:no_work_from", detail=detail)
+                await asyncio.sleep(HOLD_S)
+                continue
+            self._begin(answer)
+
+    def _begin(self, work: Work) -> None:
+        if work.epoch != self._epoch:
+            # Another dispatcher begins all items anew: what runs for the one before is for nobody.
+            for task in self._task_by_number.values():
+                task.cancel()
+            self._task_by_number.clear()
+            self._outcomes.clear()
+            self._epoch = work.epoch
+        for number in work.cancelled:
+            task = self._task_by_number.pop(number, None)
+            if task is not None:
+                task.cancel()
+        for assignment in work.assignments:
+            task = asyncio.create_task(self._run(assignment), name=f"run:{assignment.item.item}")
+            self._task_by_number[assignment.number] = task
+
+    async def _run(self, assignment: Assignment) -> None:
+        epoch = self._epoch
+        outcome = await run_item(assignment, self._connections, self._wire)
+        self._counters.add(f"runner.{outcome.kind}")
+        if outcome.kind != "done":
+            eliot.log_message(
+                "runner:ended",
+                item=assignment.item.item,
+                endpoint=assignment.endpoint,
+                kind=outcome.kind,
+                events=outcome.events,
+            )
+        if epoch == self._epoch:
+            self._outcomes.append(outcome)
+            self._reported.set()
+
+    async def _report(self) -> None:
+        while True:
+            await self._reported.wait()
+            await asyncio.sleep(GATHER_S)
+            self._reported.clear()
+            epoch = self._epoch
+            outcomes = tuple(self._outcomes)
+            if not outcomes:
+                continue
+            message = ReportWork(self._settings.peer_address, epoch, outcomes)
+            answer = await self.leader.call(message, FIND_LEADER_S, CALL_TIMEOUT_S)
+            if isinstance(answer, Refusal):
+                self._reported.set()
+                continue
+            if epoch == self._epoch:
+                del self._outcomes[: len(outcomes)]
+                for outcome in outcomes:
+                    self._task_by_number.pop(outcome.number, None)
+
+
+__all__ = ["Runner"]
--- /dev/null
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -0,0 +1,353 @@
+"""Hands the items of all open jobs to runners; it has no network, and `now` is always given."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import eliot
+
+from ibisspring_core.messages.jobs import Assignment, ItemResult, Outcome
+from ibisspring_decisions.dispatch import EngineRoom, WaitingItem, order_of, place
+from ibisspring_jobs.progress import ItemProgress, abandoned
+from ibisspring_jobs.runners import Runners
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_core.messages.jobs import TakeWork
+    from ibisspring_core.routes.model import ServiceTerms
+    from ibisspring_jobs.runners import Runner
+    from ibisspring_jobs.state import JobsState, KeptJob
+
+# An engine that broke a run, or had another version than believed, is left alone this long: the
+# directory's next view mostly tells why.
+REST_S = {"broken": 0.5, "turned_away": 0.1, "stale": 0.2, "failed": 0.0}
+# A failed item waits, so that an engine that fails all it gets does not use up its attempts.
+FAILED_PAUSE_S = 0.2
+# Only this long after its terms allow it an item is given up, so that no clock that is a little
+# ahead does so too early.
+GIVE_UP_SLACK_S = 1.0
+# The weight of a new measurement of an engine's speed.
+SPEED_WEIGHT = 0.3
+WEIGHT_OF_FASTEST = 1.0
+
+
+@dataclass(frozen=True)
+class Run:
+    """
+    An assignment that is under way.
+
+    :param resume_after: events that stood before it.
+    """
+
+    number: int
+    job: str
+    item: str
+    runner: str
+    endpoint: str
+    tokens: int
+    began_s: float
+    resume_after: int
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """
+    What the dispatcher asks of the daemon around it.
+
+    :param serving: endpoints of a service that may get new work.
+    :param terms: terms of a service; None for an unknown one.
+    :param wall_s: agreed time of day in seconds since 1970.
+    """
+
+    serving: Callable[[str], tuple[EndpointRecord, ...]]
+    terms: Callable[[str], ServiceTerms | None]
+    wall_s: Callable[[], float]
+
+
+class Dispatcher:
+    """The runs under one epoch."""
+
+    def __init__(self, state: JobsState, around: Surroundings, epoch: int) -> None:
+        self.epoch = epoch
+        self.runners = Runners()
+        self.run_by_number: dict[int, Run] = {}
+        self._state = state
+        self._around = around
+        self._numbers = 0
+        self._runs_by_item: dict[tuple[str, str], set[int]] = {}
+        self._progress_by_item: dict[tuple[str, str], ItemProgress] = {}
+        self._rest_until_by_engine: dict[tuple[str, str], float] = {}
+        self._speed_by_engine: dict[str, float] = {}
+        self._groups_by_engine: dict[str, set[tuple[str, str]]] = {}
+        self._ending: set[tuple[str, str]] = set()
+
+    def take(self, call: TakeWork, now: float) -> Runner:
+        """
+        Take in a runner's call for work.
+
+        :return: the runner.
+        """
+        runner, lost = self.runners.take(call, now)
+        for number in lost:
+            self._lose(number, "answer lost")
+        for number in call.running:
+            if number not in self.run_by_number:
+                runner.cancelled.append(number)
+        return runner
+
+    def sweep(self, now: float) -> list[tuple[str, ItemResult]]:
+        """
+        Take work back from silent runners.
+
+        :return: job and result of the items that are to be given up.
+        """
+        for runner in self.runners.silent(now):
+            for number in tuple(runner.sequence_by_number):
+                self._lose(number, "runner silent")
+        given_up = []
+        wall_s = self._around.wall_s()
+        for job_id, kept in self._state.job_by_id.items():
+            if kept.ended or wall_s < kept.job.submitted_s + kept.job.give_up_s + GIVE_UP_SLACK_S:
+                continue
+            given_up.extend((job_id, abandoned(item)) for item in kept.item_by_id)
+        return given_up
+
+    def forget_job(self, job: str) -> None:
+        """Stop the runs of items that are listed or whose job ended."""
+        kept = self._state.job_by_id.get(job)
+        for key in [key for key in self._progress_by_item if key[0] == job]:
+            if kept is None or key[1] not in kept.item_by_id:
+                del self._progress_by_item[key]
+        for key in [key for key in self._ending if key[0] == job]:
+            if kept is None or key[1] not in kept.item_by_id:
+                self._ending.discard(key)
+        for run in [run for run in self.run_by_number.values() if run.job == job]:
+            if kept is not None and run.item in kept.item_by_id:
+                continue
+            self._end(run.number)
+            runner = self.runners.runner_by_address.get(run.runner)
+            if runner is not None:
+                runner.cancelled.append(run.number)
+                runner.wake.set()
+
+    def match(self, now: float) -> None:
+        """Place what waits and put it into the outboxes of runners that wait for work."""
+        waiting = self._waiting(now)
+        if not waiting or not any(one.waiting for one in self.runners.runner_by_address.values()):
+            return
+        by_service: dict[str, list[WaitingItem]] = {}
+        for item in waiting:
+            service = self._state.job_by_id[item.key[0]].job.service
+            by_service.setdefault(service, []).append(item)
+        for service, items in by_service.items():
+            self._match_service(service, items, now)
+
+    def _match_service(self, service: str, items: list[WaitingItem], now: float) -> None:
+        record_by_engine = {one.endpoint: one for one in self._around.serving(service)}
+        rooms = self._rooms(service, record_by_engine, now)
+        for placement in place(sorted(items, key=order_of), rooms):
+            record = record_by_engine[placement.engine]
+            runner = self.runners.best(record.data_centre)
+            if runner is None:
+                return
+            self._assign(placement.key, record, runner, now)
+
+    def _assign(
+        self, key: tuple[str, str], record: EndpointRecord, runner: Runner, now: float
+    ) -> None:
+        job = self._state.job_by_id[key[0]].job
+        item = self._state.job_by_id[key[0]].item_by_id[key[1]]
+        progress = self._progress_by_item.get(key)
+        resume_after = progress.events if progress is not None else 0
+        self._numbers += 1
+        left_s = job.submitted_s + job.give_up_s - self._around.wall_s()
+        assignment = Assignment(
+            number=self._numbers,
+            job=job.job,
+            item=item,
+            client_account=job.client_account,
+            host=job.host,
+            service=job.service,
+            endpoint=record.endpoint,
+            incarnation=record.incarnation,
+            address=record.address,
+            expected_version=record.version_by_adapter.get(job.model),
+            resume_after=resume_after,
+            deadline_s=max(1.0, left_s),
+        )
+        run = Run(
+            self._numbers,
+            *key,
+            runner.address,
+            record.endpoint,
+            item.tokens,
+            now,
+            resume_after,
+        )
+        self.run_by_number[run.number] = run
+        self._runs_by_item.setdefault(key, set()).add(run.number)
+        self._groups_by_engine.setdefault(record.endpoint, set()).add((job.job, item.group))
+        runner.sequence_by_number[run.number] = runner.sequence
+        runner.free -= 1
+        runner.outbox.append(assignment)
+        runner.wake.set()
+
+    def report(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
+        """
+        Take in how a run ended.
+
+        An item that ended does not begin again while its result is being committed.
+
+        :return: job and result, where the item has ended with it.
+        """
+        ended = self._take_outcome(outcome, now)
+        if ended is not None:
+            self._ending.add((ended[0], ended[1].item))
+        return ended
+
+    def _take_outcome(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
+        run = self.run_by_number.get(outcome.number)
+        if run is None:
+            return None
+        self._end(outcome.number)
+        kept = self._state.job_by_id.get(run.job)
+        if kept is None or run.item not in kept.item_by_id:
+            return None
+        key = (run.job, run.item)
+        progress = self._progress_by_item.setdefault(key, ItemProgress())
+        if progress.events == run.resume_after:
+            progress.add(outcome)
+        elif outcome.kind == "done":
+            # Another run went on from elsewhere meanwhile: this one's text does not join.
+            return None
+        if not progress.fits(kept.job):
+            eliot.log_message("dispatch:versions", item=run.item, versions=progress.versions)
+            progress.begin_anew()
+            return None
+        if outcome.kind == "done":
+            self._measure(run, outcome, now)
+            return run.job, progress.completed(run.item)
+        return self._failed(run, outcome, kept, progress, now)
+
+    def _failed(
+        self, run: Run, outcome: Outcome, kept: KeptJob, progress: ItemProgress, now: float
+    ) -> tuple[str, ItemResult] | None:
+        eliot.log_message(
+            "dispatch:run_failed",
+            item=run.item,
+            kind=outcome.kind,
+            endpoint=run.endpoint,
+            events=progress.events,
+        )
+        if outcome.kind == "impossible":
+            return run.job, abandoned(run.item)
+        model = kept.job.model if outcome.kind == "stale" else ""
+        self._rest_until_by_engine[(run.endpoint, model)] = now + REST_S.get(outcome.kind, 0.0)
+        if outcome.kind == "failed":
+            progress.failures += 1
+            progress.not_before_s = now + FAILED_PAUSE_S
+            if progress.failures >= kept.job.max_attempts:
+                return run.job, abandoned(run.item)
+        return None
+
+    def _measure(self, run: Run, outcome: Outcome, now: float) -> None:
+        """Learn an engine's speed: seconds for an event, smoothed."""
+        seconds = (now - run.began_s) / max(1, outcome.events)
+        known = self._speed_by_engine.get(run.endpoint, seconds)
+        self._speed_by_engine[run.endpoint] = known + SPEED_WEIGHT * (seconds - known)
+
+    def _waiting(self, now: float) -> list[WaitingItem]:
+        found = []
+        for job_id, kept in self._state.job_by_id.items():
+            if kept.ended or not kept.item_by_id:
+                continue
+            engines = self._engines_for(kept, now)
+            if not engines:
+                continue
+            found.extend(self._waiting_of(job_id, kept, engines, now))
+        return found
+
+    def _engines_for(self, kept: KeptJob, now: float) -> frozenset[str]:
+        job = kept.job
+        found = []
+        for record in self._around.serving(job.service):
+            rests = max(
+                self._rest_until_by_engine.get((record.endpoint, ""), 0.0),
+                self._rest_until_by_engine.get((record.endpoint, job.model), 0.0),
+            )
+            version = record.version_by_adapter.get(job.model)
+            too_old = version is not None and version < job.min_version
+            if now < rests or too_old:
+                continue
+            found.append(record.endpoint)
+        return frozenset(found)
+
+    def _waiting_of(
+        self, job_id: str, kept: KeptJob, engines: frozenset[str], now: float
+    ) -> Iterable[WaitingItem]:
+        job = kept.job
+        for item in kept.item_by_id.values():
+            key = (job_id, item.item)
+            if key in self._ending or self._runs_by_item.get(key):
+                continue
+            progress = self._progress_by_item.get(key)
+            if progress is not None and now < progress.not_before_s:
+                continue
+            yield WaitingItem(
+                key=key,
+                group=(job_id, item.group),
+                due_s=job.submitted_s + job.due_s,
+                priority=job.priority,
+                carried=False,
+                expected_tokens=item.expected_tokens,
+                tokens=item.tokens,
+                engines=engines,
+            )
+
+    def _rooms(
+        self, service: str, record_by_engine: dict[str, EndpointRecord], now: float
+    ) -> list[EngineRoom]:
+        terms = self._around.terms(service)
+        fastest = min(self._speed_by_engine.values(), default=1.0)
+        rooms = []
+        for engine, record in record_by_engine.items():
+            runs = [run for run in self.run_by_number.values() if run.endpoint == engine]
+            slots = record.load.capacity or (terms.capacity if terms else 1)
+            memory = terms.memory_tokens if terms and terms.memory_tokens else 1 << 30
+            speed = self._speed_by_engine.get(engine, fastest)
+            rooms.append(
+                EngineRoom(
+                    engine=engine,
+                    slots=slots - len(runs),
+                    tokens=memory - sum(run.tokens for run in runs),
+                    running=len(runs),
+                    slowness=speed / fastest if fastest else WEIGHT_OF_FASTEST,
+                    groups=self._groups_by_engine.get(engine, set()),
+                )
+            )
+        return rooms
+
+    def _lose(self, number: int, cause: str) -> None:
+        run = self.run_by_number.get(number)
+        if run is not None:
+            eliot.log_message("dispatch:lost", item=run.item, runner=run.runner, cause=cause)
+        self._end(number)
+
+    def _end(self, number: int) -> None:
+        run = self.run_by_number.pop(number, None)
+        if run is None:
+            return
+        runs = self._runs_by_item.get((run.job, run.item))
+        if runs is not None:
+            runs.discard(number)
+            if not runs:
+                del self._runs_by_item[(run.job, run.item)]
+        runner = self.runners.runner_by_address.get(run.runner)
+        if runner is not None:
+            runner.sequence_by_number.pop(number, None)
+
+
+__all__ = ["Dispatcher", "Run", "Surroundings"]
--- /dev/null
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/progress.py
@@ -0,0 +1,68 @@
+"""What is known of an item that has not ended: what runs made of it and how they failed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ibisspring_core.messages.jobs import ABANDONED, COMPLETED, ItemResult
+
+if TYPE_CHECKING:
+    from ibisspring_core.messages.jobs import Job, Outcome
+
+
+@dataclass
+class ItemProgress:
+    """
+    Progress of one item; lost with the leader, its runs then begin anew.
+
+    :param parts: data of the events so far, one string for each run that made some.
+    :param events: how many events these are.
+    :param versions: weight versions that made them, in order.
+    :param failures: runs that failed by the endpoint's word.
+    :param not_before_s: when it may run again.
+    """
+
+    parts: list[str] = field(default_factory=list)
+    events: int = 0
+    versions: list[int] = field(default_factory=list)
+    failures: int = 0
+    not_before_s: float = 0.0
+
+    def add(self, outcome: Outcome) -> None:
+        """Add what a run made after the events before."""
+        if not outcome.events:
+            return
+        self.parts.append(outcome.output)
+        self.events += outcome.events
+        for version in outcome.versions:
+            if not self.versions or self.versions[-1] != version:
+                self.versions.append(version)
+
+    def fits(self, job: Job) -> bool:
+        """
+        Tell whether a job takes the versions that made it.
+
+        A text may be joined from runs on engines of different versions.
+        """
+        if any(version < job.min_version for version in self.versions):
+            return False
+        return not (job.single_version and len(set(self.versions)) > 1)
+
+    def begin_anew(self) -> None:
+        """Throw the text away."""
+        self.parts.clear()
+        self.events = 0
+        self.versions.clear()
+
+    def completed(self, item: str) -> ItemResult:
+        """Join the whole text."""
+        return ItemResult(item, COMPLETED, "\n".join(self.parts), tuple(self.versions))
+
+
+def abandoned(item: str) -> ItemResult:
+    """The result of an item that was given up."""
+    return ItemResult(item, ABANDONED)
+
+
+__all__ = ["ItemProgress", "abandoned"]
--- /dev/null
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/role.py
@@ -0,0 +1,46 @@
+"""The services of the store role."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from ibisspring_consensus import ConsensusNode, ReplicaConfig
+from ibisspring_consensus.config import FOLDER
+from ibisspring_consensus.servicer import ConsensusServicer
+from ibisspring_consensus.state import CoreConfig
+from ibisspring_core.directory_view import DirectoryView
+from ibisspring_jobs.membership import JobMembership
+from ibisspring_jobs.service import Jobs
+from ibisspring_jobs.state import JobsState
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Service
+    from ibisspring_core.settings.vm import VmSettings
+
+
+def build_services(settings: VmSettings) -> tuple[Service, ...]:
+    """
+    Build the services of this role in start order.
+
+    :param settings: checked settings.
+    :return: the services.
+    """
+    replica = ReplicaConfig(
+        daemon=settings.peer_address,
+        folder=Path(settings.data_folder) / FOLDER,
+        core=CoreConfig(),
+        address_of=lambda daemon: daemon,
+        state="jobs_state",
+    )
+    return (
+        JobsState(),
+        ConsensusNode(replica),
+        ConsensusServicer(),
+        DirectoryView.from_config(settings),
+        JobMembership.from_config(settings),
+        Jobs.from_config(settings),
+    )
+
+
+__all__ = ["build_services"]
--- /dev/null
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -0,0 +1,99 @@
+"""The daemons that run items, and what each of them holds."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ibisspring_core.messages.jobs import Assignment, TakeWork
+
+# Runners ask for work at least every half second. Their items begin elsewhere after this silence:
+# an item may run twice, and a trainer waits for it.
+SILENT_S = 1.5
+
+
+@dataclass
+class Runner:
+    """
+    One runner as the dispatcher knows it.
+
+    :param sequence: of its newest call.
+    :param sequence_by_number: call in whose answer an assignment was given, by its number.
+    :param outbox: assignments for the answer to the call that waits.
+    :param cancelled: numbers to stop, for the same.
+    :param waiting: a call of it waits for work.
+    :param free: items that it still takes.
+    """
+
+    address: str
+    data_centre: str
+    incarnation: str
+    heard_at: float
+    sequence: int = 0
+    sequence_by_number: dict[int, int] = field(default_factory=dict)
+    outbox: list[Assignment] = field(default_factory=list)
+    cancelled: list[int] = field(default_factory=list)
+    waiting: bool = False
+    free: int = 0
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class Runners:
+    """Runners by address; `now` is always given."""
+
+    def __init__(self) -> None:
+        self.runner_by_address: dict[str, Runner] = {}
+
+    def take(self, call: TakeWork, now: float) -> tuple[Runner, tuple[int, ...]]:
+        """
+        Take in a call for work.
+
+        :return: the runner, and the numbers of assignments that it does not hold any more: their
+            answer was lost on its way, or the runner started anew.
+        """
+        runner = self.runner_by_address.get(call.runner)
+        lost: tuple[int, ...] = ()
+        if runner is None or runner.incarnation != call.incarnation:
+            lost = tuple(runner.sequence_by_number) if runner is not None else ()
+            runner = Runner(call.runner, call.data_centre, call.incarnation, now)
+            self.runner_by_address[call.runner] = runner
+        running = set(call.running)
+        missing = tuple(
+            number
+            for number, sequence in runner.sequence_by_number.items()
+            if sequence < call.sequence and number not in running
+        )
+        runner.heard_at = now
+        runner.sequence = call.sequence
+        runner.free = call.free
+        return runner, lost + missing
+
+    def silent(self, now: float) -> tuple[Runner, ...]:
+        """Remove and return the runners that were silent for too long."""
+        found = [one for one in self.runner_by_address.values() if now - one.heard_at > SILENT_S]
+        for runner in found:
+            del self.runner_by_address[runner.address]
+        return tuple(found)
+
+    def best(self, data_centre: str) -> Runner | None:
+        """
+        Choose who runs an item at an endpoint.
+
+        :param data_centre: of the endpoint; bytes between data centres cost.
+        :return: a runner that waits for work; None where none does.
+        """
+        waiting = [one for one in self.runner_by_address.values() if one.waiting and one.free > 0]
+
+        def rank(runner: Runner) -> tuple[bool, int, str]:
+            return (
+                runner.data_centre != data_centre,
+                len(runner.sequence_by_number),
+                runner.address,
+            )
+
+        return min(waiting, key=rank, default=None)
+
+
+__all__ = ["SILENT_S", "Runner", "Runners"]
--- /dev/null
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
@@ -0,0 +1,138 @@
+"""The jobs' state machine; deterministic, it reads no clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
+
+from ibisspring_core.messages.codec import decode, encode
+from ibisspring_core.messages.jobs import ItemResult, Job, JobItem
+from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, ForgetJobs, RecordResults
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+
+
+@dataclass(frozen=True)
+class StoredJob:
+    """
+    One job in a snapshot.
+
+    :param job: with those items only that are not listed.
+    :param total: items that it was submitted with.
+    """
+
+    job: Job
+    total: int
+    results: tuple[ItemResult, ...]
+    ended: bool
+
+
+class KeptJob:
+    """
+    One job.
+
+    :param job: as submitted, without its items.
+    :param total: items that it was submitted with.
+    :param item_by_id: items that are not listed yet.
+    :param results: by position.
+    :param ended: nothing of it is to run any more.
+    """
+
+    def __init__(self, stored: StoredJob) -> None:
+        self.job = replace(stored.job, items=())
+        self.total = stored.total
+        self.item_by_id: dict[str, JobItem] = {item.item: item for item in stored.job.items}
+        self.results: list[ItemResult] = list(stored.results)
+        self.ended = stored.ended
+
+    def stored(self) -> StoredJob:
+        """Describe the job for a snapshot."""
+        job = replace(self.job, items=tuple(self.item_by_id.values()))
+        return StoredJob(job, self.total, tuple(self.results), self.ended)
+
+
+class JobsState:
+    """The service `jobs_state`; only consensus applies to it, others read."""
+
+    name = "jobs_state"
+
+    def __init__(self) -> None:
+        self.job_by_id: dict[str, KeptJob] = {}
+        self._on_change: list[Callable[[str], None]] = []
+        self._apply_by_type: dict[type[Any], Callable[[Any], None]] = {
+            AcceptJob: self._accept,
+            RecordResults: self._record,
+            CloseJob: self._close,
+            ForgetJobs: self._forget,
+        }
+
+    async def start(self, kernel: Kernel) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def subscribe(self, callback: Callable[[str], None]) -> None:
+        """Call back with the job's id after each change; with an empty one after a restore."""
+        self._on_change.append(callback)
+
+    def apply(self, index: int, data: bytes) -> bytes:
+        """
+        Apply one committed command.
+
+        :param index: its log index.
+        :param data: a command, encoded by COMMANDS.
+        :return: nothing; what a command did is read from the state.
+        """
+        command = COMMANDS.decode(data)
+        self._apply_by_type[type(command)](command)
+        return b""
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return encode(tuple(job.stored() for job in self.job_by_id.values()))
+
+    def restore(self, data: bytes) -> None:
+        """Take the state over from a snapshot."""
+        jobs = decode(data, tuple[StoredJob, ...])
+        self.job_by_id = {stored.job.job: KeptJob(stored) for stored in jobs}
+        self._changed("")
+
+    def _changed(self, job: str) -> None:
+        for callback in self._on_change:
+            callback(job)
+
+    def _accept(self, command: AcceptJob) -> None:
+        job = command.job
+        if job.job in self.job_by_id:
+            return
+        items = {item.item: item for item in job.items}
+        self.job_by_id[job.job] = KeptJob(StoredJob(job, len(items), (), False))
+        self._changed(job.job)
+
+    def _record(self, command: RecordResults) -> None:
+        kept = self.job_by_id.get(command.job)
+        if kept is None:
+            return
+        for result in command.results:
+            # An item may have run twice; its first result keeps the position that was read.
+            if kept.item_by_id.pop(result.item, None) is not None:
+                kept.results.append(result)
+        self._changed(command.job)
+
+    def _close(self, command: CloseJob) -> None:
+        kept = self.job_by_id.get(command.job)
+        if kept is not None:
+            kept.ended = True
+            kept.item_by_id.clear()
+            self._changed(command.job)
+
+    def _forget(self, command: ForgetJobs) -> None:
+        for job in command.jobs:
+            if self.job_by_id.pop(job, None) is not None:
+                self._changed(job)
+
+
+__all__ = ["JobsState", "KeptJob"]
--- a/tests/unit/entry/registry/test_table.py
+++ b/tests/unit/core/test_endpoint_table.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
+from ibisspring_core.endpoint_table import EndpointTable
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_entry.registry.peer_sent import SentToPeer
 from ibisspring_entry.registry.peer_wire import pack, take_all
-from ibisspring_entry.registry.table import EndpointTable
 
 TTL_S = 5.0
 FIRST = EndpointRecord(
--- a/tests/unit/control/leader_duties/test_guarded_http.py
+++ b/tests/unit/core/test_guarded_http.py
@@ -8,8 +8,8 @@
 import aiohttp
 import pytest
 
-from ibisspring_control.leader_duties.guarded_http import HttpRequest, NoAnswer, send_guarded
 from ibisspring_core.clock import boot_now
+from ibisspring_core.guarded_http import HttpRequest, NoAnswer, send_guarded
 from integration.processes import wait_until
 from integration.proxy import FaultProxy, Mode
 
--- a/tests/unit/entry/registry/test_peers.py
+++ b/tests/unit/entry/registry/test_peers.py
@@ -3,9 +3,9 @@
 from itertools import combinations
 
 from ibisspring_core.counters import Counters
+from ibisspring_core.endpoint_table import EndpointTable
 from ibisspring_core.pb import entry_peer_pb2
 from ibisspring_entry.registry.peers import PeerExchange, begins_exchange
-from ibisspring_entry.registry.table import EndpointTable
 
 
 def test_one_of_each_pair_begins_and_no_entry_carries_most_pairs() -> None:
