Reckon an item's memory by its expected length

Ruled out: slow engines (0.037 s an event on all but the slowed one), stores (0.09 cores), elections. Change: prompt and the caller's estimate, at most the bound; unknown estimates count a fifth of it.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -17,6 +17,7 @@
     :param path: path at the endpoint.
     :param headers: pairs of name and value, as the caller gave them.
     :param tokens: prompt tokens and the most output tokens together.
+    :param prompt_tokens: the first of these.
     :param expected_tokens: the caller's estimate of its output; 0 for none.
     :param group: items of a group share their prompt and are worth something only together.
     """
@@ -27,6 +28,7 @@
     body: bytes
     tokens: int
     group: str = ""
+    prompt_tokens: int = 0
     expected_tokens: int = 0
 
 
@@ -230,6 +232,7 @@
     :param output: data of the events that this run made, joined by line feeds.
     :param events: how many these are.
     :param versions: weight versions that made them, in order.
+    :param first_s: seconds until its first event; 0.0 where there was none.
     """
 
     number: int
@@ -237,6 +240,7 @@
     output: str = ""
     events: int = 0
     versions: tuple[int, ...] = ()
+    first_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
@@ -10,6 +10,10 @@
 same engine while another is idle, long items begin last and hold up their groups for seconds, and a
 group is read into the memory of every engine.
 
+Counted at the most that they may grow to, four items fill an engine's memory and eight of its
+twelve places stay empty: measured, a job of 111 items took 5.6 s until its last one began, against
+1.3 s.
+
 Grounds: the earliest due job first, since a step that is late is worth least. Within a job the long
 items first, by their callers' estimate: with twice as many items as places, a long one that begins
 last ends a whole item's time after all others. A group goes to the engine that holds its prompt
@@ -27,6 +31,8 @@
 # A group's prompt is worth more than an even spread while the engine is not this many items fuller
 # than the emptiest.
 AFFINITY_ITEMS = 2
+# Outputs are a fifth of the most that callers allow at the median.
+UNKNOWN_SHARE = 5
 
 
 @dataclass(frozen=True)
@@ -80,6 +86,22 @@
     engine: str
 
 
+def memory_needed(tokens: int, prompt_tokens: int, expected_tokens: int) -> int:
+    """
+    Reckon the memory that an item takes.
+
+    Engines put the newest item back when memory runs out and read it again in a millisecond, which
+    costs far less than places that stay empty.
+
+    :param tokens: most that it may grow to.
+    :param expected_tokens: its output by its caller's estimate; 0 for none.
+    :return: tokens.
+    """
+    if not expected_tokens:
+        return max(prompt_tokens, tokens // UNKNOWN_SHARE)
+    return min(tokens, prompt_tokens + expected_tokens)
+
+
 def order_of(item: WaitingItem) -> tuple[int, float, bool, int, tuple[str, str]]:
     """
     Rank an item among those that wait; the lowest begins first.
@@ -137,4 +159,4 @@
     return min(fitting, key=cost)
 
 
-__all__ = ["EngineRoom", "Placement", "WaitingItem", "order_of", "place"]
+__all__ = ["EngineRoom", "Placement", "WaitingItem", "memory_needed", "order_of", "place"]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -34,10 +34,12 @@
     versions: list[int] = field(default_factory=list)
     version: int | None = None
     whole: bool = False
+    first_s: float = 0.0
 
     def outcome(self, number: int, kind: str) -> Outcome:
         versions = tuple(self.versions)
-        return Outcome(number, kind, "\n".join(self.data), len(self.data), versions)
+        events = len(self.data)
+        return Outcome(number, kind, "\n".join(self.data), events, versions, self.first_s)
 
 
 async def run_item(assignment: Assignment, connections: Connections, wire: EndpointWire) -> Outcome:
@@ -48,9 +50,10 @@
     :return: how it ended, with the whole events that it made.
     """
     text = _Text()
-    end_s = boot_now() + assignment.deadline_s
+    began_s = boot_now()
+    end_s = began_s + assignment.deadline_s
     try:
-        kind = await _stream(assignment, connections, wire, text, end_s)
+        kind = await _stream(assignment, connections, wire, text, (began_s, end_s))
     except (TimeoutError, aiohttp.ClientError, OSError):
         kind = "broken"
     if kind == "done" and not text.whole:
@@ -63,7 +66,7 @@
     connections: Connections,
     wire: EndpointWire,
     text: _Text,
-    end_s: float,
+    span_s: tuple[float, float],
 ) -> str:
     item = assignment.item
     sending = connections.request(
@@ -80,7 +83,7 @@
         if kind != "done":
             return kind
         text.version = wire.run_version(headers)
-        await _read_events(assignment, response, wire, text, end_s)
+        await _read_events(assignment, response, wire, text, *span_s)
         return "done"
     finally:
         # A stream that was not read to its end leaves bytes that belong to no later answer, and an
@@ -109,6 +112,7 @@
     response: aiohttp.ClientResponse,
     wire: EndpointWire,
     text: _Text,
+    began_s: float,
     end_s: float,
 ) -> None:
     buffer = b""
@@ -123,6 +127,7 @@
         for block in blocks:
             if not _take_event(assignment, wire.read_event(block), text):
                 return
+            text.first_s = text.first_s or round(boot_now() - began_s, 3)
             silence_s = SILENCE_S
         if len(buffer) > MAX_EVENT_BYTES:
             return
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -8,6 +8,7 @@
 
 import eliot
 
+from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.jobs import Outcome, ReportWork, TakeWork, Work
@@ -127,16 +128,25 @@
 
     async def _run(self, assignment: Assignment) -> None:
         epoch = self._epoch
+        began_s = boot_now()
         outcome = await run_item(assignment, self._connections, self._wire)
         self._counters.add(f"runner.{outcome.kind}")
-        if outcome.kind != "done":
-            eliot.log_message(
-                "runner:ended",
-                item=assignment.item.item,
-                endpoint=assignment.endpoint,
-                kind=outcome.kind,
-                events=outcome.events,
-            )
+        eliot.log_message(
+            "runner:ended",
+            job=assignment.job,
+            item=assignment.item.item,
+            number=assignment.number,
+            endpoint=assignment.endpoint,
+            kind=outcome.kind,
+            resume_after=assignment.resume_after,
+            events=outcome.events,
+            versions=outcome.versions,
+            expected_version=assignment.expected_version,
+            expected_tokens=assignment.item.expected_tokens,
+            tokens=assignment.item.tokens,
+            first_s=outcome.first_s,
+            took_s=round(boot_now() - began_s, 3),
+        )
         if epoch == self._epoch:
             self._outcomes.append(outcome)
             self._reported.set()
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -8,7 +8,13 @@
 import eliot
 
 from ibisspring_core.messages.jobs import Assignment, ItemResult, Outcome
-from ibisspring_decisions.dispatch import EngineRoom, WaitingItem, order_of, place
+from ibisspring_decisions.dispatch import (
+    EngineRoom,
+    WaitingItem,
+    memory_needed,
+    order_of,
+    place,
+)
 from ibisspring_jobs.progress import ItemProgress, abandoned
 from ibisspring_jobs.runners import Runners
 
@@ -16,7 +22,7 @@
     from collections.abc import Callable, Iterable
 
     from ibisspring_core.messages.endpoints import EndpointRecord
-    from ibisspring_core.messages.jobs import TakeWork
+    from ibisspring_core.messages.jobs import JobItem, TakeWork
     from ibisspring_core.routes.model import ServiceTerms
     from ibisspring_jobs.runners import Runner
     from ibisspring_jobs.state import JobsState, KeptJob
@@ -183,7 +189,7 @@
             *key,
             runner.address,
             record.endpoint,
-            item.tokens,
+            _memory_of(item),
             now,
             resume_after,
         )
@@ -303,7 +309,7 @@
                 priority=job.priority,
                 carried=False,
                 expected_tokens=item.expected_tokens,
-                tokens=item.tokens,
+                tokens=_memory_of(item),
                 engines=engines,
             )
 
@@ -350,4 +356,8 @@
             runner.sequence_by_number.pop(number, None)
 
 
+def _memory_of(item: JobItem) -> int:
+    return memory_needed(item.tokens, item.prompt_tokens, item.expected_tokens)
+
+
 __all__ = ["Dispatcher", "Run", "Surroundings"]
