--- /dev/null
+++ b/tests/fakes/platform_engine.py
@@ -0,0 +1,127 @@
+"""Stand-in for an engine of the users' platform: it beats, answers calls, streams runs, loads."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+BEAT_S = 0.3
+EVENT_S = 0.01
+
+
+@dataclass
+class PlatformEngine:
+    """
+    One engine.
+
+    :param controls: IP:port of the control daemons.
+    :param events: events of each run.
+    :param runs: ids of the requests that ran, in order.
+    :param orders: bodies of the orders that were accepted.
+    """
+
+    engine: str
+    service: str
+    address: str
+    controls: list[str]
+    models: dict[str, int] = field(default_factory=dict)
+    slots: int = 4
+    events: int = 5
+    event_s: float = EVENT_S
+    runs: list[str] = field(default_factory=list)
+    heads: list[dict[str, str]] = field(default_factory=list)
+    orders: list[dict] = field(default_factory=list)
+    state: str = "ready"
+    sequence: int = 0
+    born: int = field(default_factory=lambda: int(time.time() * 1000))
+
+    async def start(self) -> None:
+        """Listen and begin to beat."""
+        app = web.Application()
+        app.router.add_get("/v1/report", self._report)
+        app.router.add_post("/v1/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._run)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        host, port = self.address.split(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self._beats = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        """Crash: say nothing more."""
+        self._beats.cancel()
+        await self._runner.cleanup()
+
+    async def _beat(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            turn = 0
+            while True:
+                turn += 1
+                self.sequence += 1
+                url = f"http://{self.controls[turn % len(self.controls)]}"
+                try:
+                    path = f"/v1/Instances.Heartbeat/{self.engine}"
+                    async with session.post(url + path, json=self._said()) as answer:
+                        await answer.read()
+                except (aiohttp.ClientError, TimeoutError):
+                    pass
+                await asyncio.sleep(BEAT_S)
+
+    def _said(self) -> dict:
+        models = [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "derby",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "models": models,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+    async def _report(self, request: web.Request) -> web.Response:
+        models = [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]
+        return web.json_response({"sequence": len(self.orders), "busy": False, "models": models})
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        self.orders.append(order)
+        self.models[order["model"]] = order["version"]
+        return web.Response(status=202)
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        await request.read()
+        said = {name.lower(): value for name, value in request.headers.items()}
+        if said.get("expect-instance") != self.engine:
+            return web.Response(status=421, headers={"Instance-Id": self.engine})
+        model = said.get("model", "")
+        version = self.models.get(model, 0)
+        if "expect-version" in said and int(said["expect-version"]) != version:
+            return web.Response(status=421, headers={"Instance-Id": self.engine})
+        self.runs.append(said["attempt-id"])
+        self.heads.append(said)
+        own = {"Attempt-Id": said["attempt-id"], "Server-Stamp": f"stamp-{self.engine}"}
+        if not model:
+            return web.Response(body=request.path.encode(), headers=own)
+        return await self._stream(request, said, {**own, "Weight-Versions": str(version)})
+
+    async def _stream(self, request: web.Request, said: dict, headers: dict) -> web.StreamResponse:
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        for number in range(int(said.get("last-event-id", 0)) + 1, self.events + 1):
+            await asyncio.sleep(self.event_s)
+            text = f"{said['attempt-id']}-{number}"
+            await response.write(f"id: {number}\ndata: {text}\n\n".encode())
+        await response.write_eof()
+        return response
+
+
+__all__ = ["PlatformEngine"]
--- /dev/null
+++ b/tests/fakes/scripted_endpoint.py
@@ -0,0 +1,56 @@
+"""An endpoint that answers each request with bytes that a test wrote."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+
+@dataclass
+class ScriptedEndpoint:
+    """
+    One listener; `script` gets the head of each request and returns what is sent.
+
+    :param heads: heads of the requests that came in, in order.
+    """
+
+    script: Callable[[str], list[bytes | float | None]]
+    heads: list[str] = field(default_factory=list)
+    address: str = ""
+    closed: int = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.heads.append(head)
+                length = [line for line in head.split("\r\n") if "content-length" in line.lower()]
+                if length:
+                    await reader.readexactly(int(length[0].split(":")[1]))
+                for step in self.script(head):
+                    if step is None:
+                        writer.transport.abort()
+                        return
+                    if isinstance(step, float):
+                        await asyncio.sleep(step)
+                        continue
+                    writer.write(step)
+                    await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def scripted(script: Callable[[str], list[bytes | float | None]]):
+    """Run an endpoint; a float in its script is a pause in seconds, None resets the connection."""
+    endpoint = ScriptedEndpoint(script)
+    server = await asyncio.start_server(endpoint._serve, "127.0.0.1", 0)
+    endpoint.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield endpoint
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/integration/platform_system.py
@@ -0,0 +1,296 @@
+"""A system as the users' platform starts it, from their settings files, on loopback addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import os
+import shutil
+import sys
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from fakes.platform_engine import PlatformEngine
+from integration.processes import REPOSITORY, Process, free_port, wait_until
+
+CENTRES = ("derby", "stoke", "walsall")
+NETWORK_BY_ROLE = {"control": 1, "store": 2, "entry": 3, "engine": 4}
+SERVED_BY_ROLE = {"control": "control_plane", "store": "storage", "entry": "edge"}
+HOST = "archive.example"
+KEY = "k1"
+LOOKUP = "/lookup/"
+SCORE = "/score/"
+
+
+def configuration(version: int, **changes: Any) -> dict:
+    """An operator's configuration with one plain route and one for jobs."""
+    routes = [
+        {
+            "name": "lookup",
+            "host": HOST,
+            "path_prefix": LOOKUP,
+            "type": "idempotent",
+            "timeout_ms": 3000,
+            "latency_target_ms": 400,
+            "service": "archive",
+            "max_attempts": 2,
+            "public": False,
+        },
+        {
+            "name": "score",
+            "host": HOST,
+            "path_prefix": SCORE,
+            "type": "rollout",
+            "timeout_ms": 10000,
+            "latency_target_ms": 400,
+            "service": "scorer",
+            "max_attempts": 3,
+            "item_ttl_s": 60.0,
+            "deadline_ms": 30000,
+            "public": False,
+        },
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "archive", "max_conns": 100},
+            {"name": "scorer", "max_conns": 100, "engine": {"slots": 4, "kv_capacity": 90000}},
+        ],
+        "tenants": [{"name": "forge", "api_keys": [KEY]}],
+        **changes,
+    }
+
+
+def job(items: int, min_version: int = 1, prefix: str = "i") -> dict:
+    """A batch job of groups of two."""
+    return {
+        "step": 0,
+        "model": "m",
+        "min_version": min_version,
+        "target_groups": items // 2,
+        "items": [
+            {
+                "id": f"{prefix}{number}",
+                "path": f"{SCORE}run/{number}",
+                "headers": {"Model": "m", "Token-Usage": "100,800"},
+                "body": base64.b64encode(f"body {number}".encode()).decode(),
+                "tokens": 900,
+                "group": f"g{number // 2}",
+            }
+            for number in range(items)
+        ],
+    }
+
+
+@dataclass
+class PlatformSystem:
+    """The daemons by name, and the engines."""
+
+    folder: Path
+    process_by_name: dict[str, Process] = field(default_factory=dict)
+    boot_by_name: dict[str, dict] = field(default_factory=dict)
+    engines: list[PlatformEngine] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.ports = {name: free_port() for name in ("peer", "control", "callers", "ready")}
+        self.seeds = [f"127.1.1.{n}:{self.ports['control']}" for n in (1, 2, 3)]
+        # A block of its own, since all daemons share the machine's loopback addresses.
+        self.engine_ports = iter([free_port() for _ in range(8)])
+
+    def add(self, role: str, number: int, found: bool = True) -> Process:
+        """Write a daemon's settings file and prepare its process."""
+        name = f"{role}-{number}"
+        ip = f"127.1.{NETWORK_BY_ROLE[role]}.{number}"
+        listen = {
+            "control": {"control": f"{ip}:{self.ports['control']}"},
+            "store": {},
+            "entry": {
+                "frontend": f"{ip}:{self.ports['callers']}",
+                "readiness": f"{ip}:{self.ports['ready']}",
+            },
+        }[role]
+        data = self.folder / name / "data"
+        if role != "entry":
+            data.mkdir(parents=True, exist_ok=True)
+        (self.folder / name).mkdir(exist_ok=True)
+        self.boot_by_name[name] = {
+            "node": name,
+            "role": role,
+            "serves": [SERVED_BY_ROLE[role]],
+            "ip": ip,
+            "zone": CENTRES[number % len(CENTRES)],
+            "listen": listen,
+            "internal_ports": [self.ports["peer"], self.ports["peer"]],
+            "seeds": self.seeds,
+            "bootstrap": found,
+            "data_dir": None if role == "entry" else str(data),
+            "heartbeat_ms": 300,
+            "fault_tolerance": {"machines": 1},
+            "bounds": {"lease_ms": 1000, "thaw_ms": 100, "usage_window_s": 2},
+            "cloud_api": None,
+        }
+        # `env` sets the variable; the process that is signalled is the daemon itself.
+        variable = f"IBISSPRING_CONFIG={self.folder / name / 'boot.json'}"
+        start = str(REPOSITORY / "platform" / "start.py")
+        arguments = ["/usr/bin/env", variable, sys.executable, start, role]
+        process = Process(name, arguments, self.folder / f"{name}.log")
+        self.process_by_name[name] = process
+        self.write_boot(name)
+        return process
+
+    def write_boot(self, name: str, **changes: Any) -> None:
+        """Write a daemon's settings file as it is now."""
+        self.boot_by_name[name].update(changes)
+        path = self.folder / name / "boot.json"
+        path.write_text(json.dumps(self.boot_by_name[name]))
+
+    def start(self) -> None:
+        """Start all daemons at once."""
+        for process in self.process_by_name.values():
+            process.start()
+
+    def restart(self, name: str, wipe: bool = False) -> None:
+        """Start a daemon that ended; after the first start nothing founds any more."""
+        if wipe:
+            data = Path(self.boot_by_name[name]["data_dir"])
+            shutil.rmtree(data)
+            data.mkdir()
+        self.write_boot(name, bootstrap=False)
+        self.process_by_name[name].start()
+
+    def stop(self) -> None:
+        """Kill all daemons."""
+        for process in self.process_by_name.values():
+            process.kill()
+
+    async def add_engine(self, service: str, **fields: Any) -> PlatformEngine:
+        """Start an engine."""
+        number = len(self.engines) + 1
+        address = f"127.1.{NETWORK_BY_ROLE['engine']}.{number}:{next(self.engine_ports)}"
+        engine = PlatformEngine(f"i-{number}", service, address, self.seeds, **fields)
+        await engine.start()
+        self.engines.append(engine)
+        return engine
+
+    def entry_url(self, number: int) -> str:
+        """Callers' address of an entry."""
+        return f"http://127.1.{NETWORK_BY_ROLE['entry']}.{number}:{self.ports['callers']}"
+
+    async def control(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+        """Make an operator's call until a control daemon answers clearly."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        answer: tuple[int, bytes] = (0, b"")
+
+        async def clear() -> bool:
+            nonlocal answer
+            for seed in self.seeds:
+                answer = await request(method, f"http://{seed}{path}", data)
+                if answer[0] and answer[0] < 500:
+                    return True
+            return False
+
+        await wait_until(clear, f"a clear answer to {method} {path}")
+        return answer
+
+    async def put(self, version: int, **changes: Any) -> int:
+        """Put a configuration."""
+        status, _ = await self.control(
+            "POST", "/v1/Config.Replace", configuration(version, **changes)
+        )
+        return status
+
+    async def submit(self, name: str, body: dict, entry: int = 1) -> None:
+        """Submit a job until it is accepted."""
+
+        async def accepted() -> bool:
+            status, _ = await self.call("POST", f"{SCORE}{name}", name, body, entry)
+            return status == 202
+
+        await wait_until(accepted, f"job {name} to be accepted")
+
+    async def call(
+        self, method: str, path: str, attempt: str, body: Any = None, entry: int = 1, key: str = KEY
+    ) -> tuple[int, bytes]:
+        """Make a caller's call."""
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": attempt,
+            "Deadline-Ms": "3000",
+            "Authorization": f"Bearer {key}",
+        }
+        data = json.dumps(body).encode() if body is not None else b""
+        return await request(method, self.entry_url(entry) + path, data, headers)
+
+    async def results(self, name: str, entry: int = 1) -> dict | None:
+        """Read all results of a job; None where they cannot be read now."""
+        status, body = await self.call("GET", f"/v1/lots/{name}?after=0", "x", None, entry)
+        return json.loads(body) if status == 200 else None
+
+    async def whole(self, name: str, total: int, entry: int = 1) -> dict:
+        """Wait until a job's results are all listed."""
+
+        async def listed() -> dict | None:
+            read = await self.results(name, entry)
+            return read if read is not None and len(read["results"]) == total else None
+
+        return await wait_until(listed, f"{total} results of {name}")
+
+
+async def request(
+    method: str, url: str, data: bytes, headers: dict[str, str] | None = None
+) -> tuple[int, bytes]:
+    """One HTTP call; status 0 where no answer came."""
+    timeout = aiohttp.ClientTimeout(total=5.0)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, url, data=data, headers=headers) as answer,
+        ):
+            return answer.status, await answer.read()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return 0, b""
+
+
+@asynccontextmanager
+async def platform_system(folder: Path, entries: int = 2):
+    """Start three control daemons, three stores, entries, an archive and two engines."""
+    system = PlatformSystem(folder)
+    for number in (1, 2, 3):
+        system.add("control", number)
+        system.add("store", number)
+    for number in range(1, entries + 1):
+        system.add("entry", number)
+    try:
+        system.start()
+        await system.add_engine("archive")
+        await system.add_engine("scorer", models={"m": 1})
+        await system.add_engine("scorer", models={"m": 1})
+        assert await system.put(1) == 200
+        await wait_served(system, entries)
+        yield system
+    except AssertionError:
+        for name, process in system.process_by_name.items():
+            print(f"--- {name}\n{process.tail()}")
+        raise
+    finally:
+        system.stop()
+        await asyncio.gather(*(engine.stop() for engine in system.engines))
+
+
+async def wait_served(system: PlatformSystem, entries: int) -> None:
+    """Wait until each entry serves lookups."""
+    for entry in range(1, entries + 1):
+
+        async def served(entry: int = entry) -> bool:
+            status, _ = await system.call(
+                "POST", f"{LOOKUP}warm", f"w{os.urandom(4).hex()}", None, entry
+            )
+            return status == 200
+
+        await wait_until(served, f"entry {entry} to serve")
--- /dev/null
+++ b/tests/integration/test_platform_faults.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import json
+
+import grpc.aio
+import pytest
+
+from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
+from integration.platform_system import configuration, job, platform_system, wait_served
+from integration.processes import wait_until
+
+
+@pytest.fixture
+async def system(tmp_path):
+    async with platform_system(tmp_path) as system:
+        yield system
+
+
+def job_leaders(system) -> list[str]:
+    """Stores that said that they lead, the newest term last."""
+    found = []
+    for name, process in system.process_by_name.items():
+        for line in process.log.read_text(errors="replace").splitlines():
+            if '"jobs:leads"' in line:
+                found.append((json.loads(line)["term"], name))
+    return [name for _, name in sorted(found)]
+
+
+async def test_a_job_outlives_the_store_that_led(system) -> None:
+    # The store that hands out a job's items is killed in the middle: the trainer still gets each
+    # item once, at positions that do not change.
+    for engine in system.engines:
+        engine.event_s = 0.1
+    await system.submit("lot1", job(30))
+
+    async def begun() -> dict | None:
+        read = await system.results("lot1")
+        return read if read is not None and read["results"] else None
+
+    before = await wait_until(begun, "the first results")
+    system.process_by_name[job_leaders(system)[-1]].kill()
+
+    read = await system.whole("lot1", 30)
+    assert read["results"][: len(before["results"])] == before["results"]
+    assert len({result["id"] for result in read["results"]}) == 30
+
+
+async def test_what_was_accepted_outlives_the_end_of_all_processes(system) -> None:
+    # All VMs lose power right after a job and a configuration were accepted.
+    await system.submit("lot1", job(4))
+    done = await system.whole("lot1", 4)
+    assert await system.put(5) == 200
+    await system.submit("lot2", job(4, prefix="j"))
+
+    system.stop()
+    for name in system.process_by_name:
+        system.restart(name)
+
+    await wait_served(system, 2)
+    status, document = await system.control("GET", "/v1/Config.Read")
+    assert (status, json.loads(document)) == (200, configuration(5))
+    assert await system.whole("lot1", 4) == done
+    assert len((await system.whole("lot2", 4))["results"]) == 4
+
+
+async def test_a_lost_disk_is_taken_in_again_and_the_next_one_may_go(system) -> None:
+    # A store loses its disk and comes back empty; right after its repair the next one is lost. What
+    # was accepted before both must still be there.
+    await system.submit("lot1", job(4))
+    done = await system.whole("lot1", 4)
+
+    for name in ("store-1", "store-2"):
+        process = system.process_by_name[name]
+        process.kill()
+        system.restart(name, wipe=True)
+
+        async def taken_in(name: str = name) -> bool:
+            return await is_voter(system, name)
+
+        await wait_until(taken_in, f"{name} to be taken in")
+    assert await system.whole("lot1", 4) == done
+
+
+async def is_voter(system, name: str) -> bool:
+    """Whether the present disk of a store is a voter and no change of the members is under way."""
+    own = await replica_status(system, name)
+    for other in ("store-1", "store-2", "store-3"):
+        status = await replica_status(system, other)
+        if own is None or status is None or status["role"] != "leader":
+            continue
+        voters = [voter["disk_id"] for voter in status["voters"]]
+        if own["disk_id"] in voters and not status["outgoing"] and not status["learners"]:
+            return True
+    return False
+
+
+async def replica_status(system, name: str) -> dict | None:
+    """What a replica says of itself; None where it does not answer."""
+    address = f"{system.boot_by_name[name]['ip']}:{system.ports['peer']}"
+    async with grpc.aio.insecure_channel(address) as channel:
+        stub = consensus_pb2_grpc.ConsensusStub(channel)
+        try:
+            reply = await stub.Manage(consensus_pb2.ManageRequest(action="status"), timeout=2.0)
+        except grpc.aio.AioRpcError:
+            return None
+    return json.loads(reply.answer)
--- /dev/null
+++ b/tests/integration/test_platform_path.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from integration.platform_system import KEY, LOOKUP, configuration, job, platform_system
+from integration.processes import wait_until
+
+
+@pytest.fixture
+async def system(tmp_path):
+    async with platform_system(tmp_path) as system:
+        yield system
+
+
+async def test_the_whole_path(system) -> None:
+    # What a calm day needs, with every process a real one: a system that founds itself, a
+    # configuration, lookups under a key, a job with its results, and a new version of its weights.
+    status, document = await system.control("GET", "/v1/Config.Read")
+    assert (status, json.loads(document)) == (200, configuration(1))
+    assert (await system.call("POST", f"{LOOKUP}7", "a1"))[1] == f"{LOOKUP}7".encode()
+    assert (await system.call("POST", f"{LOOKUP}7", "a2", key="nobody's"))[0] == 401
+    assert (await system.call("POST", "/nowhere/7", "a3"))[0] == 404
+    heads = {head["attempt-id"]: head for engine in system.engines for head in engine.heads}
+    assert heads["a1"]["tenant"] == "forge"
+    assert "authorization" not in heads["a1"]
+    assert "a2" not in heads
+
+    await system.submit("lot1", job(6))
+    await system.submit("lot1", job(6), entry=2)
+    read = await system.whole("lot1", 6, entry=2)
+    assert read["total"] == 6
+    by_item = {result["id"]: result for result in read["results"]}
+    assert by_item["i3"]["output"] == "\n".join(f"i3-{n}" for n in range(1, 6))
+    assert by_item["i3"]["versions"] == [1]
+    assert (await system.call("GET", "/v1/lots/unknown", "x"))[0] == 404
+    assert (await system.call("DELETE", "/v1/lots/lot1", "x"))[0] == 200
+    assert await system.results("lot1") == read
+
+    named = {"model": "m", "version": 2}
+    assert (await system.control("POST", "/v1/version-put", named))[0] == 200
+    await system.submit("lot2", job(4, min_version=2, prefix="j"))
+    read = await system.whole("lot2", 4)
+    assert all(result["versions"] == [2] for result in read["results"])
+    orders = [order for engine in system.engines for order in engine.orders]
+    assert {(order["op"], order["version"]) for order in orders} == {("version", 2)}
+
+
+async def test_a_withdrawn_key_and_a_moved_route_are_in_force_once_answered(system) -> None:
+    # An operator withdraws a key; a moment after the answer one entry still lets it in.
+    changed = configuration(2)
+    changed["tenants"] = [{"name": "forge", "api_keys": ["k2"]}]
+    changed["routes"] = changed["routes"][1:]
+    assert (await system.control("POST", "/v1/Config.Replace", changed))[0] == 200
+
+    for entry in (1, 2):
+        assert (await system.call("GET", "/v1/lots/x", "x", None, entry, KEY))[0] == 401
+        assert (await system.call("POST", f"{LOOKUP}7", "x", None, entry, "k2"))[0] == 404
+    assert await system.put(1) == 200
+    assert json.loads((await system.control("GET", "/v1/Config.Read"))[1])["version"] == 2
+    assert (await system.control("POST", "/v1/Config.Replace", b'{"version": 3'))[0] == 400
+
+
+async def test_an_endpoint_that_leaves_gets_no_new_work(system) -> None:
+    # An engine says that it drains and is acknowledged; a lookup that reaches it seconds later is
+    # lost with it.
+    other = await system.add_engine("archive")
+
+    async def used() -> bool:
+        await system.call("POST", f"{LOOKUP}7", "x")
+        return bool(other.runs)
+
+    await wait_until(used, "the second archive to be used")
+    other.state = "draining"
+
+    async def left() -> bool:
+        before = len(other.runs)
+        for number in range(6):
+            await system.call("POST", f"{LOOKUP}7", f"y{number}", entry=1 + number % 2)
+        return len(other.runs) == before
+
+    await wait_until(left, "the second archive to be left")
+    for number in range(12):
+        assert (await system.call("POST", f"{LOOKUP}7", f"z{number}"))[0] == 200
+    assert not {"z0", "z11"} & set(other.runs)
--- /dev/null
+++ b/tests/unit/consensus/test_repair.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from ibisspring_consensus.events import Replace
+from ibisspring_consensus.log import Log
+from ibisspring_consensus.messages import (
+    MEMBERS,
+    Entry,
+    HardState,
+    Learner,
+    Members,
+    ReplicaId,
+    SnapshotMeta,
+)
+from ibisspring_consensus.repair import SILENT_S, Candidate, next_change
+from ibisspring_consensus.state import LEADER, CoreConfig, CoreState, Progress
+from ibisspring_core.messages.codec import encode
+
+VOTERS = tuple(ReplicaId(name, "d") for name in "abc")
+SPARE = Candidate(ReplicaId("s", "d"), "derby")
+NOW = 100.0
+
+
+def leader(members: Members, silent: tuple[str, ...] = ()) -> CoreState:
+    entry = Entry(1, 1, MEMBERS, encode(members))
+    state = CoreState(
+        replica=VOTERS[0],
+        config=CoreConfig(),
+        randomness=random.Random(1),
+        hard=HardState(term=1),
+        log=Log.from_entries(SnapshotMeta(), 0, 0, (entry,)),
+        commit_index=1,
+        now=NOW,
+        started_at=0.0,
+        election_at=0.0,
+        synced_index=1,
+        role=LEADER,
+    )
+    for voter in members.voters[1:]:
+        heard = NOW - SILENT_S - 1 if voter.daemon in silent else NOW
+        state.progress_by_replica[voter] = Progress(1, 2, answered_at=heard)
+    return state
+
+
+MEMBERS_OF_THREE = Members(VOTERS, cluster="x")
+
+
+def test_a_vm_that_is_gone_for_good_is_replaced_by_the_one_that_came_for_it() -> None:
+    # A store is lost for good and an empty one comes at another address. Left outside, the next
+    # loss would end the log.
+    state = leader(MEMBERS_OF_THREE, silent=("b",))
+
+    assert next_change(state, [SPARE], (), 3) == Replace(SPARE.replica, VOTERS[1])
+
+
+def test_silence_alone_removes_nobody() -> None:
+    # A partition leaves two of three voters: taking the third out would let one more loss end it.
+    state = leader(MEMBERS_OF_THREE, silent=("b",))
+
+    assert next_change(state, [], (), 3) is None
+
+
+def test_a_member_that_answers_stays() -> None:
+    assert next_change(leader(MEMBERS_OF_THREE), [SPARE], (), 3) is None
+
+
+def test_what_an_operator_takes_away_is_replaced_though_it_answers() -> None:
+    state = leader(MEMBERS_OF_THREE)
+
+    assert next_change(state, [SPARE], ("c",), 3) == Replace(SPARE.replica, VOTERS[2])
+    assert next_change(state, [SPARE], ("c", "s"), 3) is None
+    assert next_change(state, [SPARE], ("a",), 3) == Replace(SPARE.replica, VOTERS[0])
+
+
+def test_voters_are_added_until_they_bear_the_losses_asked_for() -> None:
+    state = leader(MEMBERS_OF_THREE)
+
+    assert next_change(state, [SPARE], (), 5) == Replace(SPARE.replica, None)
+
+
+@pytest.mark.parametrize(
+    "members",
+    [
+        replace(MEMBERS_OF_THREE, learners=(Learner(ReplicaId("l", "d")),)),
+        replace(MEMBERS_OF_THREE, outgoing=VOTERS),
+    ],
+    ids=["a learner", "a change"],
+)
+def test_one_change_at_a_time(members) -> None:
+    assert next_change(leader(members, silent=("b",)), [SPARE], (), 3) is None
+
+
+def test_a_leader_that_was_just_elected_waits_before_it_calls_others_silent() -> None:
+    state = leader(MEMBERS_OF_THREE, silent=("b",))
+    state.led_since = NOW - 1.0
+
+    assert next_change(state, [SPARE], (), 3) is None
--- /dev/null
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -0,0 +1,181 @@
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+from unit.jobs.test_state import job_of
+
+from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
+from ibisspring_core.messages.jobs import Outcome, TakeWork
+from ibisspring_core.routes import ServiceTerms
+from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, RecordResults
+from ibisspring_jobs.dispatcher import Dispatcher, Surroundings
+from ibisspring_jobs.state import JobsState
+
+ENGINE = EndpointRecord(
+    endpoint="engine-1",
+    incarnation=1,
+    sequence=1,
+    service="scorer",
+    role="engine",
+    kind="standard",
+    data_centre="derby",
+    address="10.0.0.1:80",
+    version_by_adapter={"m": 4},
+    load=EndpointLoad(capacity=2),
+)
+
+
+class _World:
+    """A dispatcher with its state; calls are made by hand and time is a number."""
+
+    def __init__(self, *engines: EndpointRecord, **job_changes) -> None:
+        self.engines = engines
+        self.wall = 1000.0
+        self.state = JobsState()
+        terms = ServiceTerms("scorer", 100, 2, 100_000)
+        around = Surroundings(
+            lambda service: self.engines, lambda service: terms, lambda: self.wall
+        )
+        self.dispatcher = Dispatcher(self.state, around, epoch=7)
+        self.state.subscribe(self.dispatcher.forget_job)
+        job = dataclasses.replace(job_of(), submitted_s=1000.0, **job_changes)
+        self.apply(AcceptJob(job))
+        self.sequence = 0
+
+    def apply(self, command: object) -> None:
+        self.state.apply(1, COMMANDS.encode(command))
+
+    def poll(self, running=(), now: float = 0.0, runner: str = "e1"):
+        """Let a runner ask for work; what it is given."""
+        self.sequence += 1
+        call = TakeWork(runner, "derby", "x", 7, self.sequence, tuple(running), 10, 0.4)
+        one = self.dispatcher.take(call, now)
+        one.waiting = True
+        self.dispatcher.match(now)
+        one.waiting = False
+        given = tuple(one.outbox)
+        one.outbox.clear()
+        return given
+
+    def end(self, number: int, kind: str, now: float = 0.0, **fields):
+        ended = self.dispatcher.report(Outcome(number, kind, **fields), now)
+        if ended is not None:
+            self.apply(RecordResults(ended[0], (ended[1],)))
+        return ended[1] if ended is not None else None
+
+
+@pytest.fixture
+def world():
+    return _World(ENGINE)
+
+
+def test_an_engine_gets_no_more_than_its_places(world) -> None:
+    assert len(world.poll()) == 2
+    assert world.poll(running=(1, 2)) == ()
+
+
+def test_work_whose_answer_was_lost_is_given_out_again(world) -> None:
+    # The answer with an item is lost on its way. The dispatcher takes it for running, no engine has
+    # it, and the trainer waits for it until its step runs out of time.
+    first = world.poll()
+
+    again = world.poll(running=())
+
+    assert {one.item.item for one in again} == {one.item.item for one in first}
+
+
+def test_the_work_of_a_runner_that_went_silent_begins_elsewhere(world) -> None:
+    # An entry is frozen with items on it: its trainer waits for the freeze to end.
+    first = world.poll(now=0.0)
+    world.dispatcher.sweep(1.0)
+    assert world.poll(now=1.0, runner="e2") == ()
+
+    world.dispatcher.sweep(2.0)
+
+    again = world.poll(now=2.0, runner="e2")
+    assert {one.item.item for one in again} == {one.item.item for one in first}
+
+
+def test_a_broken_run_goes_on_after_its_last_whole_event(world) -> None:
+    # An engine dies after seven seconds of a long text; read again from its start, the text would
+    # come too late for its step.
+    number = world.poll()[0].number
+    broken = {"output": "a\nb", "events": 2, "versions": (4,)}
+    assert world.end(number, "broken", **broken) is None
+
+    again = next(one for one in world.poll(running=(2,), now=1.0) if one.resume_after)
+    assert again.resume_after == 2
+    whole = world.end(again.number, "done", now=2.0, output="c", events=1, versions=(5,))
+
+    assert whole.output == "a\nb\nc"
+    assert whole.versions == (4, 5)
+
+
+def test_a_text_of_two_versions_begins_anew_where_one_version_is_asked_for() -> None:
+    world = _World(ENGINE, single_version=True)
+    number = world.poll()[0].number
+    world.end(number, "broken", output="a", events=1, versions=(4,))
+    again = next(one for one in world.poll(running=(2,), now=1.0) if one.resume_after)
+
+    assert world.end(again.number, "done", now=2.0, output="b", events=1, versions=(5,)) is None
+    assert next(iter(world.poll(running=(2,), now=3.0))).resume_after == 0
+
+
+def test_no_text_is_listed_that_older_weights_made() -> None:
+    # A score under an older version than the trainer allows slips into its training.
+    world = _World(ENGINE, min_version=4)
+    number = world.poll()[0].number
+
+    assert world.end(number, "done", output="a", events=1, versions=(3,)) is None
+    assert not world.state.job_by_id["j"].results
+
+
+def test_an_engine_with_older_weights_gets_nothing() -> None:
+    world = _World(ENGINE, min_version=5)
+
+    assert world.poll() == ()
+    world.engines = (dataclasses.replace(ENGINE, version_by_adapter={"m": 5}),)
+    assert len(world.poll()) == 2
+
+
+def test_an_item_is_given_up_after_as_many_failures_as_its_route_allows(world) -> None:
+    now = 0.0
+    for attempt in range(3):
+        given = [one for one in world.poll(running=(), now=now) if one.item.item == "i0"]
+        ended = world.end(given[0].number, "failed", now=now)
+        assert (ended is not None) is (attempt == 2)
+        now += 1.0
+    assert ended.state == "abandoned"
+
+
+def test_an_item_that_can_never_be_done_is_given_up_at_once(world) -> None:
+    assert world.end(world.poll()[0].number, "impossible").state == "abandoned"
+
+
+def test_nothing_is_given_up_before_its_time(world) -> None:
+    world.wall = 1000.0 + 40.0
+    assert world.dispatcher.sweep(40.0) == []
+
+    world.wall = 1000.0 + 41.1
+    assert len(world.dispatcher.sweep(41.1)) == 3
+
+
+def test_a_result_that_is_being_committed_does_not_begin_again(world) -> None:
+    number = world.poll()[0].number
+    item = world.dispatcher.run_by_number[number].item
+
+    assert world.dispatcher.report(Outcome(number, "done", "a", 1, (4,)), 0.0) is not None
+
+    assert item not in {one.item.item for one in world.poll(running=(2,))}
+
+
+def test_the_runs_of_an_ended_job_are_stopped(world) -> None:
+    # A trainer has what it needs and ends its step. The engines go on for seconds at texts that
+    # nobody reads, and the next step waits for them.
+    world.poll()
+    world.apply(CloseJob("j"))
+
+    runner = world.dispatcher.runners.runner_by_address["e1"]
+    assert sorted(runner.cancelled) == [1, 2]
+    assert world.poll() == ()
--- /dev/null
+++ b/tests/unit/jobs/test_state.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+from ibisspring_core.messages.jobs import COMPLETED, ItemResult, Job, JobItem
+from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, ForgetJobs, RecordResults
+from ibisspring_jobs.state import JobsState
+
+
+def job_of(name: str = "j", items: int = 3) -> Job:
+    return Job(
+        job=name,
+        client_account="training",
+        host="scores.example",
+        service="scorer",
+        model="m",
+        items=tuple(JobItem(f"i{n}", f"/score/{n}", (), b"body", 900, "g") for n in range(items)),
+        due_s=7.5,
+        give_up_s=40.0,
+        max_attempts=3,
+    )
+
+
+def result(item: str, output: str = "text") -> ItemResult:
+    return ItemResult(item, COMPLETED, output, (1,))
+
+
+def applied(*commands: object) -> JobsState:
+    state = JobsState()
+    for index, command in enumerate(commands, 1):
+        state.apply(index, COMMANDS.encode(command))
+    return state
+
+
+def test_a_job_is_kept_once() -> None:
+    # An answer is lost and the trainer submits its job again, through another entry. Kept twice,
+    # its items would run twice and its results would stand at two positions.
+    state = applied(AcceptJob(job_of()), RecordResults("j", (result("i0"),)), AcceptJob(job_of()))
+
+    kept = state.job_by_id["j"]
+    assert [one.item for one in kept.results] == ["i0"]
+    assert set(kept.item_by_id) == {"i1", "i2"}
+    assert kept.total == 3
+
+
+def test_a_position_never_changes() -> None:
+    # An item ran on two engines, both ended it. The second text under the first one's position
+    # would train a model on something that was never read.
+    state = applied(
+        AcceptJob(job_of()),
+        RecordResults("j", (result("i1", "first"),)),
+        RecordResults("j", (result("i1", "second"), result("i0"))),
+    )
+
+    assert [(one.item, one.output) for one in state.job_by_id["j"].results] == [
+        ("i1", "first"),
+        ("i0", "text"),
+    ]
+
+
+def test_an_ended_job_has_nothing_left_to_run() -> None:
+    state = applied(AcceptJob(job_of()), RecordResults("j", (result("i1"),)), CloseJob("j"))
+
+    kept = state.job_by_id["j"]
+    assert kept.ended
+    assert not kept.item_by_id
+    assert len(kept.results) == 1
+
+
+def test_a_snapshot_holds_all_and_is_the_same_after_a_restore() -> None:
+    state = applied(
+        AcceptJob(job_of("a")),
+        RecordResults("a", (result("i2"),)),
+        AcceptJob(job_of("b")),
+        CloseJob("b"),
+        AcceptJob(job_of("c")),
+        ForgetJobs(("c",)),
+    )
+    again = JobsState()
+    again.restore(state.snapshot())
+
+    assert again.snapshot() == state.snapshot()
+    assert set(again.job_by_id) == {"a", "b"}
+    assert again.job_by_id["a"].item_by_id["i0"].body == b"body"
+    assert again.job_by_id["b"].ended
--- /dev/null
+++ b/tests/unit/platform/test_settings.py
@@ -0,0 +1,77 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from ibisspring_platform.settings import VARIABLE, read_settings
+
+BOOT = {
+    "node": "core-derby-1",
+    "role": "control",
+    "serves": ["control_plane"],
+    "ip": "10.1.0.40",
+    "zone": "derby",
+    "listen": {"control": "10.1.0.40:8169"},
+    "internal_ports": [7640, 7655],
+    "seeds": ["10.1.0.40:8169", "10.2.0.25:8169"],
+    "bootstrap": True,
+    "data_dir": "/data/control",
+    "heartbeat_ms": 1500,
+    "bounds": {"lease_ms": 3000, "thaw_ms": 300, "usage_window_s": 5, "later": True},
+    "fault_tolerance": {"machines": 2},
+    "cloud_api": {"address": "10.200.0.56:8161", "duties": ["metering"]},
+    "not_known_yet": {"a": 1},
+}
+
+
+@pytest.fixture
+def read(tmp_path, monkeypatch):
+    def with_file(boot: object):
+        path = tmp_path / "boot.json"
+        path.write_text(boot if isinstance(boot, str) else json.dumps(boot))
+        monkeypatch.setenv(VARIABLE, str(path))
+        return read_settings()
+
+    return with_file
+
+
+def test_a_file_becomes_settings(read) -> None:
+    settings = read(BOOT)
+
+    assert settings.daemon == "core-derby-1"
+    assert settings.role == "control"
+    assert settings.peer_address == "10.1.0.40:7640"
+    assert settings.seeds == ("10.1.0.40:7640", "10.2.0.25:7640")
+    assert settings.found
+    assert settings.losses == 2
+    assert settings.holder_gap_s == 3.3
+    assert settings.announce_every_s == 1.5
+    assert settings.usage_window_s == 5.0
+    assert settings.platform_url == "http://10.200.0.56:8161"
+    assert not settings.scales
+
+
+def test_all_faults_are_reported_together(read) -> None:
+    findings = read({**BOOT, "data_dir": None, "seeds": [], "listen": {}})
+
+    assert len(findings) == 3
+    assert all("boot.json" in str(finding) for finding in findings)
+
+
+def test_a_file_that_cannot_be_read_is_told_with_its_place(read, monkeypatch) -> None:
+    assert "seeds" in str(read({**BOOT, "seeds": "10.1.0.40:8169"})[0])
+    assert len(read("{")) == 1
+    monkeypatch.setenv(VARIABLE, "/nowhere/boot.json")
+    assert "cannot be read" in str(read_settings()[0])
+    monkeypatch.delenv(VARIABLE)
+    assert VARIABLE in str(read_settings()[0])
+
+
+def test_a_daemon_that_serves_callers_needs_their_addresses(read) -> None:
+    findings = read({**BOOT, "serves": ["edge"], "data_dir": None, "listen": {}})
+
+    assert [finding.message.split()[0] for finding in findings] == [
+        "listen.frontend",
+        "listen.readiness",
+    ]
