Order endpoints in place of lost ones; hear departures without a body; send nothing to an engine that loads

Change: service fleet with the pure module fleet_size; message Depart ends the newest known start; the view names the loads under way and the dispatcher sends nothing there.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -7,6 +7,8 @@
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.routes.model import RouteTable
 
+UNKNOWN_INCARNATION = 0
+
 
 @dataclass(frozen=True)
 class Member:
@@ -111,6 +113,7 @@
     :param table: None where the caller's version is in force still.
     :param learning: the leader is new and may not have heard all endpoints yet.
     :param version_by_model: newest weight version that trainers named.
+    :param loading: pairs of endpoint and model; such an endpoint begins nothing for that model now.
     :param stores: all daemons that may hold jobs, heard lately.
     :param job_leader: address of the daemon that leads the jobs' log; a hint.
     :param controls: peer addresses of the directory's members.
@@ -126,6 +129,7 @@
     endpoints: tuple[Placed, ...] = ()
     learning: bool = False
     version_by_model: dict[str, int] = field(default_factory=dict)
+    loading: tuple[tuple[str, str], ...] = ()
     stores: tuple[Member, ...] = ()
     job_leader: str = ""
     job_group: Group | None = None
@@ -150,6 +154,18 @@
     record: EndpointRecord
 
 
+@dataclass(frozen=True)
+class Depart:
+    """
+    An endpoint says that it is gone.
+
+    :param incarnation: of the start that ends; UNKNOWN_INCARNATION for the newest that is known.
+    """
+
+    endpoint: str
+    incarnation: int
+
+
 @dataclass(frozen=True)
 class Announced:
     """
@@ -241,7 +257,9 @@
 
 __all__ = [
     "Announce",
+    "UNKNOWN_INCARNATION",
     "Announced",
+    "Depart",
     "Group",
     "Identify",
     "Member",
--- a/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
@@ -12,6 +12,7 @@
     NotLeader,
     directory.Announce,
     directory.Announced,
+    directory.Depart,
     directory.Identify,
     directory.Member,
     directory.NameVersion,
--- a/packages/ibisspring-directory/src/ibisspring_directory/commands.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/commands.py
@@ -56,6 +56,18 @@
     address: str
 
 
+@dataclass(frozen=True)
+class SetFleet:
+    """
+    How many endpoints of a service are kept; only the first such command of a service counts.
+
+    :param count: over all data centres.
+    """
+
+    service: str
+    count: int
+
+
 @dataclass(frozen=True)
 class CloseWindow:
     """
@@ -85,6 +97,7 @@
     EndpointLeaves,
     FoundJobs,
     RetireStore,
+    SetFleet,
     CloseWindow,
     WindowReported,
 )
@@ -98,5 +111,6 @@
     "PutTable",
     "PutVersion",
     "RetireStore",
+    "SetFleet",
     "WindowReported",
 ]
--- a/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
@@ -96,9 +96,11 @@
     async def _load(self, record: EndpointRecord, load: Load) -> None:
         try:
             if not await self._order(record, load):
+                self._directory.note_loading(load.engine, load.model, loads=False)
                 await asyncio.sleep(RETRY_S)
         finally:
             self._loading_by_engine.pop(load.engine, None)
+            self._directory.note_loading(load.engine, load.model, loads=False)
 
     async def _order(self, record: EndpointRecord, load: Load) -> bool:
         """Order one load and wait until the engine shows it; False where it did not come."""
@@ -110,6 +112,7 @@
         if state.busy:
             return False
         order = LoadOrder(load.model, load.version, state.orders)
+        self._directory.note_loading(record.endpoint, load.model, loads=True)
         request = self._outside.load_order(record, order, self._duties.duty())
         answer = await self._duties.send(request, ORDER_TIMEOUT_S)
         status = answer.status if isinstance(answer, HttpAnswer) else 0
--- /dev/null
+++ b/packages/ibisspring-directory/src/ibisspring_directory/fleet.py
@@ -0,0 +1,111 @@
+"""The service `fleet`: orders endpoints from the platform in place of those that are gone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eliot
+
+from ibisspring_core.endpoint_table import SERVING
+from ibisspring_core.guarded_http import HttpAnswer
+from ibisspring_decisions.fleet_size import Market, ServiceFleet, next_order
+from ibisspring_directory.commands import SetFleet
+from ibisspring_directory.outside import FleetOrder
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.routes import ServiceTerms
+    from ibisspring_core.settings.vm import VmSettings
+
+TICK_S = 0.5
+ORDER_TIMEOUT_S = 4.0
+# The endpoints of the first start have all announced themselves by then.
+FIRST_COUNT_AFTER_S = 5.0
+
+
+class Fleet:
+    """Keeps as many endpoints of each service as there were at the first start."""
+
+    name = "fleet"
+
+    def __init__(self, settings: VmSettings) -> None:
+        self._scales = settings.scales
+        self._fleet_by_service: dict[str, ServiceFleet] = {}
+
+    @classmethod
+    def from_config(cls, settings: VmSettings) -> Fleet:
+        """
+        Build the service.
+
+        :param settings: checked settings of a control VM.
+        :return: the service.
+        """
+        return cls(settings)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to compare."""
+        self._directory = kernel.find("directory")
+        self._duties = kernel.find("duties")
+        self._outside = kernel.find("outside")
+        self._counters = kernel.find("counters")
+        self._ticks = kernel.find("timer").subscribe("fleet", TICK_S, self._tick)
+
+    async def stop(self) -> None:
+        """End the ticks."""
+        self._ticks.cancel()
+
+    async def _tick(self, now: float) -> None:
+        table = self._directory.state.table
+        if not self._scales or table is None or not self._duties.in_charge():
+            return
+        # A new leader that has not heard all endpoints yet would take some for gone.
+        if now < self._directory.led_since + FIRST_COUNT_AFTER_S:
+            return
+        for terms in table.services:
+            if terms.scaling is not None:
+                await self._keep(terms, now)
+
+    async def _keep(self, terms: ServiceTerms, now: float) -> None:
+        present = self._present(terms.name)
+        total = sum(present.values())
+        wanted = self._directory.state.fleet_by_service.get(terms.name)
+        if wanted is None:
+            if total:
+                await self._directory.propose(SetFleet(terms.name, total))
+            return
+        scaling = terms.scaling
+        market = Market(scaling.most, scaling.boot_s, scaling.price_by_data_centre)
+        fleet = self._fleet_by_service.setdefault(terms.name, ServiceFleet())
+        order = next_order(fleet, market, wanted, present, now)
+        if order is None:
+            return
+        request = self._outside.fleet_order(
+            FleetOrder(terms.name, order.data_centre, order.count), self._duties.duty()
+        )
+        answer = await self._duties.send(request, ORDER_TIMEOUT_S)
+        status = answer.status if isinstance(answer, HttpAnswer) else 0
+        eliot.log_message(
+            "fleet:ordered",
+            service=terms.name,
+            data_centre=order.data_centre,
+            count=order.count,
+            present=present,
+            wanted=wanted,
+            status=status,
+        )
+        self._counters.add(f"fleet.answer_{status}")
+        if 200 <= status < 300:
+            fleet.ordered(order, market, now)
+            return
+        fleet.refused(order.data_centre, now)
+
+    def _present(self, service: str) -> dict[str, int]:
+        present: dict[str, int] = {}
+        for heard in self._directory.endpoints.heard():
+            record = heard.record
+            if record.service == service and record.state == SERVING:
+                present[record.data_centre] = present.get(record.data_centre, 0) + 1
+        return present
+
+
+__all__ = ["Fleet"]
--- a/packages/ibisspring-directory/src/ibisspring_directory/role.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/role.py
@@ -11,6 +11,7 @@
 from ibisspring_consensus.state import CoreConfig
 from ibisspring_directory.duties import Duties
 from ibisspring_directory.engine_loads import EngineLoads
+from ibisspring_directory.fleet import Fleet
 from ibisspring_directory.founding import Founding
 from ibisspring_directory.membership import ControlMembership
 from ibisspring_directory.service import Directory
@@ -46,6 +47,7 @@
         Duties.from_config(settings),
         UsageReports.from_config(settings),
         EngineLoads.from_config(settings),
+        Fleet.from_config(settings),
     )
 
 
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -12,8 +12,10 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.leader_client import NotLeader
 from ibisspring_core.messages.directory import (
+    UNKNOWN_INCARNATION,
     Announce,
     Announced,
+    Depart,
     Identify,
     Member,
     NameVersion,
@@ -72,6 +74,7 @@
         self._ttl_s = settings.announce_every_s * SILENT_ANNOUNCEMENTS
         self._learn_s = settings.announce_every_s * LEARN_ANNOUNCEMENTS
         self.endpoints = EndpointTable(self._ttl_s)
+        self._loading: set[tuple[str, str]] = set()
         self._term = 0
         self._seen: tuple[Any, ...] = ()
 
@@ -96,6 +99,7 @@
         server.answer(Identify, self.identify)
         on_leader = {
             Announce: self.announce,
+            Depart: self.depart,
             ReplaceTable: self.replace_table,
             ReadTable: self.read_table,
             NameVersion: self.name_version,
@@ -121,12 +125,12 @@
         async def answer(message: Any) -> Any:
             if not self.leads():
                 return self.not_leader()
-            self._note_term()
+            self.begin_term()
             return await handler(message)
 
         return answer
 
-    def _note_term(self) -> None:
+    def begin_term(self) -> None:
         """Begin anew where this daemon leads under another term than before."""
         if self._term == self.consensus.term:
             return
@@ -134,6 +138,7 @@
         self.led_since = boot_now()
         self.sessions.clear()
         self.counts.clear()
+        self._loading.clear()
         self.endpoints = EndpointTable(self._ttl_s)
         self.revision.rise()
         eliot.log_message("directory:leads", term=self._term, daemon=self.settings.daemon)
@@ -141,7 +146,7 @@
     async def _sweep(self, now: float) -> None:
         if not self.leads():
             return
-        self._note_term()
+        self.begin_term()
         self.sessions.forget(now)
         for endpoint in self.endpoints.expire(now):
             eliot.log_message("directory:endpoint_silent", endpoint=endpoint, bound_s=self._ttl_s)
@@ -174,7 +179,7 @@
         """Answer a daemon's renewal with what is new, waiting for it where nothing is."""
         if not self.leads():
             return self.not_leader()
-        self._note_term()
+        self.begin_term()
         epoch = self._term
         led_before = self.sessions.job_leader(boot_now())
         if self.sessions.take(renew, boot_now()):
@@ -214,6 +219,7 @@
             endpoints=tuple(placed),
             learning=now - self.led_since <= self._learn_s,
             version_by_model=dict(state.version_by_model),
+            loading=tuple(sorted(self._loading)),
             stores=self.sessions.members(now, "store"),
             job_leader=leader.renew.address if leader else "",
             job_group=state.job_group,
@@ -241,6 +247,18 @@
         self.take_record(record)
         return Announced(self.settings.peer_address)
 
+    async def depart(self, message: Depart) -> Any:
+        """Take in that an endpoint is gone; it may say so without naming its start."""
+        known = self.endpoints.record_of(message.endpoint)
+        if known is None:
+            if boot_now() < self.led_since + self._learn_s:
+                return Refusal(Reason.IN_PROGRESS, True, self._learn_s, "not heard of yet")
+            return Announced(self.settings.peer_address)
+        if message.incarnation not in (UNKNOWN_INCARNATION, known.incarnation):
+            return Announced(self.settings.peer_address)
+        gone = replace(known, state=LEAVING, sequence=known.sequence + 1)
+        return await self.announce(Announce(gone))
+
     def take_record(self, record: Any) -> None:
         """Merge an announcement and let the daemons know where something changed."""
         now = boot_now()
@@ -271,6 +289,14 @@
         self.endpoints.changed.clear()
         self.revision.rise()
 
+    def note_loading(self, endpoint: str, model: str, loads: bool) -> None:
+        """Let all daemons know that an engine begins nothing for a model, or does so again."""
+        if loads:
+            self._loading.add((endpoint, model))
+        else:
+            self._loading.discard((endpoint, model))
+        self.revision.rise()
+
     async def replace_table(self, message: ReplaceTable) -> Any:
         """Commit a route table and answer once it is in force at the entries in touch."""
         version = message.table.version
--- a/packages/ibisspring-directory/src/ibisspring_directory/state.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/state.py
@@ -22,6 +22,7 @@
     PutTable,
     PutVersion,
     RetireStore,
+    SetFleet,
     WindowReported,
 )
 
@@ -39,6 +40,7 @@
     The whole state.
 
     :param left: endpoint, incarnation and state of those that leave or left, oldest first.
+    :param fleet_by_service: endpoints that are kept of a service.
     :param windows: closed usage windows that are not reported yet.
     """
 
@@ -48,6 +50,7 @@
     left: tuple[tuple[str, int, str], ...] = ()
     job_group: Group | None = None
     retiring: tuple[str, ...] = ()
+    fleet_by_service: dict[str, int] = field(default_factory=dict)
     closed_window: int = -1
     windows: tuple[CloseWindow, ...] = ()
 
@@ -66,6 +69,7 @@
             EndpointLeaves: self._endpoint_leaves,
             FoundJobs: self._found_jobs,
             RetireStore: self._retire,
+            SetFleet: self._set_fleet,
             CloseWindow: self._close_window,
             WindowReported: self._window_reported,
         }
@@ -109,6 +113,7 @@
                 left,
                 self.job_group,
                 self.retiring,
+                self.fleet_by_service,
                 self.closed_window,
                 tuple(self.window_by_number.values()),
             )
@@ -130,6 +135,7 @@
         self.left = {(name, born): state for name, born, state in snapshot.left}
         self.job_group = snapshot.job_group
         self.retiring = snapshot.retiring
+        self.fleet_by_service = dict(snapshot.fleet_by_service)
         self.closed_window = snapshot.closed_window
         self.window_by_number = {window.window: window for window in snapshot.windows}
 
@@ -161,6 +167,9 @@
         if command.address not in self.retiring:
             self.retiring = (*self.retiring, command.address)
 
+    def _set_fleet(self, command: SetFleet) -> None:
+        self.fleet_by_service.setdefault(command.service, command.count)
+
     def _close_window(self, command: CloseWindow) -> None:
         # The first close of a window fixes it: a leader that was deposed in between may have
         # reported it with those figures.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -65,12 +65,14 @@
 
     :param serving: endpoints of a service that may get new work.
     :param terms: terms of a service; None for an unknown one.
+    :param loads: whether an endpoint begins nothing for a model because it loads.
     :param wall_s: agreed time of day in seconds since 1970.
     """
 
     serving: Callable[[str], tuple[EndpointRecord, ...]]
     terms: Callable[[str], ServiceTerms | None]
     wall_s: Callable[[], float]
+    loads: Callable[[str, str], bool] = lambda endpoint, model: False
 
 
 class Dispatcher:
@@ -286,7 +288,7 @@
             )
             version = record.version_by_adapter.get(job.model)
             too_old = version is not None and version < job.min_version
-            if now < rests or too_old:
+            if now < rests or too_old or self._around.loads(record.endpoint, job.model):
                 continue
             found.append(record.endpoint)
         return frozenset(found)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -99,11 +99,15 @@
         """The runs under this leader's term."""
         term = self._consensus.term
         if self._dispatcher is None or self._dispatcher.epoch != term:
-            around = Surroundings(self._view.serving, self._terms, self._view.wall_s)
+            view = self._view
+            around = Surroundings(view.serving, self._terms, view.wall_s, self._loads)
             self._dispatcher = Dispatcher(self._state, around, term)
             eliot.log_message("jobs:leads", term=term, daemon=self._settings.daemon)
         return self._dispatcher
 
+    def _loads(self, endpoint: str, model: str) -> bool:
+        return (endpoint, model) in self._view.view.loading
+
     def _terms(self, service: str) -> Any:
         index = self._view.index
         return index.service_by_name.get(service) if index is not None else None
--- /dev/null
+++ b/tests/unit/directory/test_service.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from ibisspring_consensus.proposals import Committed
+from ibisspring_core.clock import boot_now
+from ibisspring_core.counters import Counters
+from ibisspring_core.errors import Refusal
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.leader_client import NotLeader
+from ibisspring_core.messages.directory import (
+    UNKNOWN_INCARNATION,
+    Announce,
+    Announced,
+    Depart,
+    Renew,
+    ReplaceTable,
+    Unchanged,
+    View,
+)
+from ibisspring_core.messages.endpoints import EndpointRecord
+from ibisspring_core.routes import RouteTable
+from ibisspring_core.settings.vm import CONTROL, VmSettings
+from ibisspring_core.timer import TimerService
+from ibisspring_directory.service import Directory
+from ibisspring_directory.sessions import IN_TOUCH_S
+from ibisspring_directory.state import DirectoryState
+
+SETTINGS = VmSettings("c1", CONTROL, "derby", "10.0.0.1:1", ("10.0.0.1:1",), announce_every_s=0.1)
+ENGINE = EndpointRecord("e1", 5, 1, "scorer", "engine", "standard", "derby", "10.0.0.9:80")
+
+
+class _Consensus:
+    """Stand-in: leads, and applies at once."""
+
+    name = "consensus"
+    is_leader = True
+    term = 3
+    leader_hint = "10.0.0.2:1"
+
+    async def start(self, kernel: Kernel) -> None:
+        self.state = kernel.find("state")
+        self.core = self
+        self.members = self
+        self.voters = ()
+
+    async def stop(self) -> None: ...
+
+    def lease_left_s(self) -> float:
+        return 0.5 if self.is_leader else 0.0
+
+    async def propose(self, data: bytes) -> Committed:
+        return Committed(1, self.state.apply(1, data))
+
+    async def confirm_read(self) -> int:
+        return 1
+
+
+class _Server:
+    name = "peer_server"
+
+    async def start(self, kernel: Kernel) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def answer(self, message_type, handler) -> None: ...
+
+
+@pytest.fixture
+async def directory():
+    directory = Directory(SETTINGS)
+    services = (TimerService(), Counters.from_config(None), _Server(), DirectoryState())
+    kernel = Kernel.from_services((*services, _Consensus(), directory))
+    await kernel.start()
+    directory.begin_term()
+    yield directory
+    await kernel.stop()
+
+
+def renew(name: str, **fields) -> Renew:
+    return Renew(f"10.0.1.{name}:1", name, "derby", "s", "entry", **fields)
+
+
+async def held(directory: Directory, view: View, **fields):
+    """A renewal that waits for something new."""
+    return asyncio.create_task(
+        directory.renew(renew("1", epoch=view.epoch, revision=view.revision, hold_s=5.0, **fields))
+    )
+
+
+async def test_a_change_reaches_a_daemon_that_waits(directory) -> None:
+    view = await directory.renew(renew("1"))
+    waiting = await held(directory, view)
+    await asyncio.sleep(0)
+    assert not waiting.done()
+
+    await directory.announce(Announce(ENGINE))
+
+    async with asyncio.timeout(5.0):
+        assert [placed.record for placed in (await waiting).endpoints] == [ENGINE]
+
+
+async def test_nothing_new_is_told_after_the_hold(directory) -> None:
+    view = await directory.renew(renew("1"))
+    unchanged = renew("1", epoch=view.epoch, revision=view.revision, hold_s=0.01)
+
+    assert isinstance(await directory.renew(unchanged), Unchanged)
+
+
+async def test_an_operator_is_answered_once_the_entries_in_touch_have_the_change(directory) -> None:
+    # Answered earlier, requests sent after the answer would still go the old way at one entry.
+    directory.led_since = boot_now() - 2 * IN_TOUCH_S
+    await directory.renew(renew("1"))
+    order = ReplaceTable(RouteTable(4), b"document")
+    answer = asyncio.create_task(directory.replace_table(order))
+    await asyncio.sleep(0)
+    view = await directory.renew(renew("1"))
+    assert view.table == RouteTable(4)
+    assert not answer.done()
+
+    await directory.renew(renew("1", table_version=4))
+
+    async with asyncio.timeout(5.0):
+        assert (await answer).version == 4
+
+
+async def test_a_departure_without_a_start_ends_the_newest_that_is_known(directory) -> None:
+    # Engines leave with an empty body; not understood, requests would go on to them for seconds.
+    await directory.announce(Announce(ENGINE))
+
+    assert isinstance(await directory.depart(Depart("e1", UNKNOWN_INCARNATION)), Announced)
+
+    late = dataclasses.replace(ENGINE, sequence=9)
+    await directory.announce(Announce(late))
+    assert directory.endpoints.serving("scorer", boot_now()) == ()
+    again = dataclasses.replace(ENGINE, incarnation=6)
+    await directory.announce(Announce(again))
+    assert directory.endpoints.serving("scorer", boot_now()) == (again,)
+
+
+async def test_a_new_leader_asks_to_hear_of_a_departure_again(directory) -> None:
+    # It has not heard the endpoint yet, while entries still send requests there.
+    assert isinstance(await directory.depart(Depart("e1", UNKNOWN_INCARNATION)), Refusal)
+
+    directory.led_since = boot_now() - 10.0
+    assert isinstance(await directory.depart(Depart("e1", UNKNOWN_INCARNATION)), Announced)
+
+
+async def test_a_departure_outlives_the_leader_that_heard_it(directory) -> None:
+    # A "serving" that was held up on its way reaches the next leader, which knows nothing of the
+    # departure, and the endpoint gets requests again.
+    await directory.announce(Announce(ENGINE))
+    await directory.depart(Depart("e1", UNKNOWN_INCARNATION))
+    directory.consensus.term = 4
+    directory.begin_term()
+
+    await directory.announce(Announce(dataclasses.replace(ENGINE, sequence=9)))
+
+    assert directory.endpoints.heard() == ()
+
+
+async def test_versions_of_a_start_never_go_back(directory) -> None:
+    # An announcement that was on its way while the engine loaded says the old version; the load
+    # would be ordered a second time.
+    first = dataclasses.replace(ENGINE, version_by_adapter={"m": 1})
+    await directory.announce(Announce(first))
+    directory.learn_versions(first, {"m": 2})
+
+    await directory.announce(Announce(dataclasses.replace(first, sequence=2)))
+
+    assert directory.endpoints.record_of("e1").version_by_adapter == {"m": 2}
+
+
+async def test_who_does_not_lead_says_who_may(directory) -> None:
+    directory.consensus.is_leader = False
+
+    assert await directory.renew(renew("1")) == NotLeader("10.0.0.2:1")
