Hand over what a stopping entry's runs made

Cause: an entry that is stopped dropped its runs' text; the items began anew elsewhere after the dispatcher noticed. Ruled out: waiting for runs to end (a long text takes seven seconds, the platform kills after eight). Change: a stopped run reports what it made as broken, so that it goes on after its last event. Tests of planned stops with real processes: each role ends in time, no request that was read is lost, items go on elsewhere (that one failed before: no run was resumed).

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -54,7 +54,8 @@
     end_s = began_s + assignment.deadline_s
     try:
         kind = await _stream(assignment, connections, wire, text, (began_s, end_s))
-    except (TimeoutError, aiohttp.ClientError, OSError):
+    except (TimeoutError, aiohttp.ClientError, OSError, asyncio.CancelledError):
+        # A run that is stopped here hands on what it has, like one whose engine was lost.
         kind = "broken"
     if kind == "done" and not text.whole:
         kind = "broken"
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -26,6 +26,8 @@
 FIND_LEADER_S = 3.0
 # Outcomes that come close together travel and are committed together.
 GATHER_S = 0.02
+# At a stop the last outcomes are worth this much of the time until the process is killed.
+HAND_OVER_S = 0.8
 
 
 class Runner:
@@ -67,9 +69,16 @@
         ]
 
     async def stop(self) -> None:
-        """End all runs; their items begin again elsewhere."""
-        for task in (*self._tasks, *self._task_by_number.values()):
+        """Stop all runs and hand over what they made; the items go on elsewhere."""
+        for task in self._tasks:
             task.cancel()
+        runs = tuple(self._task_by_number.values())
+        for task in runs:
+            task.cancel()
+        await asyncio.gather(*runs, return_exceptions=True)
+        if self._outcomes:
+            message = ReportWork(self._settings.peer_address, self._epoch, tuple(self._outcomes))
+            await self.leader.call(message, HAND_OVER_S, HAND_OVER_S)
 
     def drain(self) -> None:
         """Take no more work; what runs goes on."""
@@ -147,7 +156,7 @@
             first_s=outcome.first_s,
             took_s=round(boot_now() - began_s, 3),
         )
-        if epoch == self._epoch:
+        if epoch == self._epoch and assignment.number in self._task_by_number:
             self._outcomes.append(outcome)
             self._reported.set()
 
--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -25,6 +25,7 @@
 KEY = "k1"
 LOOKUP = "/lookup/"
 SCORE = "/score/"
+NOBODY_LISTENS = -1
 
 
 def configuration(version: int, **changes: Any) -> dict:
@@ -191,7 +192,7 @@
             nonlocal answer
             for seed in self.seeds:
                 answer = await request(method, f"http://{seed}{path}", data)
-                if answer[0] and answer[0] < 500:
+                if 0 < answer[0] < 500:
                     return True
             return False
 
@@ -245,7 +246,7 @@
 async def request(
     method: str, url: str, data: bytes, headers: dict[str, str] | None = None
 ) -> tuple[int, bytes]:
-    """One HTTP call; status 0 where no answer came."""
+    """One HTTP call; status 0 where no answer came, NOBODY_LISTENS where nothing was sent."""
     timeout = aiohttp.ClientTimeout(total=5.0)
     try:
         async with (
@@ -253,6 +254,8 @@
             session.request(method, url, data=data, headers=headers) as answer,
         ):
             return answer.status, await answer.read()
+    except aiohttp.ClientConnectorError:
+        return NOBODY_LISTENS, b""
     except (aiohttp.ClientError, TimeoutError, OSError):
         return 0, b""
 
--- /dev/null
+++ b/tests/integration/test_platform_stops.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from integration.platform_system import LOOKUP, NOBODY_LISTENS, job, platform_system
+from integration.processes import wait_until
+
+
+@pytest.fixture
+async def system(tmp_path):
+    async with platform_system(tmp_path) as system:
+        yield system
+
+
+@pytest.mark.parametrize("name", ["entry-1", "control-1", "store-1", "control-2", "store-2"])
+async def test_a_planned_stop_ends_in_time(system, name) -> None:
+    # The platform kills what has not ended eight seconds after SIGTERM, in the middle of whatever
+    # it is at.
+    process = system.process_by_name[name]
+
+    assert await process.terminate(bound_s=8.0) == 0
+
+    assert (await system.call("POST", f"{LOOKUP}7", "x", None, entry=2))[0] == 200
+
+
+async def test_no_request_is_lost_around_a_planned_stop(system) -> None:
+    # A clerk's connection is open while its entry is stopped: what was read is answered whole, and
+    # the entry tells the balancer before it closes.
+    statuses = []
+    ended = asyncio.Event()
+
+    async def keep_calling() -> None:
+        number = 0
+        while not ended.is_set():
+            number += 1
+            statuses.append((await system.call("POST", f"{LOOKUP}7", f"c{number}"))[0])
+
+    callers = [asyncio.create_task(keep_calling()) for _ in range(4)]
+    await wait_until(lambda: len(statuses) > 20, "some calls")
+    assert await system.process_by_name["entry-1"].terminate(bound_s=8.0) == 0
+    ended.set()
+    await asyncio.gather(*callers)
+
+    assert set(statuses) <= {200, NOBODY_LISTENS}
+
+
+async def test_items_of_a_runner_that_stops_go_on_elsewhere(system) -> None:
+    # An entry is stopped with long texts half way: they go on after their last event on the other
+    # entry, and nothing of them is made twice.
+    for engine in system.engines:
+        engine.event_s = 0.5
+        engine.events = 12
+    await system.submit("lot1", job(4), entry=2)
+    await wait_until(lambda: sum(len(one.runs) for one in system.engines) >= 4, "the runs")
+
+    assert await system.process_by_name["entry-1"].terminate(bound_s=8.0) == 0
+
+    read = await system.whole("lot1", 4, entry=2)
+    for result in read["results"]:
+        assert result["output"].split("\n") == [f"{result['id']}-{n}" for n in range(1, 13)]
+    resumed = [head for one in system.engines for head in one.heads if "last-event-id" in head]
+    assert resumed
