--- a/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
@@ -31,9 +31,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-# A group's prompt is worth more than an even spread while the engine is not this many items fuller
-# than the emptiest.
-AFFINITY_ITEMS = 2
+# A prompt that an engine holds saves a reading of half a millisecond: it decides between engines
+# that are nearly equal.
+HELD_PROMPT = 0.9
 # Outputs are a fifth of the most that callers allow at the median.
 UNKNOWN_SHARE = 5
 
@@ -156,10 +156,9 @@
     """Take the engine that likely ends the item first, its group's if that one is near."""
 
     def cost(room: EngineRoom) -> tuple[float, str]:
-        near = AFFINITY_ITEMS if item.group in room.groups else 0
-        places = max(1, room.running + room.slots)
-        fullness = (room.running - near) / places
-        return ((1.0 + fullness) * room.slowness, room.engine)
+        fullness = room.running / max(1, room.running + room.slots)
+        held = HELD_PROMPT if item.group in room.groups else 1.0
+        return ((1.0 + fullness) * room.slowness * held, room.engine)
 
     return min(fitting, key=cost)
 
