--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup lint format test bench fuzz demo proto clean
+.PHONY: setup lint format test bench fuzz soak demo proto clean
 
 VENV := .venv
 PYTHON := $(VENV)/bin/python
@@ -34,6 +34,9 @@
 fuzz: setup
 	IBISSPRING_FUZZ=1 $(PYTHON) -m pytest -q tests/unit -k fuzz
 
+soak: setup
+	PYTHONPATH=tests:. $(PYTHON) -m soak
+
 proto: setup
 	$(PYTHON) -m grpc_tools.protoc -I proto --python_out=packages/ibisspring-core/src/ibisspring_core/pb --grpc_python_out=packages/ibisspring-core/src/ibisspring_core/pb $(wildcard proto/*.proto)
 	sed -i 's/^import \(.*\)_pb2 as/from ibisspring_core.pb import \1_pb2 as/' packages/ibisspring-core/src/ibisspring_core/pb/*_grpc.py
