--- a/tests/unit/directory/test_service.py
+++ b/tests/unit/directory/test_service.py
@@ -148,7 +148,7 @@
     directory.endpoints.begin(boot_now() + 60.0)
     assert isinstance(await directory.endpoints.depart(Depart("e1", UNKNOWN_INCARNATION)), Refusal)
 
-    directory.led_since = boot_now() - 10.0
+    directory.endpoints.begin(boot_now() - 10.0)
     assert isinstance(
         await directory.endpoints.depart(Depart("e1", UNKNOWN_INCARNATION)), Announced
     )
