--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -253,18 +253,12 @@
     state: str
 
 
-@dataclass(frozen=True)
-class Identify:
-    """Asks a control daemon who it is, before there is a leader."""
-
-
 __all__ = [
     "Announce",
     "UNKNOWN_INCARNATION",
     "Announced",
     "Depart",
     "Group",
-    "Identify",
     "Member",
     "NameVersion",
     "Placed",
--- a/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
@@ -13,8 +13,6 @@
     directory.Announce,
     directory.Announced,
     directory.Depart,
-    directory.Identify,
-    directory.Member,
     directory.NameVersion,
     directory.ReadTable,
     directory.Renew,
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -12,7 +12,6 @@
 from ibisspring_core.messages.directory import (
     Announce,
     Depart,
-    Identify,
     Member,
     NameVersion,
     ReadTable,
@@ -85,7 +84,6 @@
         self.state.subscribe(self.revision.rise)
         server = kernel.find("peer_server")
         server.answer(Renew, self.renew)
-        server.answer(Identify, self.identify)
         on_leader = {
             Announce: self.endpoints.announce,
             Depart: self.endpoints.depart,
@@ -157,10 +155,6 @@
         now = boot_now()
         return now + self.sessions.wall_offset_s(now, wall_now() - now)
 
-    async def identify(self, message: Identify) -> Member:
-        """Tell who this control daemon is."""
-        return own_member(self.settings, self.consensus)
-
     async def renew(self, renew: Renew) -> Any:
         """Answer a daemon's renewal with what is new, waiting for it where nothing is."""
         if not self.leads():
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/connections.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/connections.py
@@ -20,7 +20,6 @@
 # Bytes that an endpoint does not acknowledge for this long are lost: its VM has no power.
 TCP_USER_TIMEOUT_MS = 1500
 _OWN_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
-READ_CHUNK_BYTES = 64 * 1024
 
 
 class Connections:
@@ -78,4 +77,11 @@
     return opened
 
 
-__all__ = ["READ_CHUNK_BYTES", "Connections"]
+def headers_of(response: aiohttp.ClientResponse) -> Headers:
+    """Headers of an answer as the endpoint sent them."""
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1")) for name, value in response.raw_headers
+    )
+
+
+__all__ = ["Connections", "headers_of"]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -14,6 +14,7 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.routes.model import RepeatRule
 from ibisspring_decisions.routing import Candidate, Router
+from ibisspring_gateway.connections import headers_of
 from ibisspring_gateway.wire import Verdict
 
 if TYPE_CHECKING:
@@ -198,10 +199,7 @@
             request.method, to.address, request.target, headers, request.body
         )
         async with sending as response:
-            answered = tuple(
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in response.raw_headers
-            )
+            answered = headers_of(response)
             verdict = self._wire.call_verdict(request, response.status, answered)
             if verdict is Verdict.NOT_OURS:
                 # An extra answer to an earlier request: what follows on this connection cannot be
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -10,6 +10,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.messages.jobs import Outcome
+from ibisspring_gateway.connections import headers_of
 from ibisspring_gateway.wire import Verdict
 
 if TYPE_CHECKING:
@@ -86,10 +87,7 @@
     async with asyncio.timeout(FIRST_SILENCE_S):
         response = await sending
     try:
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in response.raw_headers
-        )
+        headers = headers_of(response)
         kind = _kind_of(wire.run_verdict(assignment, response.status, headers), response.status)
         if kind != "done":
             return kind
