Describe a daemon's own disk in one place

Cause: control VMs and stores built the same record for the directory, each in its own module. Ruled out: - Change: own_member stands beside the consensus, used by both. Behaviour is as it was.

--- a/packages/ibisspring-directory/src/ibisspring_directory/membership.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/membership.py
@@ -8,11 +8,11 @@
 import eliot
 
 from ibisspring_consensus.messages import ReplicaId
+from ibisspring_consensus.own_member import own_member
 from ibisspring_consensus.repair import Candidate, next_change
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.directory import Group, Renew
 from ibisspring_directory.commands import FoundJobs
-from ibisspring_directory.service import own_member
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -12,7 +12,6 @@
 from ibisspring_core.messages.directory import (
     Announce,
     Depart,
-    Member,
     NameVersion,
     ReadTable,
     Renew,
@@ -286,21 +285,4 @@
     return session.renew.address if session is not None else ""
 
 
-def own_member(settings: VmSettings, consensus: Any) -> Member:
-    """
-    Describe this daemon's disk.
-
-    :param consensus: its replica.
-    :return: the member.
-    """
-    return Member(
-        settings.peer_address,
-        settings.daemon,
-        settings.data_centre,
-        consensus.replica.disk_id,
-        consensus.core.is_empty,
-        consensus.core.cluster,
-    )
-
-
-__all__ = ["Directory", "own_member"]
+__all__ = ["Directory"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
@@ -9,8 +9,8 @@
 
 from ibisspring_consensus import events
 from ibisspring_consensus.messages import Members, ReplicaId
+from ibisspring_consensus.own_member import own_member
 from ibisspring_consensus.repair import Candidate, next_change
-from ibisspring_core.messages.directory import Member
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -53,21 +53,12 @@
         self._ticks.cancel()
 
     def _describe(self, renew: Renew) -> Renew:
-        settings = self._settings
         consensus = self._consensus
-        member = Member(
-            settings.peer_address,
-            settings.daemon,
-            settings.data_centre,
-            consensus.replica.disk_id,
-            consensus.core.is_empty,
-            consensus.core.cluster,
-        )
         members = consensus.core.members
         replicas = (*members.voters, *members.outgoing)
         return replace(
             renew,
-            member=member,
+            member=own_member(self._settings, consensus),
             leads_jobs=consensus.is_leader,
             job_members=tuple(replica.daemon for replica in replicas),
             demand=self._demand(),
