Serve counters and histograms of durations on a metrics address

Cause: counters were sent to statsd or kept in memory, where nobody on the platform could read them, and no duration was measured outside the log lines. Ruled out: uvicorn for the answers: the store role has no HTTP server, so it would pay for importing one, and figures are wanted just when the event loop is stuck. The reference page gives unit, outcomes and what to do for each; tests compare it with the code.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+from collections import deque
 from typing import TYPE_CHECKING
 
 import eliot
@@ -47,6 +48,7 @@
         self._leads = False
         self._commands: list[tuple[int, bytes]] = []
         self._reads: list[asyncio.Future[int | Refusal]] = []
+        self._unsynced: deque[tuple[int, float]] = deque()
 
     @classmethod
     def from_config(cls, settings: Settings) -> ConsensusNode:
@@ -138,11 +140,15 @@
         """
         number, future = self.waiting.add_proposal()
         self._commands.append((number, data))
+        began_s = boot_now()
         if not self.group_commit:
             self._flush_commands()
         elif len(self._commands) == 1:
             asyncio.get_running_loop().call_soon(self._flush_commands)
-        return await future
+        committed = await future
+        outcome = "committed" if isinstance(committed, Committed) else committed.reason.value
+        self._counters.observe("commit_seconds", boot_now() - began_s, outcome)
+        return committed
 
     def _flush_commands(self) -> None:
         commands = tuple(self._commands)
@@ -199,6 +205,7 @@
                 if isinstance(effect, events.InstallSnapshot):
                     self._state.restore(effect.data)
                     self.applied_index = effect.meta.index
+                self._unsynced.append((effect.sequence, boot_now()))
                 self.writer.add(effect)
             case events.Send(target, message):
                 self._peers.send(target, message)
@@ -257,6 +264,10 @@
         self.dispatch(events.Tick())
 
     def _synced(self, sequence: int) -> None:
+        now = boot_now()
+        while self._unsynced and self._unsynced[0][0] <= sequence:
+            _, began_s = self._unsynced.popleft()
+            self._counters.observe("sync_seconds", now - began_s, "synced")
         self.dispatch(events.Persisted(sequence))
 
     def _fail(self) -> None:
--- a/packages/ibisspring-core/src/ibisspring_core/counters.py
+++ b/packages/ibisspring-core/src/ibisspring_core/counters.py
@@ -1,4 +1,4 @@
-"""Counters, sent to statsd and kept in memory for `ibisspring status`."""
+"""Counters and durations, sent to statsd and kept in memory for the metrics address."""
 
 from __future__ import annotations
 
@@ -6,20 +6,26 @@
 
 import statsd
 
+from ibisspring_core.latencies import Latencies
+
 if TYPE_CHECKING:
     from ibisspring_core.errors import Reason
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import StatsdSettings
 
+# statsd takes durations in milliseconds.
+MS = 1000.0
+
 
 class Counters:
-    """The process's counters by name."""
+    """The process's counters and histograms of durations by name."""
 
     name = "counters"
 
     def __init__(self, client: statsd.StatsClient | None) -> None:
         self._client = client
         self.count_by_name: dict[str, int] = {}
+        self.latencies = Latencies()
 
     @classmethod
     def from_config(cls, settings: StatsdSettings | None) -> Counters:
@@ -50,6 +56,19 @@
         if self._client is not None:
             self._client.incr(name, count)
 
+    def observe(self, name: str, seconds: float, outcome: str) -> None:
+        """
+        Count a duration.
+
+        :param name: ends with `_seconds` and is listed in docs/reference/counters.md.
+        :param seconds: how long it took.
+        :param outcome: how it ended, or what kind it was; of a small closed set, as each value is
+            kept for the life of the process.
+        """
+        self.latencies.observe(name, seconds, outcome)
+        if self._client is not None:
+            self._client.timing(f"{name}.{outcome}", seconds * MS)
+
     def refused(self, reason: Reason) -> None:
         """
         Count a refusal.
--- a/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
+++ b/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
@@ -11,6 +11,7 @@
 import grpc.aio
 import msgspec
 
+from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 
 if TYPE_CHECKING:
@@ -131,8 +132,12 @@
             channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
             self._channel_by_address[address] = channel
         method = channel.unary_unary(METHOD)
+        began_s = boot_now()
         try:
-            return self._codec.decode(await method(self._codec.encode(message), timeout=timeout_s))
+            data = await method(self._codec.encode(message), timeout=timeout_s)
+            kind = type(message).__name__
+            self._counters.observe("peer_call_seconds", boot_now() - began_s, kind)
+            return self._codec.decode(data)
         except grpc.aio.AioRpcError as error:
             code = error.code().name.lower()
             self._counters.add(f"peer_call_failed.{code}")
--- a/packages/ibisspring-core/src/ibisspring_core/settings/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/model.py
@@ -107,6 +107,7 @@
     :param entry: settings of the entry role.
     :param log_path: JSON lines go here; empty for standard error.
     :param statsd: where counters go; absent keeps them in memory.
+    :param metrics_listen: IP:port of counters and latency histograms; empty serves none.
     """
 
     daemon: str
@@ -118,6 +119,7 @@
     entry: EntrySettings | None = None
     log_path: str = ""
     statsd: StatsdSettings | None = None
+    metrics_listen: str = ""
 
 
 __all__ = ["ROLES", "ControlSettings", "EntrySettings", "Settings", "StatsdSettings"]
--- a/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
@@ -24,6 +24,7 @@
     :param callers_listen: IP:port for callers; empty where it serves none.
     :param readiness_listen: IP:port that the balancer asks.
     :param control_listen: IP:port for operators, trainers and endpoints' announcements.
+    :param metrics_listen: IP:port of counters and latency histograms; empty serves none.
     :param losses: daemons with a disk that may be lost at once.
     :param platform_url: base URL of the platform's interface; empty for none.
     :param holder_gap_s: seconds that must lie between the orders of two holders of a duty.
@@ -44,6 +45,7 @@
     callers_listen: str = ""
     readiness_listen: str = ""
     control_listen: str = ""
+    metrics_listen: str = ""
     losses: int = 1
     platform_url: str = ""
     holder_gap_s: float = 3.3
--- a/packages/ibisspring-core/src/ibisspring_core/timer.py
+++ b/packages/ibisspring-core/src/ibisspring_core/timer.py
@@ -11,6 +11,7 @@
 from ibisspring_core.clock import boot_now
 
 if TYPE_CHECKING:
+    from ibisspring_core.counters import Counters
     from ibisspring_core.kernel import Kernel
 
 TickCallback = Callable[[float], Awaitable[None]]
@@ -37,9 +38,11 @@
 
     def __init__(self) -> None:
         self._subscriptions: list[Subscription] = []
+        self._counters: Counters | None = None
 
     async def start(self, kernel: Kernel) -> None:
-        """Nothing to start: subscriptions start their own task."""
+        """Find the counters; subscriptions start their own task."""
+        self._counters = kernel.find_optional("counters")
 
     async def stop(self) -> None:
         """Cancel all subscriptions."""
@@ -70,7 +73,10 @@
 
     async def _tick(self, name: str, interval_s: float, callback: TickCallback) -> None:
         while True:
+            due_s = boot_now() + interval_s
             await asyncio.sleep(interval_s)
+            if self._counters is not None:
+                self._counters.observe("tick_late_seconds", max(0.0, boot_now() - due_s), name)
             try:
                 await callback(self.now())
             except Exception as error:
--- a/packages/ibisspring-daemon/src/ibisspring_daemon/wiring.py
+++ b/packages/ibisspring-daemon/src/ibisspring_daemon/wiring.py
@@ -36,6 +36,10 @@
         from ibisspring_entry.role import build_services as build_entry
 
         services.extend(build_entry(settings))
+    if settings.metrics_listen:
+        from ibisspring_core.metrics_server import MetricsServer
+
+        services.append(MetricsServer(settings.metrics_listen))
     return Kernel.from_services(tuple(services))
 
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -103,6 +103,9 @@
         answer = await exchange.run()
         if exchange.ran or isinstance(answer, Answer):
             self._usage.began(request.client_account, boot_now() - began_s)
+        took_s = boot_now() - began_s
+        outcome = "answered" if isinstance(answer, Answer) else answer.reason.value
+        self._counters.observe("request_seconds", took_s, outcome)
         if isinstance(answer, Refusal):
             self._counters.refused(answer.reason)
             eliot.log_message(
@@ -177,6 +180,8 @@
     def _learn(
         self, request: CallerRequest, to: EndpointRecord, answer: Answer | Failed, took_s: float
     ) -> None:
+        outcome = "answered" if isinstance(answer, Answer) else answer.reason.value
+        self._counters.observe("try_seconds", took_s, outcome)
         if isinstance(answer, Answer):
             self._router.answered(to.endpoint, took_s)
             return
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -152,7 +152,9 @@
         self._text_by_number[assignment.number] = text
         outcome = await run_item(assignment, self._connections, self._wire, text)
         self._text_by_number.pop(assignment.number, None)
+        took_s = boot_now() - began_s
         self._counters.add(f"runner.{outcome.kind}")
+        self._counters.observe("run_seconds", took_s, outcome.kind)
         eliot.log_message(
             "runner:ended",
             job=assignment.job,
@@ -167,7 +169,7 @@
             expected_tokens=assignment.item.expected_tokens,
             tokens=assignment.item.tokens,
             first_s=outcome.first_s,
-            took_s=round(boot_now() - began_s, 3),
+            took_s=round(took_s, 3),
         )
         if epoch == self._epoch and assignment.number in self._task_by_number:
             self._outcomes.append(outcome)
--- /dev/null
+++ b/tests/unit/core/test_metrics_server.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import aiohttp
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from ibisspring_core.counters import Counters
+from ibisspring_core.errors import Reason
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.metrics_server import COUNTED, MetricsServer
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def _read(address: str) -> dict:
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f"http://{address}/metrics") as response:
+            assert response.status == 200
+            text = await response.text()
+    families = text_string_to_metric_families(text)
+    return {
+        (sample.name, *sorted(sample.labels.values(), reverse=True)): sample.value
+        for family in families
+        for sample in family.samples
+    }
+
+
+@pytest.fixture
+async def served():
+    """Counters and the address at which they are served."""
+    address = _free_address()
+    counters = Counters.from_config(None)
+    kernel = Kernel.from_services((counters, MetricsServer(address)))
+    await kernel.start()
+    yield counters, address
+    await kernel.stop()
+
+
+async def test_counters_and_durations_are_served_as_text(served) -> None:
+    counters, address = served
+    counters.refused(Reason.TIMEOUT)
+    counters.refused(Reason.TIMEOUT)
+    counters.observe("request_seconds", 0.3, "answered")
+    counters.observe("request_seconds", 40.0, "answered")
+
+    value_by_sample = await _read(address)
+
+    assert value_by_sample[(f"{COUNTED}_total", "refused.timeout")] == 2
+    assert value_by_sample[("ibisspring_request_seconds_count", "answered")] == 2
+    assert value_by_sample[("ibisspring_request_seconds_bucket", "answered", "0.25")] == 0
+    assert value_by_sample[("ibisspring_request_seconds_bucket", "answered", "0.5")] == 1
+    assert value_by_sample[("ibisspring_request_seconds_sum", "answered")] == 40.3
+
+
+async def test_a_reader_that_stops_in_its_question_keeps_no_other_reader_waiting(served) -> None:
+    """
+    A collector connects, sends half a question and hangs; the figures are wanted just then.
+
+    Answered one after the other, the next reader would wait for it for ever.
+    """
+    counters, address = served
+    counters.add("samples.raced")
+    host, _, port = address.rpartition(":")
+    _, hanging = await asyncio.open_connection(host, int(port))
+    hanging.write(b"GET /metrics HTTP/1.1\r\nHost")
+    await hanging.drain()
+
+    value_by_sample = await _read(address)
+
+    assert value_by_sample[(f"{COUNTED}_total", "samples.raced")] == 1
+    hanging.close()
+
+
+async def test_a_port_that_is_taken_costs_the_figures_and_not_the_daemon() -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        kernel = Kernel.from_services((Counters.from_config(None), MetricsServer(address)))
+
+        await kernel.start()
+        await kernel.stop()
--- a/tests/unit/docs/test_reference.py
+++ b/tests/unit/docs/test_reference.py
@@ -15,6 +15,7 @@
 REPOSITORY = Path(__file__).resolve().parents[3]
 REFERENCE = REPOSITORY / "docs" / "reference"
 COUNTED = re.compile(r'counters\.add\(\s*f?"([^"{]+)')
+OBSERVED = re.compile(r'counters\.observe\(\s*"([^"]+)"')
 
 
 @pytest.mark.parametrize("section", [Settings, ControlSettings, EntrySettings])
@@ -45,6 +46,24 @@
     assert {name for name in names if f"`{name}" not in page} == set()
 
 
+def test_every_histogram_is_documented() -> None:
+    page = (REFERENCE / "counters.md").read_text(encoding="utf-8")
+    names = set()
+    for path in (REPOSITORY / "packages").rglob("*.py"):
+        names.update(OBSERVED.findall(path.read_text(encoding="utf-8")))
+
+    assert len(names) > 4
+    assert {name for name in names if f"`{name}`" not in page} == set()
+
+
+def test_every_row_of_the_counters_says_what_to_do() -> None:
+    page = (REFERENCE / "counters.md").read_text(encoding="utf-8")
+    rows = [line for line in page.splitlines() if line.startswith("| `")]
+
+    assert len(rows) > 30
+    assert [row for row in rows if len([cell for cell in row.split("|") if cell.strip()]) < 3] == []
+
+
 def test_every_reason_is_documented() -> None:
     page = (REFERENCE / "api-errors.md").read_text(encoding="utf-8")
 
