Write log lines in a thread, bounded in number, with process and boot clock

Cause: eliot wrote each line to standard output from the event loop. A pipe whose reader has stopped takes 64 KiB; after that the daemon would answer nobody. Nothing bounded the number of lines, and a line said neither which process wrote it nor anything of a clock that does not step. Ruled out: a pipe made non-blocking: it does not work for files, and lines are then cut in the middle. Change: a destination that bounds each kind of line (`log_budget`, pure: an allowance a kind, a larger one for failures, what is left out is counted and told), encodes it and leaves the writing to a thread. Lines carry `process` and `boot_s`; eliot's place in an action, which no line has, is left out. Runs that fail carry a reason. A process that is killed loses the lines of its last 10 ms.

--- a/packages/ibisspring-daemon/src/ibisspring_daemon/main.py
+++ b/packages/ibisspring-daemon/src/ibisspring_daemon/main.py
@@ -48,7 +48,7 @@
     if check:
         click.echo(f"{path}: settings are good")
         return
-    start_logging(settings.log_path or None)
+    start_logging(settings.log_path or None, settings.daemon)
     asyncio.run(run(settings))
 
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -162,6 +162,7 @@
             number=assignment.number,
             endpoint=assignment.endpoint,
             kind=outcome.kind,
+            reason="" if outcome.kind == "done" else outcome.kind,
             resume_after=assignment.resume_after,
             events=outcome.events,
             versions=outcome.versions,
--- /dev/null
+++ b/tests/unit/core/test_log_budget.py
@@ -0,0 +1,65 @@
+"""Replays of floods of log lines."""
+
+from __future__ import annotations
+
+from ibisspring_core.log_budget import (
+    BURST_S,
+    FAILURES_PER_S,
+    ROUTINE_PER_S,
+    WAITING_BYTES,
+    LogBudget,
+)
+
+FLOOD_PER_S = 5_000
+SECONDS = 10
+
+
+def _replay(budget: LogBudget, kind: str, failure: bool, per_s: int) -> int:
+    """Lines written out of a steady stream."""
+    written = 0
+    for number in range(per_s * SECONDS):
+        written += budget.admit(kind, failure, 0, number / per_s)
+    return written
+
+
+def test_a_flood_of_one_kind_costs_no_line_of_another() -> None:
+    budget = LogBudget()
+    written_by_kind = {"forward:refused": 0, "consensus:elected": 0}
+
+    for number in range(FLOOD_PER_S * SECONDS):
+        now = number / FLOOD_PER_S
+        written_by_kind["forward:refused"] += budget.admit("forward:refused", True, 0, now)
+        if number % FLOOD_PER_S == 0:
+            written_by_kind["consensus:elected"] += budget.admit("consensus:elected", False, 0, now)
+
+    assert written_by_kind["consensus:elected"] == SECONDS
+    bound = FAILURES_PER_S * (SECONDS + BURST_S)
+    assert bound * 0.99 <= written_by_kind["forward:refused"] <= bound
+    left_out = FLOOD_PER_S * SECONDS - written_by_kind["forward:refused"]
+    assert budget.take_left_out() == {"forward:refused": left_out}
+    assert budget.take_left_out() == {}
+
+
+def test_lines_about_failures_have_the_larger_allowance() -> None:
+    routine = _replay(LogBudget(), "runner:ended", False, FLOOD_PER_S)
+    failures = _replay(LogBudget(), "runner:ended", True, FLOOD_PER_S)
+
+    assert routine <= ROUTINE_PER_S * (SECONDS + BURST_S)
+    assert failures >= 3.9 * routine
+
+
+def test_nothing_is_left_out_of_a_usual_load() -> None:
+    budget = LogBudget()
+
+    assert _replay(budget, "runner:ended", False, 60) == 60 * SECONDS
+    assert budget.take_left_out() == {}
+
+
+def test_while_the_reader_is_slow_failures_are_still_written() -> None:
+    budget = LogBudget()
+    half = WAITING_BYTES // 2
+
+    assert not budget.admit("runner:ended", False, half, 0.0)
+    assert budget.admit("forward:refused", True, half, 0.0)
+    assert not budget.admit("forward:refused", True, WAITING_BYTES, 0.0)
+    assert budget.take_left_out() == {"runner:ended": 1, "forward:refused": 1}
--- /dev/null
+++ b/tests/unit/core/test_logs.py
@@ -0,0 +1,117 @@
+from __future__ import annotations
+
+import json
+import os
+import threading
+
+from ibisspring_core.log_budget import ROUTINE_PER_S
+from ibisspring_core.logs import LEFT_OUT, LineWriter
+
+PIPE_BYTES = 1 << 20
+
+
+def _message(number: int, **fields) -> dict:
+    place = {"task_uuid": "t", "task_level": [1]}
+    return {"message_type": "runner:ended", "timestamp": 1.0, "number": number, **place, **fields}
+
+
+def _read_lines(descriptor: int) -> list[dict]:
+    data = b""
+    while chunk := os.read(descriptor, PIPE_BYTES):
+        data += chunk
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_a_line_names_its_process_and_a_clock_that_only_runs_on() -> None:
+    reading, writing = os.pipe()
+    writer = LineWriter(writing, "edge-1")
+    writer.start()
+    writer(_message(1))
+    writer(_message(2, daemon="core-2"))
+
+    writer.close()
+    os.close(writing)
+    first, second = _read_lines(reading)
+
+    assert (first["number"], first["process"], first["message_type"]) == (
+        1,
+        "edge-1",
+        "runner:ended",
+    )
+    assert (second["process"], second["daemon"]) == ("edge-1", "core-2")
+    assert second["boot_s"] >= first["boot_s"] > 0
+    assert not {"task_uuid", "task_level"} & set(first)
+    os.close(reading)
+
+
+def test_what_is_left_out_is_told() -> None:
+    reading, writing = os.pipe()
+    read: list[dict] = []
+    reader = threading.Thread(target=lambda: read.extend(_read_lines(reading)))
+    reader.start()
+    writer = LineWriter(writing, "edge-1")
+    writer.start()
+    sent = int(ROUTINE_PER_S * 10)
+    for number in range(sent):
+        writer(_message(number))
+
+    writer.close()
+    os.close(writing)
+    reader.join()
+    os.close(reading)
+
+    left_out = sum(
+        line["count"]["runner:ended"] for line in read if line["message_type"] == LEFT_OUT
+    )
+    written = sum(line["message_type"] == "runner:ended" for line in read)
+    assert 0 < written < sent
+    assert written + left_out == sent
+
+
+def test_a_reader_that_has_stopped_holds_up_nobody() -> None:
+    """
+    A log collector hangs; the pipe fills up, and from then on no request is answered.
+
+    A write to a full pipe returns only when somebody reads.
+    """
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    filled = 0
+    try:
+        while True:
+            filled += os.write(writing, b"x" * 4096)
+    except BlockingIOError:
+        os.set_blocking(writing, True)
+    writer = LineWriter(writing, "edge-1")
+    writer.start()
+
+    for number in range(5_000):
+        writer(_message(number, reason="timeout", detail="x" * 2_000))
+    writer.close()
+
+    # Only now does anybody read: all calls above have returned.
+    assert len(os.read(reading, filled)) > 0
+    os.set_blocking(reading, False)
+    while True:
+        try:
+            if not os.read(reading, PIPE_BYTES):
+                break
+        except BlockingIOError:
+            if not writer._thread.is_alive():
+                break
+            writer._thread.join(0.05)
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_reader_that_is_gone_ends_nothing() -> None:
+    reading, writing = os.pipe()
+    os.close(reading)
+    writer = LineWriter(writing, "edge-1")
+    writer.start()
+
+    writer(_message(1))
+    writer.close()
+
+    assert not writer._thread.is_alive()
+    os.close(writing)
