Let half of a model's hosts load every other version in turn

Cause: every host of a model loaded every version, though jobs take the version before as well. Ruled out: a fixed rule "one version back": deployments may allow none; a store's own view of the newest version: it may lag behind the job. Change: the jobs' leader tells the oldest version that each model's newest job takes; the directory's leader compares it with the newest named version at the moment at which that changes (`version_lags`). Hosts that jobs can no longer use load first; of those that the next version makes too old, half stay.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -75,6 +75,7 @@
     :param wall_s: the daemon's wall clock, seconds since 1970.
     :param demand: by service, the most items that were to be run at a time lately; from the jobs'
         leader.
+    :param allowed: by model, the oldest version that its newest job takes; from the jobs' leader.
     """
 
     address: str
@@ -92,6 +93,7 @@
     job_members: tuple[str, ...] = ()
     wall_s: float = 0.0
     demand: tuple[tuple[str, int], ...] = ()
+    allowed: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
@@ -12,6 +12,11 @@
 Grounds: a version is needed on as many engines as each trainer's share of them, so a model keeps
 the same hosts from version to version and only the loss of one moves it. Of a model's hosts at most
 half load at once, so that the others go on serving it.
+
+Jobs that allow older versions need not have the newest everywhere. Where one version back is
+allowed, half of the hosts load every other version in turn: each engine is out of service half as
+often, and when a version is named the half that took the one before still serves all jobs. Loaded
+by all, each version is used for one step only.
 """
 
 from __future__ import annotations
@@ -47,6 +52,16 @@
     version: int
 
 
+def allowed_lag(named: int, oldest_allowed: int) -> int:
+    """
+    Tell how many versions an engine may be behind.
+
+    :param named: newest version of the model when a job came.
+    :param oldest_allowed: oldest version that the job takes.
+    """
+    return max(0, named - oldest_allowed)
+
+
 def hosts_per_model(engines: int, models: int) -> int:
     """
     Tell how many engines keep up with a model's versions.
@@ -85,7 +100,10 @@
 
 
 def next_loads(
-    hosts: Sequence[Host], version_by_model: Mapping[str, int], at_once: int
+    hosts: Sequence[Host],
+    version_by_model: Mapping[str, int],
+    at_once: int,
+    lag_by_model: Mapping[str, int],
 ) -> tuple[Load, ...]:
     """
     Choose the loads to begin now.
@@ -93,6 +111,7 @@
     :param hosts: engines that serve.
     :param version_by_model: newest version that trainers named.
     :param at_once: loads that the weight store carries at a time.
+    :param lag_by_model: versions that jobs of a model let an engine be behind; 0 where unknown.
     :return: loads, the models that lag most first.
     """
     host_by_engine = {host.engine: host for host in hosts}
@@ -104,12 +123,11 @@
         version = version_by_model[model]
         engines = chosen[model]
         busy = sum(1 for engine in engines if host_by_engine[engine].loading == model)
-        for engine in engines:
-            host = host_by_engine[engine]
+        hosts_of = [host_by_engine[engine] for engine in engines]
+        for engine in _due(hosts_of, model, version, lag_by_model.get(model, 0)):
             if loading >= at_once or busy >= max(1, len(engines) // 2):
                 break
-            behind = host.version_by_model.get(model, 0) < version
-            if not behind or host.loading or engine in begun:
+            if host_by_engine[engine].loading or engine in begun:
                 continue
             loads.append(Load(engine, model, version))
             begun.add(engine)
@@ -118,6 +136,19 @@
     return tuple(loads)
 
 
+def _due(hosts: Sequence[Host], model: str, version: int, lag: int) -> tuple[str, ...]:
+    """
+    Choose the hosts that need the newest version, those that jobs can't use first.
+
+    Those that the next version makes too old may be half of all, rounded up: the other half serves
+    while they load then.
+    """
+    too_old = [one for one in hosts if one.version_by_model.get(model, 0) < version - lag]
+    last_use = [one for one in hosts if lag and one.version_by_model.get(model, 0) == version - lag]
+    may_stay = (len(hosts) + 1) // 2
+    return tuple(one.engine for one in (*too_old, *last_use[may_stay:]))
+
+
 def _current(
     chosen: Mapping[str, tuple[str, ...]], host_by_engine: Mapping[str, Host], model: str
 ) -> int:
@@ -126,4 +157,4 @@
     return max(versions, default=0)
 
 
-__all__ = ["Host", "Load", "choose_hosts", "hosts_per_model", "next_loads"]
+__all__ = ["Host", "Load", "allowed_lag", "choose_hosts", "hosts_per_model", "next_loads"]
--- a/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
@@ -83,7 +83,9 @@
             if record.state == SERVING and record.version_by_adapter:
                 record_by_engine[record.endpoint] = record
         hosts = [self._host(record) for record in record_by_engine.values()]
-        for load in next_loads(hosts, directory.state.version_by_model, LOADS_AT_ONCE):
+        named = directory.state.version_by_model
+        lags = directory.lags.lag_by_model
+        for load in next_loads(hosts, named, LOADS_AT_ONCE, lags):
             record = record_by_engine[load.engine]
             task = asyncio.create_task(self._load(record, load), name=f"load:{load.engine}")
             self._loading_by_engine[load.engine] = Loading(load.model, task)
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -33,6 +33,7 @@
 from ibisspring_directory.known_endpoints import KnownEndpoints
 from ibisspring_directory.sessions import IN_TOUCH_S, Sessions
 from ibisspring_directory.usage import WindowCounts
+from ibisspring_directory.version_lags import VersionLags
 from ibisspring_directory.views import Revision
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self.sessions = Sessions()
         self.revision = Revision()
         self.counts = WindowCounts()
+        self.lags = VersionLags()
         self.led_since = 0.0
         self._term = 0
         self._seen: tuple[Any, ...] = ()
@@ -124,6 +126,7 @@
         self.led_since = boot_now()
         self.sessions.clear()
         self.counts.clear()
+        self.lags.clear()
         self.endpoints.begin(self.led_since)
         self.revision.rise()
         eliot.log_message("directory:leads", term=self._term, daemon=self.settings.daemon)
@@ -164,6 +167,7 @@
         if self.sessions.take(renew, boot_now()):
             eliot.log_message("directory:daemon", daemon=renew.daemon, role=renew.role)
         self.counts.take(renew, self.state.closed_window)
+        self.lags.take(renew.allowed, self.state.version_by_model)
         leads_now = self.sessions.job_leader(boot_now())
         if leads_now is not None and leads_now.renew.address != _address_of(led_before):
             self.revision.rise()
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
@@ -61,12 +61,10 @@
             member=own_member(self._settings, consensus),
             leads_jobs=consensus.is_leader,
             job_members=tuple(replica.daemon for replica in replicas),
-            demand=self._demand(),
+            demand=self._jobs.demand() if consensus.is_leader else (),
+            allowed=self._jobs.oldest_allowed() if consensus.is_leader else (),
         )
 
-    def _demand(self) -> tuple[tuple[str, int], ...]:
-        return self._jobs.demand() if self._consensus.is_leader else ()
-
     def _found(self) -> None:
         """
         Found the log together with the others that the directory chose.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -32,7 +32,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.jobs import ItemResult
+    from ibisspring_core.messages.jobs import ItemResult, Job
     from ibisspring_core.settings.vm import VmSettings
     from ibisspring_jobs.state import KeptJob
 
@@ -93,6 +93,15 @@
         """By service, the most items that were to be run at a time in the last while."""
         return tuple(sorted(self._peaks.peak_by_service.items()))
 
+    def oldest_allowed(self) -> tuple[tuple[str, int], ...]:
+        """By model, the oldest weight version that its newest job takes."""
+        newest_by_model: dict[str, Job] = {}
+        for kept in self._state.job_by_id.values():
+            known = newest_by_model.get(kept.job.model)
+            if known is None or kept.job.submitted_s > known.submitted_s:
+                newest_by_model[kept.job.model] = kept.job
+        return tuple(sorted((model, job.min_version) for model, job in newest_by_model.items()))
+
     def _only_leading(self, handler: Any) -> Any:
         async def answer(message: Any) -> Any:
             if not self.leads():
