Keep half written texts of items in the jobs' log

Cause: what a run had made was known to its entry alone. Ruled out: a faster election (the entries serve 0.8 s after their start, 2.3 s after the power went); runs that go on under the next leader: the entry and its connections are gone after a power loss. Change: runners report every second what their runs made since (`part`), the dispatcher joins it, the log keeps it (`KeepTexts`), a new dispatcher goes on after it. A part that comes twice, late or without what is before it is not taken. Tests: state, dispatcher, run text, and with real processes that all lose power at once.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 COMPLETED = "completed"
+PART = "part"
 ABANDONED = "abandoned"
 
 
@@ -228,15 +229,17 @@
 @dataclass(frozen=True)
 class Outcome:
     """
-    How a run ended.
+    How a run ended, or what it made meanwhile.
 
-    :param kind: `done`; `failed`, where the endpoint said that this run failed; `impossible`, where
-        it said that no run can succeed; `broken`, where the stream broke or went silent;
-        `turned_away`, where the endpoint did not run it; `stale`, where it has another version.
-    :param output: data of the events that this run made, joined by line feeds.
+    :param kind: PART, where it goes on; `done`; `failed`, where the endpoint said that this run
+        failed; `impossible`, where it said that no run can succeed; `broken`, where the stream
+        broke or went silent; `turned_away`, where the endpoint did not run it; `stale`, where it
+        has another version.
+    :param output: data of the events that this run made since its last part, joined by line feeds.
     :param events: how many these are.
     :param versions: weight versions that made them, in order.
     :param first_s: seconds until its first event; 0.0 where there was none.
+    :param after: events of this run in the parts before.
     """
 
     number: int
@@ -245,11 +248,30 @@
     events: int = 0
     versions: tuple[int, ...] = ()
     first_s: float = 0.0
+    after: int = 0
+
+
+@dataclass(frozen=True)
+class TextPart:
+    """
+    What was made of an item that has not ended.
+
+    :param after: events before it; 0 begins the item's text anew.
+    :param output: data of its events, joined by line feeds.
+    :param events: how many these are.
+    :param versions: weight versions that made them, in order.
+    """
+
+    item: str
+    after: int
+    output: str
+    events: int
+    versions: tuple[int, ...]
 
 
 @dataclass(frozen=True)
 class ReportWork:
-    """A runner tells how runs ended; sent until it is answered."""
+    """A runner tells how runs ended and what others made; sent until it is answered."""
 
     runner: str
     epoch: int
@@ -264,6 +286,7 @@
 __all__ = [
     "ABANDONED",
     "COMPLETED",
+    "PART",
     "Assignment",
     "BodyRead",
     "EndJob",
@@ -279,6 +302,7 @@
     "ResultsRead",
     "SubmitJob",
     "TakeWork",
+    "TextPart",
     "UnknownJob",
     "Work",
     "WorkReported",
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -33,7 +34,8 @@
     What a run made so far.
 
     :param data: data of its events.
-    :param versions: weight versions that made them, in order.
+    :param versions: weight version that made each of them.
+    :param handed_over: events that went out in parts.
     :param version: weight version of the next event.
     :param whole: the stream came to its end.
     :param first_s: seconds until the first event.
@@ -41,14 +43,24 @@
 
     data: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
+    handed_over: int = 0
     version: int | None = None
     whole: bool = False
     first_s: float = 0.0
 
     def outcome(self, number: int, kind: str) -> Outcome:
-        versions = tuple(self.versions)
-        events = len(self.data)
-        return Outcome(number, kind, "\n".join(self.data), events, versions, self.first_s)
+        """Describe what was made since the last part; it counts as handed over."""
+        after = self.handed_over
+        self.handed_over = len(self.data)
+        return Outcome(
+            number,
+            kind,
+            "\n".join(self.data[after:]),
+            len(self.data) - after,
+            tuple(version for version, _ in itertools.groupby(self.versions[after:])),
+            self.first_s,
+            after,
+        )
 
 
 async def run_item(
@@ -153,8 +165,7 @@
     # A text without the word of its engine on what made it is worth nothing: no label is guessed.
     if text.version is None:
         return False
-    if not text.versions or text.versions[-1] != text.version:
-        text.versions.append(text.version)
+    text.versions.append(text.version)
     text.data.append(event.data)
     return True
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -11,7 +11,7 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import LeaderClient
-from ibisspring_core.messages.jobs import Outcome, ReportWork, TakeWork, Work
+from ibisspring_core.messages.jobs import PART, Outcome, ReportWork, TakeWork, Work
 from ibisspring_gateway.item_run import RunText, run_item
 
 if TYPE_CHECKING:
@@ -26,6 +26,9 @@
 FIND_LEADER_S = 3.0
 # Outcomes that come close together travel and are committed together.
 GATHER_S = 0.02
+# What runs made is handed over this often, to be kept in the jobs' log: the loss of an entry, of
+# the jobs' leader or of all power then costs each text half of this time on average, and not all.
+PARTS_EVERY_S = 1.0
 # At a stop the last outcomes are worth this much of the time until the process is killed.
 HAND_OVER_S = 0.8
 
@@ -68,9 +71,11 @@
             asyncio.create_task(self._take(), name="runner:take"),
             asyncio.create_task(self._report(), name="runner:report"),
         ]
+        self._parts = kernel.find("timer").subscribe("runner", PARTS_EVERY_S, self._hand_over)
 
     async def stop(self) -> None:
         """Stop all runs and hand over what they made; the items go on elsewhere."""
+        self._parts.cancel()
         for task in self._tasks:
             task.cancel()
         runs = tuple(self._task_by_number.values())
@@ -127,10 +132,11 @@
 
     def _begin(self, work: Work) -> None:
         if work.epoch != self._epoch:
-            # Another dispatcher begins all items anew: what runs for the one before is for nobody.
+            # Another dispatcher goes on from the parts that are kept: what runs is for nobody.
             for task in self._task_by_number.values():
                 task.cancel()
             self._task_by_number.clear()
+            self._text_by_number.clear()
             self._outcomes.clear()
             self._epoch = work.epoch
         for number in work.cancelled:
@@ -151,7 +157,9 @@
         text = RunText()
         self._text_by_number[assignment.number] = text
         outcome = await run_item(assignment, self._connections, self._wire, text)
-        self._text_by_number.pop(assignment.number, None)
+        # Under another epoch the number may name another run by now.
+        if self._text_by_number.get(assignment.number) is text:
+            del self._text_by_number[assignment.number]
         took_s = boot_now() - began_s
         self._counters.add(f"runner.{outcome.kind}")
         self._counters.observe("run_seconds", took_s, outcome.kind)
@@ -164,7 +172,7 @@
             kind=outcome.kind,
             reason="" if outcome.kind == "done" else outcome.kind,
             resume_after=assignment.resume_after,
-            events=outcome.events,
+            events=len(text.data),
             versions=outcome.versions,
             expected_version=assignment.expected_version,
             expected_tokens=assignment.item.expected_tokens,
@@ -176,6 +184,13 @@
             self._outcomes.append(outcome)
             self._reported.set()
 
+    async def _hand_over(self, now: float) -> None:
+        """Report what runs made that go on."""
+        for number, text in self._text_by_number.items():
+            if len(text.data) > text.handed_over and number in self._task_by_number:
+                self._outcomes.append(text.outcome(number, PART))
+                self._reported.set()
+
     async def _report(self) -> None:
         while True:
             await self._reported.wait()
@@ -193,7 +208,8 @@
             if epoch == self._epoch:
                 del self._outcomes[: len(outcomes)]
                 for outcome in outcomes:
-                    self._task_by_number.pop(outcome.number, None)
+                    if outcome.kind != PART:
+                        self._task_by_number.pop(outcome.number, None)
 
 
 __all__ = ["Runner"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ibisspring_core.messages.codec import KindCodec
-from ibisspring_core.messages.jobs import ItemResult, Job
+from ibisspring_core.messages.jobs import ItemResult, Job, TextPart
 
 
 @dataclass(frozen=True)
@@ -23,6 +23,14 @@
     results: tuple[ItemResult, ...]
 
 
+@dataclass(frozen=True)
+class KeepTexts:
+    """Keep what was made of items that have not ended."""
+
+    job: str
+    parts: tuple[TextPart, ...]
+
+
 @dataclass(frozen=True)
 class CloseJob:
     """Nothing of the job is to run any more."""
@@ -37,6 +45,6 @@
     jobs: tuple[str, ...]
 
 
-COMMANDS = KindCodec.from_types(AcceptJob, RecordResults, CloseJob, ForgetJobs)
+COMMANDS = KindCodec.from_types(AcceptJob, RecordResults, KeepTexts, CloseJob, ForgetJobs)
 
-__all__ = ["COMMANDS", "AcceptJob", "CloseJob", "ForgetJobs", "RecordResults"]
+__all__ = ["COMMANDS", "AcceptJob", "CloseJob", "ForgetJobs", "KeepTexts", "RecordResults"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -7,7 +7,7 @@
 
 import eliot
 
-from ibisspring_core.messages.jobs import Assignment, ItemResult, Outcome
+from ibisspring_core.messages.jobs import Assignment, ItemResult, Outcome, TextPart
 from ibisspring_decisions.dispatch import (
     EngineRoom,
     WaitingItem,
@@ -191,8 +191,7 @@
     ) -> None:
         job = self._state.job_by_id[key[0]].job
         item = self._state.job_by_id[key[0]].item_by_id[key[1]]
-        progress = self._progress_by_item.get(key)
-        resume_after = progress.events if progress is not None else 0
+        resume_after = self._progress_of(key).events
         self._numbers += 1
         left_s = job.submitted_s + job.give_up_s - self._around.wall_s()
         assignment = Assignment(
@@ -226,6 +225,35 @@
         runner.outbox.append(assignment)
         runner.wake.set()
 
+    def _progress_of(self, key: tuple[str, str]) -> ItemProgress:
+        """What is known of an item; after a change of leader, what the log kept."""
+        progress = self._progress_by_item.get(key)
+        if progress is None:
+            kept = self._state.job_by_id[key[0]]
+            progress = ItemProgress.from_parts(kept.parts_by_item.get(key[1], ()))
+            self._progress_by_item[key] = progress
+        return progress
+
+    def take_part(self, outcome: Outcome) -> tuple[str, TextPart] | None:
+        """
+        Take in what a run made that goes on.
+
+        :return: job and part, to be kept; None where it does not follow on what is known.
+        """
+        run = self.run_by_number.get(outcome.number)
+        kept = self._state.job_by_id.get(run.job) if run is not None else None
+        if kept is None or run.item not in kept.item_by_id:
+            return None
+        progress = self._progress_of((run.job, run.item))
+        if progress.events != run.resume_after + outcome.after:
+            return None
+        part = TextPart(run.item, progress.events, outcome.output, outcome.events, outcome.versions)
+        progress.add(part)
+        if not progress.fits(kept.job):
+            # The run goes on in vain; its end begins the item anew.
+            return None
+        return run.job, part
+
     def report(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
         """
         Take in how a run ended.
@@ -248,8 +276,8 @@
         if kept is None or run.item not in kept.item_by_id:
             return None
         key = (run.job, run.item)
-        progress = self._progress_by_item.setdefault(key, ItemProgress())
-        if progress.events == run.resume_after:
+        progress = self._progress_of(key)
+        if progress.events == run.resume_after + outcome.after:
             progress.add(outcome)
         elif outcome.kind == "done":
             # Another run went on from elsewhere meanwhile: this one's text does not join.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/progress.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/progress.py
@@ -8,13 +8,15 @@
 from ibisspring_core.messages.jobs import ABANDONED, COMPLETED, ItemResult
 
 if TYPE_CHECKING:
-    from ibisspring_core.messages.jobs import Job, Outcome
+    from collections.abc import Iterable
+
+    from ibisspring_core.messages.jobs import Job, Outcome, TextPart
 
 
 @dataclass
 class ItemProgress:
     """
-    Progress of one item; lost with the leader, its runs then begin anew.
+    Progress of one item; a new leader goes on from the parts that are kept in the log.
 
     :param parts: data of the events so far, one string for each run that made some.
     :param events: how many events these are.
@@ -29,13 +31,21 @@
     failures: int = 0
     not_before_s: float = 0.0
 
-    def add(self, outcome: Outcome) -> None:
+    @classmethod
+    def from_parts(cls, parts: Iterable[TextPart]) -> ItemProgress:
+        """Go on from what is kept of an item."""
+        progress = cls()
+        for part in parts:
+            progress.add(part)
+        return progress
+
+    def add(self, made: Outcome | TextPart) -> None:
         """Add what a run made after the events before."""
-        if not outcome.events:
+        if not made.events:
             return
-        self.parts.append(outcome.output)
-        self.events += outcome.events
-        for version in outcome.versions:
+        self.parts.append(made.output)
+        self.events += made.events
+        for version in made.versions:
             if not self.versions or self.versions[-1] != version:
                 self.versions.append(version)
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -12,6 +12,7 @@
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import NotLeader
 from ibisspring_core.messages.jobs import (
+    PART,
     BodyRead,
     EndJob,
     JobAccepted,
@@ -26,13 +27,20 @@
     Work,
     WorkReported,
 )
-from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, ForgetJobs, RecordResults
+from ibisspring_jobs.commands import (
+    COMMANDS,
+    AcceptJob,
+    CloseJob,
+    ForgetJobs,
+    KeepTexts,
+    RecordResults,
+)
 from ibisspring_jobs.dispatcher import Dispatcher, Surroundings
 from ibisspring_jobs.peaks import Peaks
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.jobs import ItemResult, Job
+    from ibisspring_core.messages.jobs import ItemResult, Job, TextPart
     from ibisspring_core.settings.vm import VmSettings
     from ibisspring_jobs.state import KeptJob
 
@@ -270,16 +278,34 @@
         if message.epoch != dispatcher.epoch:
             return WorkReported()
         by_job: dict[str, list[ItemResult]] = {}
+        parts_by_job: dict[str, list[TextPart]] = {}
         now = boot_now()
         for outcome in message.outcomes:
+            if outcome.kind == PART:
+                made = dispatcher.take_part(outcome)
+                if made is not None:
+                    parts_by_job.setdefault(made[0], []).append(made[1])
+                continue
             ended = dispatcher.report(outcome, now)
             if ended is not None:
                 by_job.setdefault(ended[0], []).append(ended[1])
         dispatcher.match(now)
-        if not await self._record(by_job):
+        kept, recorded = await asyncio.gather(self._keep(parts_by_job), self._record(by_job))
+        if not kept or not recorded:
             return NotLeader(self._consensus.leader_hint)
         return WorkReported()
 
+    async def _keep(self, parts_by_job: dict[str, list[TextPart]]) -> bool:
+        proposals = [
+            self._propose(KeepTexts(job, tuple(parts))) for job, parts in parts_by_job.items()
+        ]
+        answers = await asyncio.gather(*proposals)
+        if any(isinstance(answer, Refusal) for answer in answers):
+            return False
+        for job, parts in parts_by_job.items():
+            eliot.log_message("jobs:texts_kept", job=job, items=len(parts))
+        return True
+
     async def _record(self, by_job: dict[str, list[ItemResult]]) -> bool:
         proposals = [
             self._propose(RecordResults(job, tuple(results))) for job, results in by_job.items()
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
@@ -7,8 +7,15 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.messages.codec import decode, encode
-from ibisspring_core.messages.jobs import ItemResult, Job, JobItem
-from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, ForgetJobs, RecordResults
+from ibisspring_core.messages.jobs import ItemResult, Job, JobItem, TextPart
+from ibisspring_jobs.commands import (
+    COMMANDS,
+    AcceptJob,
+    CloseJob,
+    ForgetJobs,
+    KeepTexts,
+    RecordResults,
+)
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -23,6 +30,7 @@
     :param total: items that it was submitted with.
     :param groups: all groups that it was submitted with.
     :param carried: those of them that an earlier job had as well; the trainer waits for these.
+    :param texts: what was made of its items so far, in order.
     """
 
     job: Job
@@ -31,6 +39,7 @@
     ended: bool
     groups: tuple[str, ...] = ()
     carried: tuple[str, ...] = ()
+    texts: tuple[TextPart, ...] = ()
 
 
 class KeptJob:
@@ -44,6 +53,7 @@
     :param ended: nothing of it is to run any more.
     :param groups: all groups that it was submitted with.
     :param carried: groups that an earlier job had as well.
+    :param parts_by_item: what was made of items that are not listed.
     """
 
     def __init__(self, stored: StoredJob) -> None:
@@ -54,13 +64,26 @@
         self.ended = stored.ended
         self.groups = frozenset(stored.groups)
         self.carried = frozenset(stored.carried)
+        self.parts_by_item: dict[str, list[TextPart]] = {}
+        for part in stored.texts:
+            self.keep(part)
+
+    def keep(self, part: TextPart) -> None:
+        """Add to an item's text, where the part follows on what is kept."""
+        parts = self.parts_by_item.setdefault(part.item, [])
+        if part.after == 0:
+            parts.clear()
+        elif not parts or parts[-1].after + parts[-1].events != part.after:
+            return
+        parts.append(part)
 
     def stored(self) -> StoredJob:
         """Describe the job for a snapshot."""
         job = replace(self.job, items=tuple(self.item_by_id.values()))
         groups = tuple(sorted(self.groups))
         carried = tuple(sorted(self.carried))
-        return StoredJob(job, self.total, tuple(self.results), self.ended, groups, carried)
+        texts = tuple(part for parts in self.parts_by_item.values() for part in parts)
+        return StoredJob(job, self.total, tuple(self.results), self.ended, groups, carried, texts)
 
 
 class JobsState:
@@ -74,6 +97,7 @@
         self._apply_by_type: dict[type[Any], Callable[[Any], None]] = {
             AcceptJob: self._accept,
             RecordResults: self._record,
+            KeepTexts: self._keep,
             CloseJob: self._close,
             ForgetJobs: self._forget,
         }
@@ -140,13 +164,23 @@
             # An item may have run twice; its first result keeps the position that was read.
             if kept.item_by_id.pop(result.item, None) is not None:
                 kept.results.append(result)
+                kept.parts_by_item.pop(result.item, None)
         self._changed(command.job)
 
+    def _keep(self, command: KeepTexts) -> None:
+        kept = self.job_by_id.get(command.job)
+        if kept is None:
+            return
+        for part in command.parts:
+            if part.item in kept.item_by_id:
+                kept.keep(part)
+
     def _close(self, command: CloseJob) -> None:
         kept = self.job_by_id.get(command.job)
         if kept is not None:
             kept.ended = True
             kept.item_by_id.clear()
+            kept.parts_by_item.clear()
             self._changed(command.job)
 
     def _forget(self, command: ForgetJobs) -> None:
--- a/tests/integration/test_platform_faults.py
+++ b/tests/integration/test_platform_faults.py
@@ -63,6 +63,33 @@
     assert len((await system.whole("lot2", 4))["results"]) == 4
 
 
+async def test_half_written_texts_outlive_the_end_of_all_processes(system) -> None:
+    # All VMs lose power while a step's texts are half written. Begun anew, each would take its
+    # whole time again, the step would come late and the trainer would ask for one step less.
+    for engine in system.engines:
+        engine.event_s = 0.1
+        engine.events = 50
+    await system.submit("lot1", job(4))
+    stores = [one for name, one in system.process_by_name.items() if name.startswith("store")]
+
+    await wait_until(
+        lambda: any('"jobs:texts_kept"' in one.log.read_text(errors="replace") for one in stores),
+        "parts of texts to be kept",
+    )
+    system.stop()
+    for name in system.process_by_name:
+        system.restart(name)
+
+    read = await system.whole("lot1", 4)
+    resumed = [
+        head for engine in system.engines for head in engine.heads if "last-event-id" in head
+    ]
+    assert max(int(head["last-event-id"]) for head in resumed) > 0
+    for result in read["results"]:
+        numbers = [text.rpartition("-")[2] for text in result["output"].split("\n")]
+        assert numbers == [str(number) for number in range(1, 51)]
+
+
 async def test_a_lost_disk_is_taken_in_again_and_the_next_one_may_go(system) -> None:
     # A store loses its disk and comes back empty; right after its repair the next one is lost. What
     # was accepted before both must still be there.
--- a/tests/unit/gateway/test_item_run.py
+++ b/tests/unit/gateway/test_item_run.py
@@ -123,3 +123,15 @@
 
     assert (await run_item(assignment, connections, _Wire(), RunText())).kind == "broken"
     await connections.stop()
+
+
+def test_what_was_handed_over_in_parts_is_not_told_again() -> None:
+    text = RunText(data=["a", "b"], versions=[4, 4])
+    first = text.outcome(5, "part")
+    text.data += ["c", "d"]
+    text.versions += [4, 5]
+
+    rest = text.outcome(5, "done")
+
+    assert (first.output, first.events, first.versions, first.after) == ("a\nb", 2, (4,), 0)
+    assert (rest.output, rest.events, rest.versions, rest.after) == ("c\nd", 2, (4, 5), 2)
--- a/tests/unit/jobs/test_dispatcher.py
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -6,9 +6,9 @@
 from unit.jobs.test_state import job_of
 
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
-from ibisspring_core.messages.jobs import Outcome, TakeWork
+from ibisspring_core.messages.jobs import PART, Outcome, TakeWork
 from ibisspring_core.routes import ServiceTerms
-from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, RecordResults
+from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, KeepTexts, RecordResults
 from ibisspring_jobs.dispatcher import Dispatcher, Surroundings
 from ibisspring_jobs.state import JobsState
 
@@ -68,6 +68,22 @@
             self.apply(RecordResults(ended[0], (ended[1],)))
         return ended[1] if ended is not None else None
 
+    def part(self, number: int, after: int, output: str, versions=(4,)) -> bool:
+        """Hand over what a run made meanwhile; whether it is to be kept."""
+        events = output.count("\n") + 1
+        made = self.dispatcher.take_part(
+            Outcome(number, PART, output, events, versions, 0.0, after)
+        )
+        if made is not None:
+            self.apply(KeepTexts(made[0], (made[1],)))
+        return made is not None
+
+    def change_leader(self) -> None:
+        """Another store leads: it knows what the log kept and nothing else."""
+        around = self.dispatcher._around
+        self.dispatcher = Dispatcher(self.state, around, epoch=8)
+        self.sequence = 0
+
 
 @pytest.fixture
 def world():
@@ -218,3 +234,70 @@
     again = world.poll([one.number for one in first if one is not slow], now=2.1)
     assert [one.resume_after for one in again] == [2]
     assert again[0].endpoint != "engine-2"
+
+
+def test_a_new_leader_goes_on_after_the_parts_that_are_kept(world) -> None:
+    """
+    All machines lose power in the middle of a step; its texts are half written.
+
+    Begun anew, each would take as long as before, the step would come late, and the trainer asks
+    for one step less.
+    """
+    first, second = world.poll()
+    assert world.part(first.number, 0, "a\nb")
+    assert world.part(first.number, 2, "c")
+
+    world.change_leader()
+    again = {one.item.item: one for one in world.poll()}
+
+    assert again[first.item.item].resume_after == 3
+    assert again[second.item.item].resume_after == 0
+    ended = world.end(again[first.item.item].number, "done", output="d", events=1, versions=(5,))
+    assert (ended.output, ended.versions) == ("a\nb\nc\nd", (4, 5))
+
+
+def test_the_end_of_a_run_joins_its_parts(world) -> None:
+    first, _ = world.poll()
+    world.part(first.number, 0, "a\nb")
+
+    ended = world.end(first.number, "done", output="c", events=1, versions=(4,), after=2)
+
+    assert (ended.output, ended.versions) == ("a\nb\nc", (4,))
+
+
+def test_a_part_that_comes_twice_is_taken_once(world) -> None:
+    first, _ = world.poll()
+    assert world.part(first.number, 0, "a\nb")
+
+    assert not world.part(first.number, 0, "a\nb")
+
+    ended = world.end(first.number, "done", output="c", events=1, versions=(4,), after=2)
+    assert ended.output == "a\nb\nc"
+
+
+def test_a_broken_run_goes_on_after_its_parts_and_its_rest(world) -> None:
+    first, _ = world.poll()
+    world.part(first.number, 0, "a\nb")
+    world.end(first.number, "broken", output="c", events=1, versions=(4,), after=2)
+
+    (again,) = [one for one in world.poll(now=1.0) if one.item.item == first.item.item]
+
+    assert again.resume_after == 3
+
+
+def test_parts_of_two_versions_are_not_kept_where_one_version_is_asked_for() -> None:
+    world = _World(ENGINE, single_version=True)
+    first, _ = world.poll()
+    assert world.part(first.number, 0, "a", (4,))
+
+    assert not world.part(first.number, 1, "b", (5,))
+
+    assert world.end(first.number, "done", output="c", events=1, versions=(5,), after=2) is None
+    (again,) = [one for one in world.poll(now=1.0) if one.item.item == first.item.item]
+    assert again.resume_after == 0
+
+
+def test_a_part_of_a_run_that_is_not_known_is_left_alone(world) -> None:
+    world.poll()
+
+    assert not world.part(99, 0, "a")
--- a/tests/unit/jobs/test_state.py
+++ b/tests/unit/jobs/test_state.py
@@ -2,8 +2,15 @@
 
 import dataclasses
 
-from ibisspring_core.messages.jobs import COMPLETED, ItemResult, Job, JobItem
-from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, ForgetJobs, RecordResults
+from ibisspring_core.messages.jobs import COMPLETED, ItemResult, Job, JobItem, TextPart
+from ibisspring_jobs.commands import (
+    COMMANDS,
+    AcceptJob,
+    CloseJob,
+    ForgetJobs,
+    KeepTexts,
+    RecordResults,
+)
 from ibisspring_jobs.state import JobsState
 
 
@@ -101,3 +108,60 @@
     other = dataclasses.replace(again, job="c", client_account="another")
     state.apply(3, COMMANDS.encode(AcceptJob(other)))
     assert state.job_by_id["c"].carried == frozenset()
+
+
+def part(item: str, after: int, output: str, events: int = 1) -> TextPart:
+    return TextPart(item, after, output, events, (4,))
+
+
+def texts_of(state: JobsState, item: str) -> list[str]:
+    return [one.output for one in state.job_by_id["j"].parts_by_item.get(item, ())]
+
+
+def test_parts_are_kept_where_they_follow_on_what_is_kept() -> None:
+    # A report is sent again because its answer was lost; a part taken twice would double events.
+    state = applied(
+        AcceptJob(job_of()),
+        KeepTexts("j", (part("i0", 0, "a"), part("i0", 1, "b\nc", 2))),
+        KeepTexts("j", (part("i0", 1, "b\nc", 2), part("i0", 4, "e"))),
+        KeepTexts("j", (part("i0", 3, "d"),)),
+    )
+
+    assert texts_of(state, "i0") == ["a", "b\nc", "d"]
+
+
+def test_a_text_that_begins_anew_takes_the_place_of_the_old_one() -> None:
+    state = applied(
+        AcceptJob(job_of()),
+        KeepTexts("j", (part("i0", 0, "old"), part("i0", 1, "old too"))),
+        KeepTexts("j", (part("i0", 0, "new"),)),
+    )
+
+    assert texts_of(state, "i0") == ["new"]
+
+
+def test_texts_of_what_has_ended_are_dropped() -> None:
+    state = applied(
+        AcceptJob(job_of()),
+        KeepTexts("j", (part("i0", 0, "a"), part("i1", 0, "a"))),
+        RecordResults("j", (result("i0"),)),
+        KeepTexts("j", (part("i0", 1, "late"), part("unknown", 0, "a"))),
+        KeepTexts("unknown", (part("i0", 0, "a"),)),
+    )
+    assert (texts_of(state, "i0"), texts_of(state, "i1")) == ([], ["a"])
+
+    state.apply(9, COMMANDS.encode(CloseJob("j")))
+
+    assert state.job_by_id["j"].parts_by_item == {}
+
+
+def test_texts_stand_in_a_snapshot() -> None:
+    state = applied(
+        AcceptJob(job_of()),
+        KeepTexts("j", (part("i0", 0, "a"), part("i0", 1, "b"))),
+    )
+    restored = JobsState()
+
+    restored.restore(state.snapshot())
+
+    assert texts_of(restored, "i0") == ["a", "b"]
