Add `ibisspring explain`: from an id to its cause out of log lines

Cause: a user's complaint begins with a request's id; finding the lines about it in the output of a dozen processes with clocks of their own took knowledge of which line names what. Ruled out: ordering by wall clock alone: a clock that is set for a moment puts a VM's lines after what they caused. Change: `explain ID [FILE]...` reads the lines of any number of processes, orders each VM's lines by its boot clock and VMs by the median offset of their wall clocks, prints what names the id, what belongs to it (a job's items, endpoints tried), what the daemons believed meanwhile, by which clocks, what was left out, and what the newest reasons mean. Figures: three failures caused on purpose in real processes are traced from the lines alone (an endpoint gone silent, an answer kept back, an engine that breaks streams).

--- /dev/null
+++ b/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
@@ -0,0 +1,141 @@
+"""Which log lines explain what happened to a request, a job, an item or an endpoint."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ibisspring_cli.log_lines import in_one_order
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ibisspring_cli.log_lines import ClockNote, LogLine
+
+# What daemons believed shortly before explains what they decided.
+BEFORE_S = 10.0
+AFTER_S = 1.0
+# Fields by which lines belong to one request, or to one item of a job.
+WORK_FIELDS = ("request", "job", "item")
+LEFT_OUT = "log:left_out"
+NO_ENDPOINT = "no_endpoint"
+
+MEANING_BY_REASON = {
+    NO_ENDPOINT: "no endpoint of the service was serving for this entry: look at its "
+    "directory_view:endpoints and at directory:endpoint before that moment",
+    "endpoint_failed": "the connection to the endpoint was refused or broke: look at the endpoint",
+    "endpoint_silent": "the endpoint or the way to it was silent",
+    "endpoint_refused": "the endpoint was full, or is another one now",
+    "timeout": "no answer came in the time that the route or the caller allows: the endpoints "
+    "tried were slow or silent",
+    "mismatched_answer": "an endpoint answered another request on this connection",
+    "no_leader": "no control daemon led, or the way to it was cut",
+    "broken": "the engine's stream broke or went silent; the item goes on elsewhere",
+    "failed": "the engine said that this run failed; the item is tried again",
+    "stale": "the engine had other weights than believed",
+    "turned_away": "the engine took no more work",
+    "impossible": "the engine said that no run can succeed: the item itself is at fault",
+}
+
+
+@dataclass(frozen=True)
+class Told:
+    """
+    A line of an explanation.
+
+    :param at_s: seconds after the first line that names the id; negative before it.
+    :param direct: it names the id; otherwise it tells what daemons believed or did meanwhile.
+    """
+
+    at_s: float
+    direct: bool
+    line: LogLine
+
+
+@dataclass(frozen=True)
+class Explanation:
+    """
+    What is known of an id.
+
+    :param told: lines in one order; empty where none names the id.
+    :param meanings: what the reasons among them mean, the last first.
+    :param clocks: by which clocks the lines were ordered.
+    :param left_out: lines that daemons left out meanwhile, by kind.
+    """
+
+    told: tuple[Told, ...]
+    meanings: tuple[str, ...]
+    clocks: tuple[ClockNote, ...]
+    left_out: dict[str, int]
+
+
+def explain(wanted: str, lines: Iterable[LogLine]) -> Explanation:
+    """
+    Find the lines that explain an id.
+
+    :param wanted: id of a request, job, item, endpoint or daemon.
+    :param lines: of any number of processes.
+    :return: the lines that name it, those that name the items of a job or the endpoints tried, and
+        what daemons believed around them.
+    """
+    timed, clocks = in_one_order(lines)
+    direct = frozenset({wanted})
+    named = [(at, line) for at, line in timed if line.names(direct) or line.process == wanted]
+    if not named:
+        return Explanation((), (), tuple(clocks), {})
+    first_s, last_s = named[0][0], named[-1][0]
+    linked = _linked([line for _, line in named], wanted)
+    if any(line.fields.get("reason") == NO_ENDPOINT for _, line in named):
+        # None was tried, so any of them may be the one that was missing.
+        linked |= {line.fields.get("endpoint", "") for _, line in timed} - {wanted}
+    told = []
+    left_out: dict[str, int] = {}
+    for at, line in timed:
+        names_it = line.names(direct) or line.process == wanted
+        around = first_s - BEFORE_S <= at <= last_s + AFTER_S
+        if line.kind == LEFT_OUT and around:
+            for kind, count in line.fields.get("count", {}).items():
+                left_out[kind] = left_out.get(kind, 0) + count
+        if names_it or (around and _tells_of(line, linked)):
+            told.append(Told(round(at - first_s, 4), names_it, line))
+    return Explanation(tuple(told), _meanings(told), tuple(clocks), left_out)
+
+
+def _linked(named: list[LogLine], wanted: str) -> frozenset[str]:
+    """Ids that belong to the one asked for: a job's items, an item's job, endpoints tried."""
+    found: set[str] = set()
+    for line in named:
+        fields = line.fields
+        if fields.get("job") == wanted and "item" in fields:
+            found.add(fields["item"])
+        if fields.get("item") == wanted and "job" in fields:
+            found.add(fields["job"])
+        if any(name in fields for name in WORK_FIELDS):
+            found.update(fields.get("tries", ()))
+            found.add(fields.get("endpoint", ""))
+    return frozenset(found - {"", wanted})
+
+
+def _tells_of(line: LogLine, linked: frozenset[str]) -> bool:
+    """Whether a line that does not name the id says what a daemon did for it or believed."""
+    work = [line.fields[name] for name in WORK_FIELDS if name in line.fields]
+    if work:
+        # A job's acceptance explains its item; the item's other lines explain its job.
+        return any(isinstance(one, str) and one in linked for one in work) and (
+            "item" not in line.fields or line.fields["item"] in linked
+        )
+    if "endpoint" in line.fields:
+        return line.fields["endpoint"] in linked
+    return line.kind != LEFT_OUT
+
+
+def _meanings(told: list[Told]) -> tuple[str, ...]:
+    found: dict[str, str] = {}
+    for one in reversed(told):
+        reason = one.line.fields.get("reason") if one.direct else None
+        if reason in MEANING_BY_REASON:
+            found.setdefault(reason, f"{reason}: {MEANING_BY_REASON[reason]}")
+    return tuple(found.values())
+
+
+__all__ = ["Explanation", "Told", "explain"]
--- a/packages/ibisspring-cli/src/ibisspring_cli/main.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/main.py
@@ -6,6 +6,7 @@
 
 from ibisspring_cli.control import control
 from ibisspring_cli.endpoints import endpoint
+from ibisspring_cli.explain import explain
 from ibisspring_cli.keys import key
 from ibisspring_cli.options import Options
 from ibisspring_cli.rules import rules
@@ -50,6 +51,7 @@
       ibisspring rules check rules.txt            every finding, with line and column
       ibisspring rules apply rules.txt --base 3   in force everywhere once it answers
       ibisspring status                           leader, entries, endpoints, trainers
+      ibisspring explain ID LOG...                what happened to a request, from log lines
 
     \b
     Exit codes:
@@ -65,7 +67,7 @@
     context.default_map = {"control": {"addresses": addresses, "as_json": as_json}}
 
 
-for command in (control, endpoint, key, rules, settings, status, usage):
+for command in (control, endpoint, explain, key, rules, settings, status, usage):
     main.add_command(command)
 
 __all__ = ["main"]
--- a/tests/fakes/platform_engine.py
+++ b/tests/fakes/platform_engine.py
@@ -20,6 +20,9 @@
 
     :param controls: IP:port of the control daemons.
     :param events: events of each run.
+    :param event_s: seconds between the events of a run.
+    :param answer_s: seconds until a call is answered.
+    :param break_after: events after which the connection of a run breaks.
     :param runs: ids of the requests that ran, in order.
     :param orders: bodies of the orders that were accepted.
     :param acknowledged: states whose heartbeat was answered.
@@ -33,6 +36,8 @@
     slots: int = 4
     events: int = 5
     event_s: float = EVENT_S
+    answer_s: float = 0.0
+    break_after: int | None = None
     runs: list[str] = field(default_factory=list)
     heads: list[dict[str, str]] = field(default_factory=list)
     orders: list[dict] = field(default_factory=list)
@@ -115,6 +120,7 @@
         self.heads.append(said)
         own = {"Attempt-Id": said["attempt-id"], "Server-Stamp": f"stamp-{self.engine}"}
         if not model:
+            await asyncio.sleep(self.answer_s)
             return web.Response(body=request.path.encode(), headers=own)
         return await self._stream(request, said, {**own, "Weight-Versions": str(version)})
 
@@ -123,6 +129,9 @@
         await response.prepare(request)
         for number in range(int(said.get("last-event-id", 0)) + 1, self.events + 1):
             await asyncio.sleep(self.event_s)
+            if self.break_after is not None and number > self.break_after:
+                request.transport.abort()
+                return response
             text = f"{said['attempt-id']}-{number}"
             await response.write(f"id: {number}\ndata: {text}\n\n".encode())
         await response.write_eof()
--- /dev/null
+++ b/tests/integration/test_platform_explained.py
@@ -0,0 +1,95 @@
+"""From the id of a failed request to its cause, out of the daemons' log lines alone."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+
+import pytest
+
+from integration.platform_system import LOOKUP, job, platform_system
+from integration.processes import wait_until
+
+
+@pytest.fixture
+async def system(tmp_path):
+    async with platform_system(tmp_path) as system:
+        yield system
+
+
+async def explain(system, wanted: str, line: str) -> dict:
+    """Run the command on the logs of all daemons, once one of them holds a line."""
+    logs = [process.log for process in system.process_by_name.values()]
+    await wait_until(
+        lambda: any(line in log.read_text(errors="replace") for log in logs), f"a line {line}"
+    )
+    program = "from ibisspring_cli.main import main; main()"
+    arguments = ["-c", program, "explain", wanted, "--json", *map(str, logs)]
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, stdout=asyncio.subprocess.PIPE
+    )
+    output, _ = await child.communicate()
+    assert child.returncode == 0, output
+    return json.loads(output)
+
+
+def fields_of(explanation: dict, kind: str, direct: bool = True) -> list[dict]:
+    return [
+        one["fields"]
+        for one in explanation["lines"]
+        if one["kind"] == kind and one["direct"] == direct
+    ]
+
+
+async def test_a_refusal_leads_to_the_endpoint_that_went_silent(system) -> None:
+    # The only archive crashes. A caller is refused; the cause is what control heard, or rather did
+    # not hear, of that endpoint.
+    await system.engines[0].stop()
+
+    async def refused_unrun() -> bool:
+        status, body = await system.call("POST", f"{LOOKUP}4711", "refused-1")
+        return status == 503 and b"no_endpoint" in body
+
+    await wait_until(refused_unrun, "a refusal for want of an endpoint")
+
+    explanation = await explain(system, "refused-1", '"no_endpoint"')
+
+    assert fields_of(explanation, "forward:refused")[-1]["reason"] == "no_endpoint"
+    silent = fields_of(explanation, "directory:endpoint_silent", direct=False)
+    assert [one["endpoint"] for one in silent] == ["i-1"]
+    assert any(one.startswith("no_endpoint: ") for one in explanation["meanings"])
+
+
+async def test_a_late_answer_leads_to_the_endpoint_that_kept_it(system) -> None:
+    # The archive takes a request and does not answer; the caller's time runs out.
+    system.engines[0].answer_s = 60.0
+
+    status, _ = await system.call("POST", f"{LOOKUP}4711", "late-1")
+    explanation = await explain(system, "late-1", '"forward:refused"')
+
+    assert status == 504
+    (refused,) = fields_of(explanation, "forward:refused")
+    assert (refused["reason"], refused["tries"], refused["not_run"]) == ("timeout", ["i-1"], False)
+    (tried,) = fields_of(explanation, "forward:try_failed")
+    assert (tried["endpoint"], tried["reason"]) == ("i-1", "timeout")
+    assert any(one.startswith("timeout: ") for one in explanation["meanings"])
+
+
+async def test_a_result_that_took_two_runs_leads_to_the_engine_that_broke_one(system) -> None:
+    # One engine's streams break after two events; its items end elsewhere, later than others.
+    bad = system.engines[1]
+    bad.break_after = 2
+    await system.submit("lot1", job(8))
+    await system.whole("lot1", 8)
+    item = next(run for run in bad.runs)
+
+    of_item = await explain(system, item, f'"item":"{item}"')
+    of_job = await explain(system, "lot1", '"jobs:accepted"')
+
+    runs = fields_of(of_item, "runner:ended")
+    assert (runs[0]["endpoint"], runs[0]["reason"], runs[0]["events"]) == (bad.engine, "broken", 2)
+    assert (runs[-1]["kind"], runs[-1]["resume_after"]) == ("done", 2)
+    assert fields_of(of_item, "jobs:accepted", direct=False)[0]["job"] == "lot1"
+    broken = {one["endpoint"] for one in fields_of(of_job, "runner:ended") if one["reason"]}
+    assert broken == {bad.engine}
