--- a/packages/ibisspring-cli/src/ibisspring_cli/status.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/status.py
@@ -7,12 +7,30 @@
 from ibisspring_cli.endpoints import endpoint_lines
 from ibisspring_cli.options import Options, with_options
 from ibisspring_cli.session import read, show
+from ibisspring_cli.system_status import show_system
 
 
 @click.command()
+@click.option(
+    "--seeds",
+    "seeds",
+    multiple=True,
+    envvar="IBISSPRING_SEEDS",
+    help="Peer IP:port of control daemons that find each other by seeds; one that runs suffices.",
+)
 @with_options
-def status(options: Options) -> None:
-    """Show the leader, the rules in force on each entry, endpoints and trainers."""
+def status(options: Options, seeds: tuple[str, ...]) -> None:
+    """
+    Show the leader, what is in force on each daemon, endpoints, trainers or jobs.
+
+    With --seeds (or IBISSPRING_SEEDS) it shows a system whose daemons find each other by seeds: the
+    route table, duties and their holders, stores, jobs and runners.
+    """
+    if seeds:
+        show_system(
+            options, tuple(part for text in seeds for part in text.replace(",", " ").split())
+        )
+        return
     answer = read(options, "status")
     show(options, answer, _lines(answer))
 
--- a/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
@@ -4,7 +4,7 @@
 
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import NotLeader
-from ibisspring_core.messages import directory, jobs
+from ibisspring_core.messages import directory, jobs, status
 from ibisspring_core.messages.codec import KindCodec
 
 PEER_MESSAGES = KindCodec.from_types(
@@ -37,6 +37,10 @@
     jobs.UnknownJob,
     jobs.Work,
     jobs.WorkReported,
+    status.DirectoryStatus,
+    status.JobsStatus,
+    status.ReadDirectoryStatus,
+    status.ReadJobsStatus,
 )
 
 __all__ = ["PEER_MESSAGES"]
--- a/packages/ibisspring-directory/src/ibisspring_directory/role.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/role.py
@@ -16,6 +16,7 @@
 from ibisspring_directory.membership import ControlMembership
 from ibisspring_directory.service import Directory
 from ibisspring_directory.state import DirectoryState
+from ibisspring_directory.status import StatusService
 from ibisspring_directory.usage_reports import UsageReports
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
         UsageReports.from_config(settings),
         EngineLoads.from_config(settings),
         Fleet.from_config(settings),
+        StatusService.from_config(settings),
     )
 
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/role.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/role.py
@@ -13,6 +13,7 @@
 from ibisspring_jobs.membership import JobMembership
 from ibisspring_jobs.service import Jobs
 from ibisspring_jobs.state import JobsState
+from ibisspring_jobs.status import StatusService
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Service
@@ -40,6 +41,7 @@
         DirectoryView.from_config(settings),
         Jobs.from_config(settings),
         JobMembership.from_config(settings),
+        StatusService.from_config(settings),
     )
 
 
--- /dev/null
+++ b/tests/integration/test_platform_status.py
@@ -0,0 +1,69 @@
+"""What an operator sees of a system whose daemons find each other by seeds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+
+import pytest
+
+from integration.platform_system import job, platform_system
+from integration.processes import wait_until
+
+PROGRAM = "from ibisspring_cli.main import main; main()"
+
+
+@pytest.fixture
+async def system(tmp_path):
+    async with platform_system(tmp_path) as system:
+        yield system
+
+
+async def status(seeds: list[str], *more: str) -> tuple[int, str]:
+    arguments = ["-c", PROGRAM, "--timeout", "5", "status", "--seeds", ",".join(seeds), *more]
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, stdout=asyncio.subprocess.PIPE
+    )
+    output, _ = await child.communicate()
+    return child.returncode, output.decode()
+
+
+async def test_status_shows_jobs_stores_duties_and_their_holders(system) -> None:
+    seeds = [f"127.1.1.{number}:{system.ports['peer']}" for number in (1, 2, 3)]
+    for engine in system.engines:
+        engine.event_s = 0.2
+        engine.events = 50
+    await system.submit("lot1", job(4))
+
+    async def runs() -> dict | None:
+        code, output = await status(seeds, "--json")
+        answer = json.loads(output) if code == 0 else {"jobs": None}
+        jobs = answer["jobs"]
+        return answer if jobs and jobs["jobs"] and jobs["jobs"][0]["running"] else None
+
+    answer = await wait_until(runs, "the job to run")
+
+    directory, jobs = answer["directory"], answer["jobs"]
+    roles = [daemon["role"] for daemon in directory["daemons"]]
+    assert {role: roles.count(role) for role in roles} == {"control": 3, "entry": 2, "store": 3}
+    (leads,) = [daemon["daemon"] for daemon in directory["daemons"] if daemon["leads_jobs"]]
+    assert leads == jobs["leader"]
+    assert directory["table_version"] == 1
+    assert {duty["duty"]: duty["holder"] for duty in directory["duties"]} == {
+        "loads of weights": directory["leader"]
+    }
+    assert (jobs["jobs"][0]["job"], jobs["jobs"][0]["total"]) == ("lot1", 4)
+    assert len(jobs["runners"]) == 2
+
+    code, text = await status(seeds)
+    assert code == 0
+    assert f"leader {directory['leader']} in term" in text
+    assert "lot1" in text
+
+
+async def test_without_a_leader_status_says_so() -> None:
+    code, text = await status(["127.0.0.1:9"], "--json")
+
+    assert code == 3
+    assert json.loads(text)["error"]["reason"] == "no_leader"
