Break the import circles by moving what both sides share

Cause: entry_leases and entry_views, http/health and http/service, proxy/generation, plain_call and service, rollouts/resources and service named each other; a reader of one had to know the other. Ruled out: imports inside functions, which hide a circle. Change: EntryLease has a module of its own; the choice of endpoints and what tries teach moved from the service into EndpointUse, its base; trainers' routes ask a protocol; readiness asks a callable.

--- a/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
@@ -10,12 +10,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import eliot
 
 from ibisspring_control.endpoint_table import EndpointTable
+from ibisspring_control.entry_lease import EntryLease
 from ibisspring_control.entry_views import EntryViews
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
@@ -39,26 +39,6 @@
 ALL_ENDPOINTS_SPACING_S = 1.0
 
 
-@dataclass(frozen=True)
-class EntryLease:
-    """
-    One start of an entry, as the leader knows it.
-
-    :param view_index: index of the view that it acts on.
-    :param lapses_s: boot-clock second at which its lease has lapsed for sure.
-    :param asked_s: when it was last asked for all endpoints.
-    """
-
-    daemon: str
-    incarnation: int
-    data_centre: str
-    peer_address: str
-    view_index: int
-    rules_version: int
-    lapses_s: float
-    asked_s: float = 0.0
-
-
 class EntryLeases:
     """The service `entry_leases`."""
 
--- a/packages/ibisspring-control/src/ibisspring_control/entry_views.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_views.py
@@ -11,7 +11,7 @@
 from ibisspring_core.messages.views import PeerRecord
 
 if TYPE_CHECKING:
-    from ibisspring_control.entry_leases import EntryLease
+    from ibisspring_control.entry_lease import EntryLease
     from ibisspring_control.state import StateMachine
     from ibisspring_core.pb import control_pb2
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/health.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/health.py
@@ -11,9 +11,9 @@
 from ibisspring_core.errors import Reason, Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
 
     from ibisspring_core.kernel import Kernel
-    from ibisspring_entry.http.service import HttpService
 
 
 class HealthResource:
@@ -28,9 +28,9 @@
 class ReadyResource:
     """`GET /readyz`: new requests may be sent here."""
 
-    def __init__(self, kernel: Kernel, service: HttpService) -> None:
+    def __init__(self, kernel: Kernel, is_stopping: Callable[[], bool]) -> None:
         self._lease = kernel.find("lease")
-        self._service = service
+        self._is_stopping = is_stopping
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Answer 200, or 503 with the reason."""
@@ -38,7 +38,7 @@
         view = self._lease.view()
         if isinstance(view, Refusal):
             reason = view.reason.value
-        if self._service.stopping:
+        if self._is_stopping():
             reason = Reason.STOPPING.value
         response.status = falcon.HTTP_503 if reason else falcon.HTTP_200
         response.content_type = falcon.MEDIA_JSON
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/service.py
@@ -67,7 +67,7 @@
         app = falcon.asgi.App(middleware=[RequestIds(), self._refusing])
         add_error_handlers(app, counters)
         app.add_route("/healthz", HealthResource())
-        app.add_route("/readyz", ReadyResource(kernel, self))
+        app.add_route("/readyz", ReadyResource(kernel, lambda: self.stopping))
         app.add_route("/v1/announce", AnnounceResource(kernel, self._settings))
         app.add_route("/v1/generate", GenerateResource(kernel, self._settings))
         services = ServicesResource(kernel, self._settings)
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -16,7 +16,7 @@
     from collections.abc import AsyncIterator
 
     from ibisspring_core.messages.endpoints import EndpointRecord
-    from ibisspring_entry.proxy.service import Endpoints, Start
+    from ibisspring_entry.proxy.endpoint_use import EndpointUse, Start
 
 MAX_TRIES = 10
 """Tries of one generation, each of which got further than the one before."""
@@ -40,7 +40,7 @@
 class Generation:
     """The state of one generation: what the caller holds, and where it was tried."""
 
-    def __init__(self, endpoints: Endpoints, request: GenerateRequest, deadline: float) -> None:
+    def __init__(self, endpoints: EndpointUse, request: GenerateRequest, deadline: float) -> None:
         self._endpoints = endpoints
         self._request = request
         self._held: list[int] = []
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -11,7 +11,7 @@
 from ibisspring_entry.proxy.plain_try import send_try
 
 if TYPE_CHECKING:
-    from ibisspring_entry.proxy.service import Endpoints, Start
+    from ibisspring_entry.proxy.endpoint_use import EndpointUse, Start
 
 MAX_TRIES = 3
 RETRY_AFTER_S = 1.0
@@ -20,7 +20,7 @@
 class PlainCall:
     """The state of one call: what was tried, and whether any try may have run."""
 
-    def __init__(self, endpoints: Endpoints, request: PlainRequest, deadline: float) -> None:
+    def __init__(self, endpoints: EndpointUse, request: PlainRequest, deadline: float) -> None:
         self._endpoints = endpoints
         self._request = request
         self._deadline = deadline
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/resources.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/resources.py
@@ -20,7 +20,7 @@
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import EntrySettings
     from ibisspring_entry.rollouts.peer_batches import Progress
-    from ibisspring_entry.rollouts.service import Rollouts
+    from ibisspring_entry.rollouts.trainer_calls import Published, TrainerCalls
 
 BodyT = TypeVar("BodyT")
 
@@ -28,7 +28,9 @@
 class TrainerResource:
     """What the routes of one trainer share: its key, bodies, and how answers are written."""
 
-    def __init__(self, kernel: Kernel, rollouts: Rollouts, entry_settings: EntrySettings) -> None:
+    def __init__(
+        self, kernel: Kernel, rollouts: TrainerCalls, entry_settings: EntrySettings
+    ) -> None:
         self._kernel = kernel
         self._rollouts = rollouts
         self._entry_settings = entry_settings
@@ -148,16 +150,8 @@
     version: int
 
 
-@dataclass(frozen=True)
-class Published:
-    """A version that was taken."""
-
-    trainer: str
-    version: int
-
-
 def trainer_routes(
-    kernel: Kernel, rollouts: Rollouts, entry_settings: EntrySettings
+    kernel: Kernel, rollouts: TrainerCalls, entry_settings: EntrySettings
 ) -> tuple[tuple[str, TrainerResource], ...]:
     """
     List the routes.
@@ -179,4 +173,4 @@
     )
 
 
-__all__ = ["Published", "trainer_routes"]
+__all__ = ["trainer_routes"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/service.py
@@ -17,11 +17,12 @@
     is_own,
 )
 from ibisspring_entry.rollouts.peer_batches import Progress, fetch_from_peer
-from ibisspring_entry.rollouts.resources import Published, trainer_routes
+from ibisspring_entry.rollouts.resources import trainer_routes
 from ibisspring_entry.rollouts.samples import Batch, build_batch
 from ibisspring_entry.rollouts.scoring import ScoreBatcher
 from ibisspring_entry.rollouts.step_commands import StepCommands
 from ibisspring_entry.rollouts.step_request import check_step_request
+from ibisspring_entry.rollouts.trainer_calls import Published
 from ibisspring_entry.rollouts.trainer_rules import (
     bound_of,
     check_share,
