Run control on the stores' VMs

Cause: three VMs ran nothing but a control daemon that needs 0.05 of a core and a disk; each VM in use is a price on both sites. Ruled out: one process for both roles, which would save memory as well: two logs and two life cycles in one event loop are a change of their own.

--- a/tests/integration/test_platform_faults.py
+++ b/tests/integration/test_platform_faults.py
@@ -123,7 +123,8 @@
 
 async def replica_status(system, name: str) -> dict | None:
     """What a replica says of itself; None where it does not answer."""
-    address = f"{system.boot_by_name[name]['ip']}:{system.ports['peer']}"
+    # A store listens on the port after the one of control and entries.
+    address = f"{system.boot_by_name[name]['ip']}:{system.ports['peer'] + 1}"
     async with grpc.aio.insecure_channel(address) as channel:
         stub = consensus_pb2_grpc.ConsensusStub(channel)
         try:
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
 import json
+import tomllib
+from pathlib import Path
 
 import pytest
 
 from ibisspring_platform.settings import VARIABLE, read_settings
 
+REPOSITORY = Path(__file__).resolve().parents[3]
 BOOT = {
     "node": "core-derby-1",
     "role": "control",
@@ -75,3 +78,26 @@
         "listen.frontend",
         "listen.readiness",
     ]
+
+
+def test_control_and_a_store_on_one_vm_share_no_port_and_no_folder(read) -> None:
+    # Both processes get the same address, ports and disk; the second one would find its port taken
+    # or write into the first one's log.
+    store = {**BOOT, "role": "store", "serves": ["storage"], "listen": {}}
+
+    one, other = read(BOOT), read(store)
+
+    assert other.peer_address == "10.1.0.40:7641"
+    assert other.seeds == one.seeds
+    assert one.metrics_listen != other.metrics_listen
+    assert one.data_folder != other.data_folder
+
+
+def test_the_deploy_file_names_the_ports_at_which_metrics_are_served(read) -> None:
+    deploy = tomllib.loads((REPOSITORY / "deploy" / "system.toml").read_text())
+    boot = {**BOOT, "listen": {**BOOT["listen"], "frontend": "10.1.0.40:1", "readiness": "x:2"}}
+
+    for role in deploy["roles"].values():
+        settings = read({**boot, "serves": role["serves"]})
+        port = settings.metrics_listen.rpartition(":")[2]
+        assert role["metrics"] == f"{port}/metrics"
