--- a/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ibisspring_cli.log_lines import in_one_order
 
@@ -87,33 +87,42 @@
     linked = _linked([line for _, line in named], wanted)
     if any(line.fields.get("reason") == NO_ENDPOINT for _, line in named):
         # None was tried, so any of them may be the one that was missing.
-        linked |= {line.fields.get("endpoint", "") for _, line in timed} - {wanted}
+        named_endpoints = (line.fields.get("endpoint") for _, line in timed)
+        linked |= {one for one in named_endpoints if isinstance(one, str)} - {wanted}
     told = []
     left_out: dict[str, int] = {}
     for at, line in timed:
         names_it = line.names(direct) or line.process == wanted
         around = first_s - BEFORE_S <= at <= last_s + AFTER_S
         if line.kind == LEFT_OUT and around:
-            for kind, count in line.fields.get("count", {}).items():
-                left_out[kind] = left_out.get(kind, 0) + count
+            _add_counts(left_out, line.fields.get("count"))
         if names_it or (around and _tells_of(line, linked)):
             told.append(Told(round(at - first_s, 4), names_it, line))
     return Explanation(tuple(told), _meanings(told), tuple(clocks), left_out)
 
 
+def _add_counts(left_out: dict[str, int], counts: Any) -> None:
+    if not isinstance(counts, dict):
+        return
+    for kind, count in counts.items():
+        if isinstance(count, int):
+            left_out[kind] = left_out.get(kind, 0) + count
+
+
 def _linked(named: list[LogLine], wanted: str) -> frozenset[str]:
     """Ids that belong to the one asked for: a job's items, an item's job, endpoints tried."""
-    found: set[str] = set()
+    found: list[Any] = []
     for line in named:
         fields = line.fields
-        if fields.get("job") == wanted and "item" in fields:
-            found.add(fields["item"])
-        if fields.get("item") == wanted and "job" in fields:
-            found.add(fields["job"])
+        if fields.get("job") == wanted:
+            found.append(fields.get("item"))
+        if fields.get("item") == wanted:
+            found.append(fields.get("job"))
         if any(name in fields for name in WORK_FIELDS):
-            found.update(fields.get("tries", ()))
-            found.add(fields.get("endpoint", ""))
-    return frozenset(found - {"", wanted})
+            tries = fields.get("tries")
+            found += tries if isinstance(tries, list) else ()
+            found.append(fields.get("endpoint"))
+    return frozenset(one for one in found if isinstance(one, str)) - {"", wanted}
 
 
 def _tells_of(line: LogLine, linked: frozenset[str]) -> bool:
@@ -121,19 +130,23 @@
     work = [line.fields[name] for name in WORK_FIELDS if name in line.fields]
     if work:
         # A job's acceptance explains its item; the item's other lines explain its job.
-        return any(isinstance(one, str) and one in linked for one in work) and (
-            "item" not in line.fields or line.fields["item"] in linked
+        return any(_is_in(one, linked) for one in work) and (
+            "item" not in line.fields or _is_in(line.fields["item"], linked)
         )
     if "endpoint" in line.fields:
-        return line.fields["endpoint"] in linked
+        return _is_in(line.fields["endpoint"], linked)
     return line.kind != LEFT_OUT
 
 
+def _is_in(value: Any, wanted: frozenset[str]) -> bool:
+    return isinstance(value, str) and value in wanted
+
+
 def _meanings(told: list[Told]) -> tuple[str, ...]:
     found: dict[str, str] = {}
     for one in reversed(told):
         reason = one.line.fields.get("reason") if one.direct else None
-        if reason in MEANING_BY_REASON:
+        if isinstance(reason, str) and reason in MEANING_BY_REASON:
             found.setdefault(reason, f"{reason}: {MEANING_BY_REASON[reason]}")
     return tuple(found.values())
 
--- a/packages/ibisspring-cli/src/ibisspring_cli/log_lines.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/log_lines.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import json
 import statistics
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 # A wall clock that moves so far against the boot clock of its VM was set.
 STEP_S = 0.05
+# Clocks are set by seconds; a larger difference is another boot of the VM.
+MOST_STEP_S = 600.0
 # Fields that say where a line comes from and not what it tells.
 OWN_FIELDS = ("message_type", "timestamp", "process", "boot_s")
 
@@ -54,6 +57,15 @@
     steps_s: tuple[float, ...]
 
 
+class _Head(msgspec.Struct):
+    """What every line must have, and where it comes from."""
+
+    message_type: str
+    timestamp: float
+    process: str = ""
+    boot_s: float | None = None
+
+
 @dataclass
 class _Clock:
     """The lines of one start of one VM."""
@@ -70,37 +82,34 @@
     :return: the lines that have a kind and a time.
     """
     lines = []
-    last_boot_by_process: dict[str, float] = {}
+    offset_by_process: dict[str, float] = {}
     start_by_process: dict[str, int] = {}
     for text in texts:
-        message = _message_of(text)
-        if message is None:
+        head = _head_of(text)
+        if head is None:
             continue
-        process = str(message.get("process", ""))
-        boot_s = message.get("boot_s")
-        if boot_s is not None:
+        process = head.process
+        if head.boot_s is not None:
             # Two boots of a VM have nothing in common but its name.
-            known = last_boot_by_process.get(process)
-            if known is not None and abs(_offset(message) - known) > _MOST_STEP_S:
+            offset_s = head.timestamp - head.boot_s
+            known_s = offset_by_process.get(process, offset_s)
+            if abs(offset_s - known_s) > MOST_STEP_S:
                 start_by_process[process] = start_by_process.get(process, 0) + 1
-            last_boot_by_process[process] = _offset(message)
+            offset_by_process[process] = offset_s
+        fields = msgspec.json.decode(text[text.find("{") :])
         lines.append(
             LogLine(
                 process,
-                message["message_type"],
-                float(message["timestamp"]),
-                boot_s,
+                head.message_type,
+                head.timestamp,
+                head.boot_s,
                 start_by_process.get(process, 0),
-                {name: value for name, value in message.items() if name not in OWN_FIELDS},
+                {name: value for name, value in fields.items() if name not in OWN_FIELDS},
             )
         )
     return lines
 
 
-# Clocks are set by seconds; a larger difference is another boot of the VM.
-_MOST_STEP_S = 600.0
-
-
 def in_one_order(lines: Iterable[LogLine]) -> tuple[list[tuple[float, LogLine]], list[ClockNote]]:
     """
     Order lines of several processes.
@@ -139,21 +148,14 @@
     return line.boot_s + offset_by_start[(line.process, line.start)]
 
 
-def _message_of(text: str) -> dict[str, Any] | None:
+def _head_of(text: str) -> _Head | None:
     begin = text.find("{")
     if begin < 0:
         return None
     try:
-        message = json.loads(text[begin:])
-    except ValueError:
-        return None
-    if not isinstance(message, dict) or "message_type" not in message:
+        return msgspec.json.decode(text[begin:], type=_Head)
+    except (msgspec.DecodeError, ValueError):
         return None
-    return message if isinstance(message.get("timestamp"), int | float) else None
-
-
-def _offset(message: dict[str, Any]) -> float:
-    return message["timestamp"] - message["boot_s"]
 
 
 def _holds(value: Any, wanted: frozenset[str]) -> bool:
--- a/tests/unit/cli/test_explain.py
+++ b/tests/unit/cli/test_explain.py
@@ -4,6 +4,8 @@
 
 import pytest
 from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ibisspring_cli.explanations import explain
 from ibisspring_cli.log_lines import in_one_order, parse_lines
@@ -160,3 +162,26 @@
 
     assert result.exit_code == 1
     assert "none of 7 log lines names 'r77'" in result.output
+
+
+@given(st.lists(st.text(), max_size=20))
+def test_no_text_breaks_the_reading(texts) -> None:
+    in_one_order(parse_lines(texts))
+
+
+NAMES = ("request", "count", "endpoint", "tries", "item", "job", "reason")
+SIMPLE = st.sampled_from((None, 1, 0.5, "r1", "e7", ""))
+ODD = st.one_of(SIMPLE, st.lists(SIMPLE, max_size=2), st.just({"a": 1}), st.just([["e7"]]))
+KINDS = st.sampled_from(("forward:refused", "log:left_out", "directory:endpoint"))
+
+
+@given(st.lists(st.tuples(KINDS, st.dictionaries(st.sampled_from(NAMES), ODD)), max_size=8))
+def test_no_line_with_odd_fields_breaks_the_explanation(messages) -> None:
+    lines = [line("edge-1", 1.0, kind, 2.0, **fields) for kind, fields in messages]
+
+    explain("r1", parse_lines(lines))
+
+
+@given(st.dictionaries(st.sampled_from(("message_type", "timestamp", "process", "boot_s")), ODD))
+def test_a_line_with_an_odd_head_is_left_out(head) -> None:
+    in_one_order(parse_lines([json.dumps(head)]))
