Split the emulator and the dispatcher's surroundings off; one place for callers' headers

Change: `_emulated_system` holds engines, trainers and troubles; `surroundings` what the dispatcher asks of its daemon; the headers of a caller's call stand in the fake system. An unused function of the emulator is gone.

--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -14,38 +14,38 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
-
-from ibisspring_decisions.dispatch import EngineRoom, WaitingItem, memory_needed, order_of, place
-from ibisspring_decisions.stragglers import LEAST_LEFT, MovableRun, Pace, choose_moves, slow_engines
-from ibisspring_decisions.version_hosts import Host, allowed_lag, choose_hosts, next_loads
+from dataclasses import dataclass
+
+from bench._emulated_system import (
+    MEMORY_TOKENS,
+    SLOTS,
+    TOKENS_PER_EVENT,
+    Engine,
+    Fleet,
+    Text,
+    Trainer,
+    Trouble,
+    draw_text,
+)
+from ibisspring_decisions.dispatch import EngineRoom, WaitingItem, order_of, place
+from ibisspring_decisions.stragglers import LEAST_LEFT, MovableRun, choose_moves, slow_engines
+from ibisspring_decisions.version_hosts import Host, allowed_lag, next_loads
 
 TICK_S = 0.02
 DISPATCH_S = 0.1
 MOVES_S = 0.5
-SLOTS = 12
-MEMORY_TOKENS = 40_482
-EVENT_S = 0.036
-FULL_COSTS = 0.25
-"""A full engine takes a quarter longer for an event than an empty one."""
-
 LOAD_S = 0.9
 LOADS_AT_ONCE = 2
-PROMPT_TOKENS = 271
-MOST_TOKENS = 9_400
-EVENTS_MEDIAN = 14
-EVENTS_SIGMA = 0.7
-LONG_SHARE = 1 / 12
-LONG_TIMES = 5
-MOST_EVENTS = 105
-TOKENS_PER_EVENT = 60
-ESTIMATE_SIGMA = 0.4
 STEP_EVERY_S = 4.0
 TRAINING_S = 0.5
 ENOUGH_GROUPS = 0.9
 DUE_S = 7.5
 PART_S = 1.0
 DAY_S = 60.0
+SLOW_FOR_S = 10.0
+DARK_S = 2.4
+BOOT_S = 8.0
+RECLAIMED = 2
 
 
 @dataclass(frozen=True)
@@ -68,111 +68,6 @@
     by_estimate: bool = True
 
 
-@dataclass(frozen=True)
-class Fleet:
-    """
-    Engines and what trainers ask of them.
-
-    :param groups_by_model: groups of a step by model.
-    :param group_size: items of a group.
-    """
-
-    name: str
-    engines: int
-    groups_by_model: dict[str, int]
-    group_size: int
-
-
-@dataclass(frozen=True)
-class Trouble:
-    """
-    What happens in the day.
-
-    :param slow_at_s: from then on for ten seconds one engine takes three times as long.
-    :param power_at_s: all runs are cut; nothing is dispatched for `DARK_S`.
-    :param reclaim_at_s: two engines are gone for `BOOT_S`.
-    """
-
-    name: str
-    slow_at_s: float | None = None
-    power_at_s: float | None = None
-    reclaim_at_s: float | None = None
-
-
-SLOW_FOR_S = 10.0
-SLOW_TIMES = 3.0
-DARK_S = 2.4
-BOOT_S = 8.0
-RECLAIMED = 2
-
-
-@dataclass
-class Text:
-    """
-    One item.
-
-    :param made: events that exist.
-    :param kept: of these, events that outlive the loss of all processes.
-    """
-
-    model: str
-    step: int
-    group: int
-    number: int
-    events: int
-    expected_tokens: int
-    submitted_s: float
-    carried: bool
-    made: float = 0.0
-    kept: float = 0.0
-    engine: str = ""
-    began_s: float = 0.0
-    done_s: float | None = None
-
-    @property
-    def key(self) -> tuple[str, str]:
-        return (f"{self.model}:{self.step}", f"{self.group}:{self.number}")
-
-    def tokens(self, by_estimate: bool) -> int:
-        """Memory that is reckoned for it."""
-        expected = self.expected_tokens if by_estimate else 0
-        most = PROMPT_TOKENS + MOST_TOKENS
-        return memory_needed(most, PROMPT_TOKENS, expected) if by_estimate else most
-
-
-@dataclass
-class Engine:
-    """An engine; `loading` names the model that it loads until `loads_until_s`."""
-
-    name: str
-    version_by_model: dict[str, int]
-    runs: list[Text] = field(default_factory=list)
-    loading: str = ""
-    load_version: int = 0
-    loads_until_s: float = 0.0
-    gone_until_s: float = 0.0
-    pace: Pace = field(default_factory=Pace)
-
-    def event_s(self, slow: bool) -> float:
-        """Seconds for an event of each run now."""
-        fullness = len(self.runs) / SLOTS
-        return EVENT_S * (1.0 + FULL_COSTS * fullness) * (SLOW_TIMES if slow else 1.0)
-
-
-@dataclass
-class Trainer:
-    """One trainer's steps; `texts` are those of the step that is open."""
-
-    model: str
-    groups: int
-    group_size: int
-    step: int = 0
-    version: int = 0
-    next_at_s: float = 0.0
-    texts: list[Text] = field(default_factory=list)
-    open: bool = False
-
-
 @dataclass(frozen=True)
 class Result:
     """
@@ -275,19 +170,12 @@
             first = trainer.step * 1000
             for group in range(first, first + trainer.groups - len(carried)):
                 trainer.texts += [
-                    self._text(trainer, group, n, now) for n in range(trainer.group_size)
+                    draw_text(self._source, trainer, group, number, now)
+                    for number in range(trainer.group_size)
                 ]
             trainer.open = True
             self._asked += 1
 
-    def _text(self, trainer: Trainer, group: int, number: int, now: float) -> Text:
-        times = LONG_TIMES if self._source.random() < LONG_SHARE else 1
-        drawn = self._source.lognormvariate(0.0, EVENTS_SIGMA) * EVENTS_MEDIAN * times
-        events = max(2, min(int(drawn), MOST_EVENTS))
-        error = self._source.lognormvariate(0.0, ESTIMATE_SIGMA)
-        expected = int(events * TOKENS_PER_EVENT * error)
-        return Text(trainer.model, trainer.step, group, number, events, expected, now, False)
-
     def _make_events(self, now: float) -> None:
         slow_at = self._trouble.slow_at_s
         for index, engine in enumerate(self._engines):
@@ -434,11 +322,4 @@
     return at_s is not None and at_s <= now < at_s + TICK_S
 
 
-def hosts_of(fleet: Fleet) -> int:
-    """Engines that keep up with one model's versions."""
-    hosts = [Host(f"e{number}", {}) for number in range(fleet.engines)]
-    chosen = choose_hosts(hosts, dict.fromkeys(fleet.groups_by_model, 1))
-    return max(len(engines) for engines in chosen.values())
-
-
-__all__ = ["Emulator", "Fleet", "Policy", "Result", "Trouble", "hosts_of"]
+__all__ = ["Emulator", "Policy", "Result"]
--- a/bench/emulated.py
+++ b/bench/emulated.py
@@ -5,7 +5,8 @@
 import dataclasses
 from statistics import mean
 
-from bench._emulator import Emulator, Fleet, Policy, Result, Trouble
+from bench._emulated_system import Fleet, Trouble
+from bench._emulator import Emulator, Policy, Result
 from bench._report import bar_plot, print_table, spread
 
 SEEDS = (1, 2, 3, 4)
--- a/bench/log_lines.py
+++ b/bench/log_lines.py
@@ -14,7 +14,7 @@
 import aiohttp
 
 from bench._report import print_table
-from integration.platform_system import HOST, KEY, LOOKUP, PlatformSystem, platform_system
+from integration.platform_system import LOOKUP, PlatformSystem, headers_of, platform_system
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -57,14 +57,13 @@
 
 async def load(system: PlatformSystem, per_s: int) -> None:
     """Send requests at a rate, a tenth of them to a path without a route."""
-    headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "Deadline-Ms": "3000"}
     end = asyncio.get_running_loop().time() + SPAN_S
     refused_every = int(1 / REFUSED_SHARE)
     async with aiohttp.ClientSession() as session:
 
         async def send(number: int) -> None:
             path = f"{LOOKUP}{number}" if number % refused_every else "/nowhere"
-            own = {**headers, "Attempt-Id": f"r{per_s}-{number}"}
+            own = headers_of(f"r{per_s}-{number}")
             async with session.post(system.entry_url(1) + path, headers=own) as answer:
                 await answer.read()
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import eliot
@@ -20,13 +19,13 @@
 from ibisspring_jobs.progress import ItemProgress, abandoned
 from ibisspring_jobs.runners import Runners
 from ibisspring_jobs.runs import Run
+from ibisspring_jobs.surroundings import Surroundings
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.messages.jobs import JobItem, TakeWork
-    from ibisspring_core.routes.model import ServiceTerms
     from ibisspring_jobs.runners import Runner
     from ibisspring_jobs.state import JobsState, KeptJob
 
@@ -44,23 +43,6 @@
 TOKENS_PER_EVENT = 60
 
 
-@dataclass(frozen=True)
-class Surroundings:
-    """
-    What the dispatcher asks of the daemon around it.
-
-    :param serving: endpoints of a service that may get new work.
-    :param terms: terms of a service; None for an unknown one.
-    :param loads: whether an endpoint begins nothing for a model because it loads.
-    :param wall_s: agreed time of day in seconds since 1970.
-    """
-
-    serving: Callable[[str], tuple[EndpointRecord, ...]]
-    terms: Callable[[str], ServiceTerms | None]
-    wall_s: Callable[[], float]
-    loads: Callable[[str, str], bool] = lambda endpoint, model: False
-
-
 class Dispatcher:
     """The runs under one epoch."""
 
--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -220,14 +220,8 @@
         self, method: str, path: str, attempt: str, body: Any = None, entry: int = 1, key: str = KEY
     ) -> tuple[int, bytes]:
         """Make a caller's call."""
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": attempt,
-            "Deadline-Ms": "3000",
-            "Authorization": f"Bearer {key}",
-        }
         data = json.dumps(body).encode() if body is not None else b""
-        return await request(method, self.entry_url(entry) + path, data, headers)
+        return await request(method, self.entry_url(entry) + path, data, headers_of(attempt, key))
 
     async def results(self, name: str, entry: int = 1) -> dict | None:
         """Read all results of a job; None where they cannot be read now."""
@@ -244,6 +238,16 @@
         return await wait_until(listed, f"{total} results of {name}")
 
 
+def headers_of(attempt: str, key: str = KEY) -> dict[str, str]:
+    """Headers of a caller's call."""
+    return {
+        "Host": HOST,
+        "Attempt-Id": attempt,
+        "Deadline-Ms": "3000",
+        "Authorization": f"Bearer {key}",
+    }
+
+
 async def request(
     method: str, url: str, data: bytes, headers: dict[str, str] | None = None
 ) -> tuple[int, bytes]:
