Take control off the stores' VMs again

Change: control stands on core VMs; ports, folders and metrics ports of their own stay. It would need an emptied VM to hand on its control replica first.

--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -101,3 +101,18 @@
         settings = read({**boot, "serves": role["serves"]})
         port = settings.metrics_listen.rpartition(":")[2]
         assert role["metrics"] == f"{port}/metrics"
+
+
+def test_control_stands_on_no_vm_that_an_operator_may_empty() -> None:
+    """
+    An operator empties a store; its VM goes, and other stores lose their disks right after.
+
+    With a control replica on each of these VMs a majority of that log was lost too: the newest
+    configuration, acknowledged, could not be read back, and callers were refused to the end.
+    """
+    deploy = tomllib.loads((REPOSITORY / "deploy" / "system.toml").read_text())
+    class_by_served = {
+        served: role["on"] for role in deploy["roles"].values() for served in role["serves"]
+    }
+
+    assert class_by_served["control_plane"] != class_by_served["storage"]
