Answer an operator who came second at once

Cause: since drains wait until they are in force, every command of an operator waited that was not refused outright. A rules file under a base that is no longer in force is answered by a conflict, which changed nothing: the wait could never end, and the command line said "unknown" (exit code 4) in place of "conflict" (5). Found by three tests of operators in the whole run. Ruled out: the entries' renewals: no entry is ever sent a view of that index. Change: only results that change the view are waited for. A test with stand-ins fails on the code before.

--- a/packages/ibisspring-control/src/ibisspring_control/rpc/control_service.py
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/control_service.py
@@ -12,7 +12,7 @@
 from ibisspring_core.clock import wall_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.codec import encode
-from ibisspring_core.messages.commands import COMMANDS, RESULTS, Envelope, Refused
+from ibisspring_core.messages.commands import COMMANDS, RESULTS, Done, Envelope, RulesApplied
 from ibisspring_core.pb import control_pb2, control_pb2_grpc
 
 if TYPE_CHECKING:
@@ -60,10 +60,10 @@
         if isinstance(committed, Refusal):
             return self._refused(committed)
         index = committed.index
-        refused = isinstance(RESULTS.decode(committed.result), Refused)
+        changed = isinstance(RESULTS.decode(committed.result), RulesApplied | Done)
         # An operator acts on the answer: told that an endpoint is drained while an entry has not
         # heard of it, requests that come after the answer would still begin there.
-        if isinstance(command, KEYED_BY_REQUEST_ID) and not refused:
+        if isinstance(command, KEYED_BY_REQUEST_ID) and changed:
             # A resend finds the first result; what has to be in force is the first index.
             index = self._state.first_index_of(request.request_id) or index
             waited = await self._leases.wait_in_force(index, IN_FORCE_POLL_S)
--- a/tests/unit/control/rpc/test_control_service.py
+++ b/tests/unit/control/rpc/test_control_service.py
@@ -110,6 +110,21 @@
     assert RESULTS.decode(reply.result) == RulesApplied(1)
 
 
+async def test_an_operator_who_came_second_is_told_at_once(served) -> None:
+    """
+    Two operators apply under one base; the second one waits and is told that nothing is known.
+
+    What was refused changed nothing: no entry will ever act on its log index.
+    """
+    served.leases.in_force = 1
+    await served.apply(new_request_id())
+
+    reply = await served.apply(new_request_id(), base=0)
+
+    assert reply.status == control_pb2.OK
+    assert not isinstance(RESULTS.decode(reply.result), RulesApplied)
+
+
 @pytest.mark.parametrize("cancel", [False, True])
 async def test_a_drain_is_acknowledged_once_no_entry_gives_the_endpoint_work(served, cancel):
     """
