--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -267,6 +267,8 @@
     :param after: events of this run in the parts before.
     :param whole: the text ends with them.
     :param score: of a text that is `done`; empty where the item has no reward call.
+    :param kept_s: seconds that the endpoint keeps the run's connection open for the next one; 0.0
+        where it does not, or where the run did not come to its end.
     """
 
     number: int
@@ -278,6 +280,7 @@
     after: int = 0
     whole: bool = False
     score: str = ""
+    kept_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/routing.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/routing.py
@@ -23,6 +23,8 @@
   between equals and never against a shorter line.
 - `CACHED` 0.5: a cached prefix saves the prefill, in the order of half a slot's work; cache events
   are late and have gaps, so it never outweighs one more request per slot.
+- `OPENING` 0.4: an endpoint to which no connection is idle is used where those that have one are at
+  work on two requests more of six; requests then stay with few connections, and a burst spreads.
 - `CHEAP` 0.1: a generation or lookup loses nothing when its endpoint is reclaimed, it goes on
   elsewhere; so between equals it goes to the cheap kind, of which the rules say how much there is.
 - `RISK` 1.0: a call that may not be repeated ends as "may have run" when its endpoint is reclaimed.
@@ -48,6 +50,7 @@
 
 FAR = 0.05
 CACHED = 0.5
+OPENING = 0.4
 CHEAP = 0.1
 RISK = 1.0
 EJECT_FAILURES = 3
@@ -71,6 +74,7 @@
     :param in_flight: requests that this entry has under way there.
     :param sent_since: requests that this entry sent there since the report was heard.
     :param cached: whether it says that it caches the request's prompt prefix.
+    :param connected: whether a connection to it is known to be idle.
     """
 
     endpoint: str
@@ -82,6 +86,7 @@
     in_flight: int
     sent_since: int = 0
     cached: bool = False
+    connected: bool = False
 
 
 @dataclass
@@ -132,6 +137,8 @@
         # Of one prompt's engines those that cache it are always drawn, or the hint would be lost in
         # most draws; the cost still lets a shorter line win.
         pair.extend(candidate for candidate in healthy if candidate.cached)
+        # The same for those with an idle connection.
+        pair.extend(candidate for candidate in healthy if candidate.connected)
         if not repeatable:
             # Two draws may both be cheap ones beside a free standard one.
             standard = [candidate for candidate in healthy if candidate.kind != CHEAP_KIND]
@@ -224,6 +231,8 @@
             cost += cheap_cost
         if candidate.cached:
             cost -= CACHED
+        if candidate.connected:
+            cost -= OPENING
         return cost
 
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/connections.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/connections.py
@@ -8,6 +8,9 @@
 import aiohttp
 from yarl import URL
 
+from ibisspring_core.clock import boot_now
+from ibisspring_decisions.kept_connections import KeptConnections
+
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
     from ibisspring_gateway.wire import Headers
@@ -16,7 +19,10 @@
 CONNECT_TIMEOUT_S = 0.5
 # Endpoints accept a bounded number of connections from all daemons together.
 CONNECTIONS_PER_ENDPOINT = 16
-IDLE_S = 20.0
+# Endpoints close idle connections themselves and say when; the pool keeps them for longer.
+IDLE_S = 75.0
+# For an endpoint that does not say it.
+UNSAID_KEEP_S = 5.0
 # Bytes that an endpoint does not acknowledge for this long are lost: its VM has no power.
 TCP_USER_TIMEOUT_MS = 1500
 _OWN_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -29,6 +35,7 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._kept = KeptConnections()
 
     async def start(self, kernel: Kernel) -> None:
         """Open the pool."""
@@ -59,6 +66,7 @@
         :param target: path and query, not changed.
         :return: a context manager of the answer.
         """
+        self._kept.taken((address,), boot_now())
         return self._session.request(
             method,
             URL(f"http://{address}{target}", encoded=True),
@@ -67,6 +75,41 @@
             allow_redirects=False,
         )
 
+    def idle(self, address: str) -> bool:
+        """Whether a connection to an endpoint is open and idle."""
+        return self._kept.idle((address,), boot_now()) > 0
+
+    def released(self, address: str, headers: Headers) -> float:
+        """
+        Note that an answer was read to its end.
+
+        :param headers: of the answer.
+        :return: seconds that the endpoint keeps the connection.
+        """
+        keep_s = keep_alive_s(headers)
+        self._kept.released((address,), boot_now(), keep_s)
+        return keep_s
+
+
+def keep_alive_s(headers: Headers) -> float:
+    """
+    Read how long an endpoint keeps a connection that is idle.
+
+    :param headers: of an answer.
+    :return: seconds; 0.0 where it closes the connection.
+    """
+    keep_s = UNSAID_KEEP_S
+    for name, value in headers:
+        if name.lower() == "connection" and "close" in value.lower():
+            return 0.0
+        if name.lower() != "keep-alive":
+            continue
+        for part in value.split(","):
+            key, _, seconds = part.strip().partition("=")
+            if key.lower() == "timeout" and seconds.isascii() and seconds.isdecimal():
+                keep_s = float(seconds)
+    return keep_s
+
 
 def _open_socket(address: tuple) -> socket.socket:
     family, kind, protocol, _, _ = address
@@ -84,4 +127,4 @@
     )
 
 
-__all__ = ["Connections", "headers_of"]
+__all__ = ["Connections", "headers_of", "keep_alive_s"]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -167,6 +167,7 @@
             queued=0,
             capacity=max(1, record.load.capacity),
             in_flight=self._in_flight_by_endpoint.get(record.endpoint, 0),
+            connected=self._connections.idle(record.address),
         )
 
     def hedged(self) -> None:
@@ -245,6 +246,7 @@
                 response.close()
                 return Failed(Reason.MISMATCHED_ANSWER, True)
             body = await response.read()
+            self._connections.released(to.address, answered)
             if verdict in (Verdict.TURNED_AWAY, Verdict.OTHER_ENDPOINT):
                 return Failed(Reason.ENDPOINT_REFUSED, False)
             return Answer(response.status, answered, body)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -39,6 +39,7 @@
     :param version: weight version of the next event.
     :param whole: the stream came to its end.
     :param first_s: seconds until the first event.
+    :param kept_s: seconds that the engine keeps the connection; 0.0 before the end.
     """
 
     data: list[str] = field(default_factory=list)
@@ -47,6 +48,7 @@
     version: int | None = None
     whole: bool = False
     first_s: float = 0.0
+    kept_s: float = 0.0
 
     def outcome(self, number: int, kind: str) -> Outcome:
         """Describe what was made since the last part; it counts as handed over."""
@@ -60,6 +62,7 @@
             tuple(version for version, _ in itertools.groupby(self.versions[after:])),
             self.first_s,
             after,
+            kept_s=self.kept_s,
         )
 
 
@@ -111,6 +114,7 @@
         # engine at work for nobody.
         if text.whole:
             response.release()
+            text.kept_s = connections.released(assignment.address, headers_of(response))
         else:
             response.close()
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -14,6 +14,7 @@
     order_of,
     place,
 )
+from ibisspring_decisions.kept_connections import KeptConnections
 from ibisspring_decisions.stragglers import LEAST_LEFT, MovableRun, choose_moves
 from ibisspring_jobs.paces import EnginePaces
 from ibisspring_jobs.progress import ItemProgress, abandoned
@@ -57,6 +58,7 @@
         self._progress_by_item: dict[tuple[str, str], ItemProgress] = {}
         self._rest_until_by_engine: dict[tuple[str, str], float] = {}
         self._paces = EnginePaces()
+        self._kept = KeptConnections()
         self._groups_by_engine: dict[str, set[tuple[str, str]]] = {}
         self._ending: set[tuple[str, str]] = set()
         self._unscored = {
@@ -194,11 +196,23 @@
         rooms = self._rooms(service, record_by_engine, now)
         for placement in place(sorted(items, key=order_of), rooms):
             record = record_by_engine[placement.engine]
-            runner = self.runners.best(record.endpoint, record.data_centre)
+            runner = self._runner_for(record, now)
             if runner is None:
                 return
             self._assign(placement.key, record, runner, now)
 
+    def _runner_for(self, record: EndpointRecord, now: float) -> Runner | None:
+        def connected(runner: str) -> bool:
+            return self._kept.idle((runner, record.endpoint), now) > 0
+
+        return self.runners.best(record.endpoint, record.data_centre, connected)
+
+    def release(self, outcome: Outcome, now: float) -> None:
+        """Note that a run came to its end, and that its connection is idle from now on."""
+        run = self.run_by_number.get(outcome.number)
+        if run is not None and outcome.kept_s:
+            self._kept.released((run.runner, run.endpoint), now, outcome.kept_s)
+
     def _assign(
         self, key: tuple[str, str], record: EndpointRecord | None, runner: Runner, now: float
     ) -> None:
@@ -236,6 +250,7 @@
         self.run_by_number[run.number] = run
         self._runs_by_item.setdefault(key, set()).add(run.number)
         if record is not None:
+            self._kept.taken((runner.address, record.endpoint), now)
             self._groups_by_engine.setdefault(record.endpoint, set()).add((job.job, item.group))
         runner.sequence_by_number[run.number] = runner.sequence
         runner.free -= 1
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -9,6 +9,8 @@
 import xxhash
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ibisspring_core.messages.jobs import Assignment, TakeWork
 
 # Runners ask for work at least every half second. Their items begin elsewhere after this silence:
@@ -85,14 +87,18 @@
             del self.runner_by_address[runner.address]
         return tuple(found)
 
-    def best(self, endpoint: str, data_centre: str) -> Runner | None:
+    def best(
+        self, endpoint: str, data_centre: str, connected: Callable[[str], bool] = lambda _: False
+    ) -> Runner | None:
         """
         Choose who runs an item at an endpoint.
 
-        Each endpoint has an order of its own of the runners in its data centre. Its runs go to the
-        first of them, which has connections to it: spread evenly, each runner would open its own.
+        A runner that has an idle connection to it goes first: any other one would open one more.
+        Else each endpoint has an order of its own of the runners in its data centre, and its runs
+        go to the first of them.
 
         :param data_centre: of the endpoint; bytes between data centres cost.
+        :param connected: whether a runner, by its address, has an idle connection to the endpoint.
         :return: a runner that waits for work; None where none does.
         """
         runners = self.runner_by_address.values()
@@ -100,8 +106,9 @@
         usual = sum(len(one.sequence_by_number) for one in runners) / max(1, len(runners))
         crowded = max(CROWDED_RUNS, CROWDED_TIMES * usual)
 
-        def rank(runner: Runner) -> tuple[bool, bool, int]:
+        def rank(runner: Runner) -> tuple[bool, bool, bool, int]:
             return (
+                not connected(runner.address),
                 runner.data_centre != data_centre,
                 len(runner.sequence_by_number) >= crowded,
                 xxhash.xxh64_intdigest(f"{endpoint} {runner.address}".encode()),
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -281,6 +281,7 @@
         parts_by_job: dict[str, list[TextPart]] = {}
         now = boot_now()
         for outcome in message.outcomes:
+            dispatcher.release(outcome, now)
             if outcome.kind != "done" and (outcome.events or outcome.whole):
                 made = dispatcher.take_part(outcome)
                 if made is not None:
