--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -158,7 +158,7 @@
 
     def match(self, now: float) -> None:
         """Place what waits and put it into the outboxes of runners that wait for work."""
-        if not any(one.waiting for one in self.runners.runner_by_address.values()):
+        if not any(one.takes(now) for one in self.runners.runner_by_address.values()):
             return
         self._match_unscored(now)
         waiting = self._waiting(now)
@@ -185,7 +185,7 @@
                 continue
             if key in self._runs_by_item or key in self._ending:
                 continue
-            runner = self.runners.best(key[1], "")
+            runner = self.runners.best(key[1], "", now)
             if runner is None:
                 return
             self._unscored.discard(key)
@@ -205,7 +205,7 @@
         def connected(runner: str) -> bool:
             return self._kept.idle((runner, record.endpoint), now) > 0
 
-        return self.runners.best(record.endpoint, record.data_centre, connected)
+        return self.runners.best(record.endpoint, record.data_centre, now, connected)
 
     def release(self, outcome: Outcome, now: float) -> None:
         """Note that a run came to its end, and that its connection is idle from now on."""
@@ -252,10 +252,7 @@
         if record is not None:
             self._kept.taken((runner.address, record.endpoint), now)
             self._groups_by_engine.setdefault(record.endpoint, set()).add((job.job, item.group))
-        runner.sequence_by_number[run.number] = runner.sequence
-        runner.free -= 1
-        runner.outbox.append(assignment)
-        runner.wake.set()
+        runner.give(assignment)
 
     def _progress_of(self, key: tuple[str, str]) -> ItemProgress:
         """What is known of an item; after a change of leader, what the log kept."""
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -16,6 +16,9 @@
 # Runners ask for work at least every half second. Their items begin elsewhere after this silence:
 # an item may run twice, and a trainer waits for it.
 SILENT_S = 1.5
+# A runner calls again as soon as it has an answer. Passed over in these milliseconds, it would see
+# its engines' runs go to a runner that has no connections to them.
+COMES_BACK_S = 0.1
 # An engine's runs stay with one runner until that one has so many more than the usual: its loss
 # then costs no more than a few texts' last second.
 CROWDED_RUNS = 8
@@ -33,6 +36,7 @@
     :param cancelled: numbers to stop, for the same.
     :param moved: numbers to stop and report, for the same.
     :param waiting: a call of it waits for work.
+    :param answered_at: when its last call was answered.
     :param free: items that it still takes.
     """
 
@@ -46,9 +50,21 @@
     cancelled: list[int] = field(default_factory=list)
     moved: list[int] = field(default_factory=list)
     waiting: bool = False
+    answered_at: float = float("-inf")
     free: int = 0
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def takes(self, now: float) -> bool:
+        """Whether it gets what it is given within milliseconds: its call waits or will be here."""
+        return self.waiting or now - self.answered_at < COMES_BACK_S
+
+    def give(self, assignment: Assignment) -> None:
+        """Put an assignment into the answer to the call that waits, or to its next one."""
+        self.sequence_by_number[assignment.number] = self.sequence + (not self.waiting)
+        self.free -= 1
+        self.outbox.append(assignment)
+        self.wake.set()
+
 
 class Runners:
     """Runners by address; `now` is always given."""
@@ -88,7 +104,11 @@
         return tuple(found)
 
     def best(
-        self, endpoint: str, data_centre: str, connected: Callable[[str], bool] = lambda _: False
+        self,
+        endpoint: str,
+        data_centre: str,
+        now: float,
+        connected: Callable[[str], bool] = lambda _: False,
     ) -> Runner | None:
         """
         Choose who runs an item at an endpoint.
@@ -99,10 +119,10 @@
 
         :param data_centre: of the endpoint; bytes between data centres cost.
         :param connected: whether a runner, by its address, has an idle connection to the endpoint.
-        :return: a runner that waits for work; None where none does.
+        :return: a runner that takes work now; None where none does.
         """
         runners = self.runner_by_address.values()
-        waiting = [one for one in runners if one.waiting and one.free > 0]
+        taking = [one for one in runners if one.takes(now) and one.free > 0]
         usual = sum(len(one.sequence_by_number) for one in runners) / max(1, len(runners))
         crowded = max(CROWDED_RUNS, CROWDED_TIMES * usual)
 
@@ -114,7 +134,7 @@
                 xxhash.xxh64_intdigest(f"{endpoint} {runner.address}".encode()),
             )
 
-        return min(waiting, key=rank, default=None)
+        return min(taking, key=rank, default=None)
 
 
 __all__ = ["SILENT_S", "Runner", "Runners"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -259,6 +259,7 @@
         if runner.sequence != call.sequence:
             return Work(dispatcher.epoch)
         runner.waiting = False
+        runner.answered_at = boot_now()
         work = Work(
             dispatcher.epoch,
             tuple(runner.outbox),
