--- a/packages/ibisspring-gateway/src/ibisspring_gateway/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from typing import TYPE_CHECKING
 
@@ -9,11 +10,14 @@
 from yarl import URL
 
 from ibisspring_core.clock import boot_now
-from ibisspring_decisions.kept_connections import KeptConnections
+from ibisspring_core.guarded_http import HttpAnswer, NoAnswer
+from ibisspring_core.kept_connections import KeptConnections
 
 if TYPE_CHECKING:
+    from ibisspring_core.guarded_http import HttpRequest
     from ibisspring_core.kernel import Kernel
-    from ibisspring_gateway.wire import Headers
+
+Headers = tuple[tuple[str, str], ...]
 
 # An endpoint on a VM without power answers no opening packet; another one is tried after this.
 CONNECT_TIMEOUT_S = 0.5
@@ -75,6 +79,28 @@
             allow_redirects=False,
         )
 
+    async def ask(self, question: HttpRequest, timeout_s: float) -> HttpAnswer | NoAnswer:
+        """
+        Ask an endpoint something that changes nothing there, on a connection that is kept.
+
+        :param question: a request without effect; orders go on guarded connections of their own.
+        """
+        url = URL(question.url, encoded=True)
+        headers = tuple(question.headers.items())
+        address = f"{url.host}:{url.port}"
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self.request(
+                    question.method, address, url.raw_path_qs, headers, question.body
+                ) as response,
+            ):
+                body = await response.read()
+                self.released(address, headers_of(response))
+                return HttpAnswer(response.status, body)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return NoAnswer(True, repr(error))
+
     def idle(self, address: str) -> bool:
         """Whether a connection to an endpoint is open and idle."""
         return self._kept.idle((address,), boot_now()) > 0
@@ -127,4 +153,4 @@
     )
 
 
-__all__ = ["Connections", "headers_of", "keep_alive_s"]
+__all__ = ["Connections", "Headers", "headers_of", "keep_alive_s"]
--- a/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
@@ -64,6 +64,7 @@
         self._directory = kernel.find("directory")
         self._duties = kernel.find("duties")
         self._outside = kernel.find("outside")
+        self._connections = kernel.find("connections")
         self._counters = kernel.find("counters")
         self._ticks = kernel.find("timer").subscribe("engine_loads", TICK_S, self._tick)
 
@@ -152,7 +153,7 @@
 
     async def _ask(self, record: EndpointRecord) -> EngineState | None:
         request = self._outside.engine_state_request(record)
-        answer = await self._duties.send(request, ASK_TIMEOUT_S)
+        answer = await self._connections.ask(request, ASK_TIMEOUT_S)
         if not isinstance(answer, HttpAnswer):
             return None
         state = self._outside.engine_state(answer)
--- a/packages/ibisspring-directory/src/ibisspring_directory/role.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/role.py
@@ -9,6 +9,7 @@
 from ibisspring_consensus.config import FOLDER
 from ibisspring_consensus.servicer import ConsensusServicer
 from ibisspring_consensus.state import QUICK
+from ibisspring_core.connections import Connections
 from ibisspring_directory.duties import Duties
 from ibisspring_directory.engine_loads import EngineLoads
 from ibisspring_directory.fleet import Fleet
@@ -47,6 +48,7 @@
         ControlMembership.from_config(settings),
         Duties.from_config(settings),
         UsageReports.from_config(settings),
+        Connections(),
         EngineLoads.from_config(settings),
         Fleet.from_config(settings),
         StatusService.from_config(settings),
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -11,18 +11,19 @@
 import eliot
 
 from ibisspring_core.clock import boot_now
+from ibisspring_core.connections import headers_of
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.routes.model import RepeatRule
 from ibisspring_decisions.routing import Candidate, Router
-from ibisspring_gateway.connections import headers_of
 from ibisspring_gateway.wire import Verdict
 
 if TYPE_CHECKING:
+    from ibisspring_core.connections import Headers
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.routes.model import Route
     from ibisspring_core.settings.vm import VmSettings
-    from ibisspring_gateway.wire import CallerRequest, Headers
+    from ibisspring_gateway.wire import CallerRequest
 
 # A second endpoint gets an idempotent request that has no answer by then: longer than almost all
 # answers take, short enough that the second one still comes within the target.
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -10,13 +10,13 @@
 import aiohttp
 
 from ibisspring_core.clock import boot_now
+from ibisspring_core.connections import headers_of
 from ibisspring_core.messages.jobs import Outcome
-from ibisspring_gateway.connections import headers_of
 from ibisspring_gateway.wire import Verdict
 
 if TYPE_CHECKING:
+    from ibisspring_core.connections import Connections
     from ibisspring_core.messages.jobs import Assignment
-    from ibisspring_gateway.connections import Connections
     from ibisspring_gateway.wire import EndpointWire
 
 # The first event takes a whole line at the engine; later ones come steadily, a tenth of a second
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from ibisspring_core.connections import Connections
 from ibisspring_core.directory_view import DirectoryView
-from ibisspring_gateway.connections import Connections
 from ibisspring_gateway.forward import Forwarder
 from ibisspring_gateway.reward_calls import RewardCalls
 from ibisspring_gateway.runner import Runner
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
@@ -7,11 +7,10 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from ibisspring_core.connections import Headers
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.messages.jobs import Assignment, RewardCall
 
-Headers = tuple[tuple[str, str], ...]
-
 
 @dataclass(frozen=True)
 class CallerRequest:
@@ -94,4 +93,4 @@
         """Read the lines of one event; None where they are none."""
 
 
-__all__ = ["CallerRequest", "EndpointWire", "Event", "Headers", "Verdict"]
+__all__ = ["CallerRequest", "EndpointWire", "Event", "Verdict"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -6,6 +6,7 @@
 
 import eliot
 
+from ibisspring_core.kept_connections import KeptConnections
 from ibisspring_core.messages.jobs import Assignment, ItemResult, Outcome, TextPart
 from ibisspring_decisions.dispatch import (
     EngineRoom,
@@ -14,7 +15,6 @@
     order_of,
     place,
 )
-from ibisspring_decisions.kept_connections import KeptConnections
 from ibisspring_decisions.stragglers import LEAST_LEFT, MovableRun, choose_moves
 from ibisspring_jobs.paces import EnginePaces
 from ibisspring_jobs.progress import ItemProgress, abandoned
--- a/tests/fakes/scripted_endpoint.py
+++ b/tests/fakes/scripted_endpoint.py
@@ -19,9 +19,11 @@
     script: Callable[[str], list[bytes | float | None]]
     heads: list[str] = field(default_factory=list)
     address: str = ""
+    opened: int = 0
     closed: int = 0
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -68,7 +69,9 @@
     other = await system.add_engine("archive")
 
     async def used() -> bool:
-        await system.call("POST", f"{LOOKUP}7", "x")
+        # One at a time they would all go where a connection is idle.
+        calls = (system.call("POST", f"{LOOKUP}7", f"x{number}") for number in range(12))
+        await asyncio.gather(*calls)
         return bool(other.runs)
 
     await wait_until(used, "the second archive to be used")
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -7,12 +7,12 @@
 import pytest
 
 from fakes.scripted_endpoint import scripted
+from ibisspring_core.connections import Connections
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_core.routes import RepeatRule, Route, Share
-from ibisspring_gateway.connections import Connections
 from ibisspring_gateway.forward import Answer, Forwarder
 from ibisspring_gateway.wire import CallerRequest, Verdict
 
--- a/tests/unit/gateway/test_item_run.py
+++ b/tests/unit/gateway/test_item_run.py
@@ -3,10 +3,10 @@
 import pytest
 
 from fakes.scripted_endpoint import scripted
+from ibisspring_core.connections import Connections
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.messages.jobs import Assignment, JobItem
 from ibisspring_gateway import item_run
-from ibisspring_gateway.connections import Connections
 from ibisspring_gateway.item_run import RunText, run_item
 from ibisspring_gateway.wire import Event, Verdict
 
--- a/tests/unit/gateway/test_reward_calls.py
+++ b/tests/unit/gateway/test_reward_calls.py
@@ -8,13 +8,13 @@
 
 from fakes.scripted_endpoint import scripted
 from ibisspring_core.clock import boot_now
+from ibisspring_core.connections import Connections
 from ibisspring_core.counters import Counters
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_core.messages.jobs import RewardCall
 from ibisspring_core.routes import RepeatRule, Route, RouteTable, ServiceTerms, Share
 from ibisspring_core.routes.index import RouteIndex
-from ibisspring_gateway.connections import Connections
 from ibisspring_gateway.forward import Forwarder
 from ibisspring_gateway.reward_calls import RewardCalls, Unscored
 from ibisspring_gateway.wire import CallerRequest
