--- a/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
@@ -110,17 +110,16 @@
 
     async def _send(self, call: RewardCall, route: Route, end_s: float) -> Sent:
         window = await self._enter(route.name)
-        began_s = boot_now()
-        full = True
+        full = False
         try:
-            request = self._wire.reward_request(call, max(0.001, end_s - began_s))
+            request = self._wire.reward_request(call, max(0.001, end_s - boot_now()))
             patience_s = max(LEAST_PATIENCE_S, PATIENCE_TARGETS * route.target_s)
             # It may be repeated whatever the route says of callers' requests.
             repeatable = replace(route, repeat=RepeatRule.IDEMPOTENT)
             sent = await self._forwarder.send(request, repeatable, patience_s)
             full = isinstance(sent.answer, Refusal) and not sent.ran
         finally:
-            window.ended(boot_now(), boot_now() - began_s, full)
+            window.ended(boot_now(), full)
             self._leave(route.name)
         return sent
 
