--- a/packages/ibisspring-decisions/src/ibisspring_decisions/call_window.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/call_window.py
@@ -26,7 +26,8 @@
 - `HOLD_S` 2 s after a refusal without growth: a full service becomes free within a few calls' work.
 - `SHRINK` 0.7, and not again within `SETTLE_S` 0.2 s: the refusals of one burst are one sign, and
   a call of that burst takes about that long to end.
-- `MOST` 64: more texts than that do not end at once at one sender.
+- `MOST_SHARE` 0.18 of the places that the endpoints say they have: five senders, which is what
+  reads five engines' texts, then leave a tenth of them to lookups.
 """
 
 from __future__ import annotations
@@ -36,7 +37,7 @@
 GROW_EVERY_S = 1.0
 HOLD_S = 2.0
 LEAST = 1.0
-MOST = 64.0
+MOST_SHARE = 0.18
 SHRINK = 0.7
 SETTLE_S = 0.2
 
@@ -54,16 +55,17 @@
         """Whether one more call may begin."""
         return self.under_way < int(self.limit)
 
-    def began(self, now: float, waited_s: float) -> None:
+    def began(self, now: float, waited_s: float, places: int) -> None:
         """
         Count a call that begins.
 
         :param waited_s: seconds that it waited for room.
+        :param places: requests that all endpoints of the route work on at a time.
         """
         self.under_way += 1
         may_grow = now - self._grown_at >= GROW_EVERY_S and now - self._shrunk_at >= HOLD_S
         if waited_s > WAIT_S and may_grow:
-            self.limit = min(MOST, self.limit + 1.0)
+            self.limit = max(self.limit, min(MOST_SHARE * places, self.limit + 1.0))
             self._grown_at = now
 
     def left(self) -> None:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
@@ -110,7 +110,7 @@
         )
 
     async def _send(self, call: RewardCall, route: Route, end_s: float) -> Sent:
-        window = await self._enter(route.name)
+        window = await self._enter(route)
         full = False
         try:
             request = self._wire.reward_request(call, max(0.001, end_s - boot_now()))
@@ -121,13 +121,21 @@
             full = isinstance(sent.answer, Refusal) and not sent.ran
         finally:
             window.ended(boot_now(), full)
-            self._leave(route.name)
+            self._leave(route)
         return sent
 
-    async def _enter(self, route: str) -> CallWindow:
+    def _places(self, route: Route) -> int:
+        """Requests that the endpoints of a route work on at a time, by their own word."""
+        return sum(
+            record.load.capacity
+            for share in route.shares
+            for record in self._view.serving(share.service)
+        )
+
+    async def _enter(self, route: Route) -> CallWindow:
         """Wait until the window has room, in the order in which texts became whole."""
-        window = self._window_by_route.setdefault(route, CallWindow())
-        waiting = self._waiting_by_route.setdefault(route, deque())
+        window = self._window_by_route.setdefault(route.name, CallWindow())
+        waiting = self._waiting_by_route.setdefault(route.name, deque())
         if waiting or not window.has_room():
             turn = asyncio.get_running_loop().create_future()
             waiting.append((turn, boot_now()))
@@ -140,17 +148,17 @@
                     self._leave(route)
                 raise
         else:
-            window.began(boot_now(), 0.0)
+            window.began(boot_now(), 0.0, self._places(route))
         return window
 
-    def _leave(self, route: str) -> None:
-        window = self._window_by_route[route]
-        waiting = self._waiting_by_route[route]
+    def _leave(self, route: Route) -> None:
+        window = self._window_by_route[route.name]
+        waiting = self._waiting_by_route[route.name]
         while waiting and window.has_room():
             turn, since_s = waiting.popleft()
             if turn.cancelled():
                 continue
-            window.began(boot_now(), boot_now() - since_s)
+            window.began(boot_now(), boot_now() - since_s, self._places(route))
             turn.set_result(None)
 
 
--- a/tests/unit/decisions/test_call_window.py
+++ b/tests/unit/decisions/test_call_window.py
@@ -59,7 +59,7 @@
         while line and line[0] <= now and (windows is None or windows[sender].has_room()):
             due = line.pop(0)
             if windows is not None:
-                windows[sender].began(now, now - due)
+                windows[sender].began(now, now - due, PLACES)
             end = service.take(now, CALL_S)
             if end is None:
                 line.insert(0, due)
@@ -91,9 +91,9 @@
     # one that reads the texts of a whole engine gets what these need.
     calm, busy = CallWindow(), CallWindow()
     for n in range(100):
-        calm.began(n * 0.1, 0.0)
+        calm.began(n * 0.1, 0.0, PLACES)
         calm.ended(n * 0.1, refused=False)
-        busy.began(n * 0.1, 2 * WAIT_S if n < 50 else 0.0)
+        busy.began(n * 0.1, 2 * WAIT_S if n < 50 else 0.0, PLACES)
         busy.ended(n * 0.1, refused=False)
 
     assert calm.limit == FIRST
@@ -101,16 +101,31 @@
     assert busy.limit < 4 * FIRST
 
 
+def test_a_window_takes_no_more_than_its_share_of_the_places() -> None:
+    # Another fleet: the same sender before twice and before an eighth of the endpoints.
+    limits = {}
+    for places in (5, PLACES, 2 * PLACES):
+        window = CallWindow()
+        for n in range(100):
+            window.began(n * 1.1, 2 * WAIT_S, places)
+            window.ended(n * 1.1, refused=False)
+        limits[places] = window.limit
+
+    assert limits[5] == FIRST
+    assert FIRST < limits[PLACES] < PLACES / 5
+    assert 1.8 * limits[PLACES] < limits[2 * PLACES] < 2.2 * limits[PLACES]
+
+
 def test_refusals_of_one_burst_are_one_sign() -> None:
     window = CallWindow()
     window.limit = 8.0
     for _ in range(8):
-        window.began(0.0, 0.0)
+        window.began(0.0, 0.0, PLACES)
     for _ in range(8):
         window.ended(1.0, refused=True)
     once = window.limit
     assert once > 4.0
 
-    window.began(2.0, 0.0)
+    window.began(2.0, 0.0, PLACES)
     window.ended(1.0 + 2 * SETTLE_S, refused=True)
     assert window.limit < once
