--- a/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
@@ -38,6 +38,7 @@
 
 LOADING_SHARE = 0.4
 LEAST_AT_ONCE = 2
+LARGE_SHARE = 3
 
 
 @dataclass(frozen=True)
@@ -85,11 +86,15 @@
 
     :param lag: versions that jobs let an engine be behind.
     :return: each model's share of the engines, rounded up; or as many as make its share of the
-        loads, each of them loading one version of `lag` + 1.
+        loads, each of them loading one version of `lag` + 1. Of a large share, whole engines only:
+        the version that takes one load beyond the share costs more than one host of many brings.
     """
     if not engines or not models:
         return 0
-    return max(-(-engines // models), min(engines, (lag + 1) * engines // models))
+    least = -(-engines // models)
+    if engines // models >= LARGE_SHARE:
+        return max(least, min(engines, (lag + 1) * (engines // models)))
+    return max(least, min(engines, (lag + 1) * engines // models))
 
 
 def choose_hosts(
--- a/tests/unit/decisions/test_version_hosts.py
+++ b/tests/unit/decisions/test_version_hosts.py
@@ -81,6 +81,7 @@
     assert hosts_per_model(5, 2, 1) == 5
     assert hosts_per_model(5, 3, 1) == 3
     assert hosts_per_model(5, 1, 1) == 5
+    assert hosts_per_model(23, 3, 1) == 14
     assert hosts_per_model(22, 3, 1) == 14
 
 
