Split the dispatcher: engines, items, and the runs between them

Behaviour is as before; the runs of each engine are gathered in one pass instead of one for each engine.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -6,33 +6,22 @@
 
 import eliot
 
-from ibisspring_core.kept_connections import KeptConnections
 from ibisspring_core.messages.jobs import Assignment, ItemResult, Outcome, TextPart
-from ibisspring_decisions.dispatch import (
-    EngineRoom,
-    WaitingItem,
-    memory_needed,
-    order_of,
-    place,
-)
+from ibisspring_decisions.dispatch import WaitingItem, order_of, place
 from ibisspring_decisions.stragglers import LEAST_LEFT, MovableRun, choose_moves
-from ibisspring_jobs.paces import EnginePaces
+from ibisspring_jobs.engines import Engines
+from ibisspring_jobs.items import Items, Key, memory_of
 from ibisspring_jobs.progress import ItemProgress, abandoned
 from ibisspring_jobs.runners import Runners
 from ibisspring_jobs.runs import Run
 from ibisspring_jobs.surroundings import Surroundings
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from ibisspring_core.messages.endpoints import EndpointRecord
-    from ibisspring_core.messages.jobs import JobItem, TakeWork
+    from ibisspring_core.messages.jobs import TakeWork
     from ibisspring_jobs.runners import Runner
     from ibisspring_jobs.state import JobsState, KeptJob
 
-# An engine that broke a run, or had another version than believed, is left alone this long: the
-# directory's next view mostly tells why.
-REST_S = {"broken": 0.5, "turned_away": 0.1, "stale": 0.2, "failed": 0.0}
 # A failed item waits, so that an engine that fails all it gets does not use up its attempts.
 FAILED_PAUSE_S = 0.2
 # Only this long after its terms allow it an item is given up, so that no clock that is a little
@@ -54,20 +43,8 @@
         self._state = state
         self._around = around
         self._numbers = 0
-        self._runs_by_item: dict[tuple[str, str], set[int]] = {}
-        self._progress_by_item: dict[tuple[str, str], ItemProgress] = {}
-        self._rest_until_by_engine: dict[tuple[str, str], float] = {}
-        self._paces = EnginePaces()
-        self._kept = KeptConnections()
-        self._kept_by_engine = KeptConnections()
-        self._groups_by_engine: dict[str, set[tuple[str, str]]] = {}
-        self._ending: set[tuple[str, str]] = set()
-        self._unscored = {
-            (job_id, item)
-            for job_id, kept in state.job_by_id.items()
-            for item, parts in kept.parts_by_item.items()
-            if parts and parts[-1].whole
-        }
+        self.engines = Engines(around)
+        self.items = Items(state)
 
     def take(self, call: TakeWork, now: float) -> Runner:
         """
@@ -81,37 +58,40 @@
         for number in call.running:
             if number not in self.run_by_number:
                 runner.cancelled.append(number)
-        self._paces.measure(call, self.run_by_number, now)
+        self.engines.paces.measure(call, self.run_by_number, now)
         return runner
 
     def move_stragglers(self, now: float) -> None:
         """Let runs leave engines that are much slower than most, where others have places."""
-        slow = self._paces.slow()
+        slow = self.engines.paces.slow()
         if not slow:
             return
         busy = [
             run for run in self.run_by_number.values() if run.endpoint in slow and not run.scoring
         ]
         for service in {self._state.job_by_id[run.job].job.service for run in busy}:
-            records = {one.endpoint: one for one in self._around.serving(service)}
-            rooms = self._rooms(service, records, now)
+            records = self._around.serving(service)
+            rooms = self.engines.rooms(service, records, self.run_by_number.values(), now)
             free_by_engine = {room.engine: max(0, room.slots) for room in rooms}
             movable = [
                 MovableRun(
                     run.number,
                     run.endpoint,
                     self._events_left(run),
-                    self._engines_for(self._state.job_by_id[run.job], now),
+                    self.engines.allowed(self._state.job_by_id[run.job].job, now),
                 )
                 for run in busy
-                if run.endpoint in records and not run.moved and now - run.began_s > SETTLED_S
+                if run.endpoint in free_by_engine
+                and not run.moved
+                and now - run.began_s > SETTLED_S
             ]
-            for number in choose_moves(movable, slow, free_by_engine, len(self._waiting(now))):
+            waiting = len(self.items.waiting(self.engines, now))
+            for number in choose_moves(movable, slow, free_by_engine, waiting):
                 self._move(self.run_by_number[number])
 
     def _events_left(self, run: Run) -> float:
         """Reckon what a run has to make yet, by the most of its estimate and what it has made."""
-        item = self._state.job_by_id[run.job].item_by_id.get(run.item)
+        item = self.items.item_of(run)
         if item is None:
             return 0.0
         made = run.resume_after + run.events
@@ -146,12 +126,7 @@
     def forget_job(self, job: str) -> None:
         """Stop the runs of items that are listed or whose job ended."""
         kept = self._state.job_by_id.get(job)
-        for key in [key for key in self._progress_by_item if key[0] == job]:
-            if kept is None or key[1] not in kept.item_by_id:
-                del self._progress_by_item[key]
-        for key in [key for key in self._ending if key[0] == job]:
-            if kept is None or key[1] not in kept.item_by_id:
-                self._ending.discard(key)
+        self.items.forget(job)
         for run in [run for run in self.run_by_number.values() if run.job == job]:
             if kept is not None and run.item in kept.item_by_id:
                 continue
@@ -166,9 +141,7 @@
         if not any(one.takes(now) for one in self.runners.runner_by_address.values()):
             return
         self._match_unscored(now)
-        waiting = self._waiting(now)
-        if not waiting:
-            return
+        waiting = self.items.waiting(self.engines, now)
         by_service: dict[str, list[WaitingItem]] = {}
         for item in waiting:
             service = self._state.job_by_id[item.key[0]].job.service
@@ -183,22 +156,16 @@
         The runner that reads a text scores it as well. Where that one or the jobs' leader was lost
         in between, the text must neither be made again nor stay without its score.
         """
-        for key in sorted(self._unscored):
-            kept = self._state.job_by_id.get(key[0])
-            if kept is None or key[1] not in kept.item_by_id or not self._progress_of(key).whole:
-                self._unscored.discard(key)
-                continue
-            if key in self._runs_by_item or key in self._ending:
-                continue
+        for key in self.items.to_be_scored():
             runner = self.runners.best(key[1], "", now)
             if runner is None:
                 return
-            self._unscored.discard(key)
             self._assign(key, None, runner, now)
 
     def _match_service(self, service: str, items: list[WaitingItem], now: float) -> None:
         record_by_engine = {one.endpoint: one for one in self._around.serving(service)}
-        rooms = self._rooms(service, record_by_engine, now)
+        records = record_by_engine.values()
+        rooms = self.engines.rooms(service, records, self.run_by_number.values(), now)
         for placement in place(sorted(items, key=order_of), rooms):
             record = record_by_engine[placement.engine]
             runner = self._runner_for(record, now)
@@ -208,24 +175,21 @@
 
     def _runner_for(self, record: EndpointRecord, now: float) -> Runner | None:
         def connected(runner: str) -> bool:
-            return self._kept.idle((runner, record.endpoint), now) > 0
+            return self.engines.connected(runner, record.endpoint, now)
 
         return self.runners.best(record.endpoint, record.data_centre, now, connected)
 
     def release(self, outcome: Outcome, now: float) -> None:
         """Note that a run came to its end, and that its connection is idle from now on."""
         run = self.run_by_number.get(outcome.number)
-        if run is not None and outcome.kept_s:
-            self._kept.released((run.runner, run.endpoint), now, outcome.kept_s)
-            self._kept_by_engine.released((run.endpoint,), now, outcome.kept_s)
+        if run is not None:
+            self.engines.released(run, outcome, now)
 
-    def _assign(
-        self, key: tuple[str, str], record: EndpointRecord | None, runner: Runner, now: float
-    ) -> None:
+    def _assign(self, key: Key, record: EndpointRecord | None, runner: Runner, now: float) -> None:
         """Give an item to a runner; without an endpoint its whole text is only to be scored."""
         job = self._state.job_by_id[key[0]].job
         item = self._state.job_by_id[key[0]].item_by_id[key[1]]
-        resume_after = self._progress_of(key).events
+        resume_after = self.items.progress_of(key).events
         self._numbers += 1
         left_s = job.submitted_s + job.give_up_s - self._around.wall_s()
         assignment = Assignment(
@@ -248,28 +212,18 @@
             *key,
             runner.address,
             assignment.endpoint,
-            _memory_of(item),
+            memory_of(item),
             now,
             resume_after,
             scoring=record is None,
         )
         self.run_by_number[run.number] = run
-        self._runs_by_item.setdefault(key, set()).add(run.number)
+        self.items.begins(key, run.number)
         if record is not None:
-            self._kept.taken((runner.address, record.endpoint), now)
-            self._kept_by_engine.taken((record.endpoint,), now)
-            self._groups_by_engine.setdefault(record.endpoint, set()).add((job.job, item.group))
+            group = (job.job, item.group)
+            self.engines.begins(runner.address, record.endpoint, group, now)
         runner.give(assignment)
 
-    def _progress_of(self, key: tuple[str, str]) -> ItemProgress:
-        """What is known of an item; after a change of leader, what the log kept."""
-        progress = self._progress_by_item.get(key)
-        if progress is None:
-            kept = self._state.job_by_id[key[0]]
-            progress = ItemProgress.from_parts(kept.parts_by_item.get(key[1], ()))
-            self._progress_by_item[key] = progress
-        return progress
-
     def take_part(self, outcome: Outcome) -> tuple[str, TextPart] | None:
         """
         Take in what a run made.
@@ -284,7 +238,7 @@
         kept = self._state.job_by_id.get(run.job) if run is not None else None
         if kept is None or run.item not in kept.item_by_id:
             return None
-        progress = self._progress_of((run.job, run.item))
+        progress = self.items.progress_of((run.job, run.item))
         if progress.events != run.resume_after + outcome.after:
             return None
         if progress.whole and not outcome.events:
@@ -314,7 +268,7 @@
         """
         ended = self._take_outcome(outcome, now)
         if ended is not None:
-            self._ending.add((ended[0], ended[1].item))
+            self.items.ending.add((ended[0], ended[1].item))
         return ended
 
     def _take_outcome(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
@@ -326,7 +280,7 @@
         if kept is None or run.item not in kept.item_by_id:
             return None
         key = (run.job, run.item)
-        progress = self._progress_of(key)
+        progress = self.items.progress_of(key)
         if progress.events == run.resume_after + outcome.after:
             progress.add(outcome)
         elif outcome.kind == "done":
@@ -340,7 +294,7 @@
             if kept.item_by_id[run.item].reward is not None and not outcome.score:
                 # A text without its score is no result: only the reward call is begun anew.
                 progress.whole = True
-                self._unscored.add(key)
+                self.items.unscored.add(key)
                 return None
             return run.job, progress.completed(run.item, outcome.score)
         return self._failed(run, outcome, kept, progress, now)
@@ -360,8 +314,7 @@
             return run.job, abandoned(run.item)
         if run.moved or run.scoring:
             return None
-        model = kept.job.model if outcome.kind == "stale" else ""
-        self._rest_until_by_engine[(run.endpoint, model)] = now + REST_S.get(outcome.kind, 0.0)
+        self.engines.rest(run.endpoint, kept.job.model, outcome.kind, now)
         if outcome.kind == "failed":
             progress.failures += 1
             progress.not_before_s = now + FAILED_PAUSE_S
@@ -369,80 +322,6 @@
                 return run.job, abandoned(run.item)
         return None
 
-    def _waiting(self, now: float) -> list[WaitingItem]:
-        found = []
-        for job_id, kept in self._state.job_by_id.items():
-            if kept.ended or not kept.item_by_id:
-                continue
-            engines = self._engines_for(kept, now)
-            if not engines:
-                continue
-            found.extend(self._waiting_of(job_id, kept, engines, now))
-        return found
-
-    def _engines_for(self, kept: KeptJob, now: float) -> frozenset[str]:
-        job = kept.job
-        found = []
-        for record in self._around.serving(job.service):
-            rests = max(
-                self._rest_until_by_engine.get((record.endpoint, ""), 0.0),
-                self._rest_until_by_engine.get((record.endpoint, job.model), 0.0),
-            )
-            version = record.version_by_adapter.get(job.model)
-            too_old = version is not None and version < job.min_version
-            if now < rests or too_old or self._around.loads(record.endpoint, job.model):
-                continue
-            found.append(record.endpoint)
-        return frozenset(found)
-
-    def _waiting_of(
-        self, job_id: str, kept: KeptJob, engines: frozenset[str], now: float
-    ) -> Iterable[WaitingItem]:
-        job = kept.job
-        for item in kept.item_by_id.values():
-            key = (job_id, item.item)
-            if key in self._ending or key in self._unscored or self._runs_by_item.get(key):
-                continue
-            progress = self._progress_by_item.get(key)
-            if progress is not None and now < progress.not_before_s:
-                continue
-            yield WaitingItem(
-                key=key,
-                group=(job_id, item.group),
-                due_s=job.submitted_s + job.due_s,
-                priority=job.priority,
-                carried=item.group in kept.carried,
-                expected_tokens=item.expected_tokens,
-                tokens=_memory_of(item),
-                engines=engines,
-            )
-
-    def _rooms(
-        self, service: str, record_by_engine: dict[str, EndpointRecord], now: float
-    ) -> list[EngineRoom]:
-        terms = self._around.terms(service)
-        rooms = []
-        for engine, record in record_by_engine.items():
-            runs = [
-                run
-                for run in self.run_by_number.values()
-                if run.endpoint == engine and not run.scoring
-            ]
-            slots = record.load.capacity or (terms.capacity if terms else 1)
-            memory = terms.memory_tokens if terms and terms.memory_tokens else 1 << 30
-            rooms.append(
-                EngineRoom(
-                    engine=engine,
-                    slots=slots - len(runs),
-                    tokens=memory - sum(run.tokens for run in runs),
-                    running=len(runs),
-                    slowness=self._paces.slowness(engine),
-                    groups=self._groups_by_engine.get(engine, set()),
-                    connected=self._kept_by_engine.idle((engine,), now),
-                )
-            )
-        return rooms
-
     def _lose(self, number: int, cause: str) -> None:
         run = self.run_by_number.get(number)
         if run is not None:
@@ -453,22 +332,10 @@
         run = self.run_by_number.pop(number, None)
         if run is None:
             return
-        key = (run.job, run.item)
-        runs = self._runs_by_item.get(key)
-        if runs is not None:
-            runs.discard(number)
-            if not runs:
-                del self._runs_by_item[key]
-        progress = self._progress_by_item.get(key)
-        if progress is not None and progress.whole:
-            self._unscored.add(key)
+        self.items.ends((run.job, run.item), number)
         runner = self.runners.runner_by_address.get(run.runner)
         if runner is not None:
             runner.sequence_by_number.pop(number, None)
 
 
-def _memory_of(item: JobItem) -> int:
-    return memory_needed(item.tokens, item.prompt_tokens, item.expected_tokens)
-
-
 __all__ = ["Dispatcher", "Surroundings"]
--- a/tests/unit/jobs/test_reward_calls.py
+++ b/tests/unit/jobs/test_reward_calls.py
@@ -149,7 +149,7 @@
     for step in range(1, 5):
         world.poll(running=(number,), now=0.5 + step, events=(2,))
 
-    assert world.dispatcher._paces._pace_by_engine == {}
+    assert world.dispatcher.engines.paces._pace_by_engine == {}
     world.dispatcher.move_stragglers(6.0)
     assert not world.dispatcher.run_by_number[number].moved
 
