--- /dev/null
+++ b/bench/dispatch.py
@@ -0,0 +1,84 @@
+"""Time of one decision of the dispatcher, with many runs under way and many items waiting."""
+
+from __future__ import annotations
+
+import time
+from statistics import median
+
+from bench._report import print_table
+from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
+from ibisspring_core.messages.jobs import Job, JobItem, TakeWork
+from ibisspring_core.routes import ServiceTerms
+from ibisspring_jobs.commands import COMMANDS, AcceptJob
+from ibisspring_jobs.dispatcher import Dispatcher
+from ibisspring_jobs.state import JobsState
+from ibisspring_jobs.surroundings import Surroundings
+
+REPEATS = 200
+RUNS = 176
+WAITING = 400
+RUNNERS = 8
+SIZES = ((11, 16), (22, 8))
+"""Engines and places of each; together they hold the runs."""
+
+
+def record(number: int, slots: int) -> EndpointRecord:
+    """An engine."""
+    return EndpointRecord(
+        f"engine-{number}",
+        1,
+        1,
+        "scorer",
+        "engine",
+        "standard",
+        f"centre-{number % 3}",
+        f"10.0.0.{number}:80",
+        version_by_adapter={"m": 4},
+        load=EndpointLoad(capacity=slots),
+    )
+
+
+def job(items: int) -> Job:
+    """One step of a trainer."""
+    made = tuple(
+        JobItem(f"i{n}", f"/score/{n}", (), b"body", 900, f"g{n // 8}", 100, 40 + n)
+        for n in range(items)
+    )
+    return Job("j", "training", "a", "scorer", "m", made, 7.5, 400.0, 3, submitted_s=1000.0)
+
+
+def decision_s(engines: int, slots: int) -> float:
+    """Seconds of one decision, all places taken and the rest of the items waiting."""
+    records = tuple(record(number, slots) for number in range(engines))
+    terms = ServiceTerms("scorer", 100, slots, 1 << 30)
+    state = JobsState()
+    around = Surroundings(lambda service: records, lambda service: terms, lambda: 1000.0)
+    dispatcher = Dispatcher(state, around, 1)
+    state.apply(1, COMMANDS.encode(AcceptJob(job(RUNS + WAITING))))
+    for number in range(RUNNERS):
+        call = TakeWork(f"e{number}", f"centre-{number % 3}", "x", 1, 1, (), 1 << 10, 0.4)
+        dispatcher.take(call, 0.0).waiting = True
+    dispatcher.match(0.0)
+    assert len(dispatcher.run_by_number) == RUNS
+    took = []
+    for repeat in range(REPEATS):
+        began = time.perf_counter()
+        dispatcher.match(repeat * 0.01)
+        took.append(time.perf_counter() - began)
+    assert len(dispatcher.run_by_number) == RUNS
+    return median(took)
+
+
+def main() -> None:
+    """Print the time of a decision for fleets of today."""
+    rows = [
+        (str(engines), str(slots), f"{decision_s(engines, slots) * 1e3:.2f}")
+        for engines, slots in SIZES
+    ]
+    print(
+        f"{RUNS} runs, {WAITING} items waiting; every decision is for nothing, as no place is free"
+    )
+    print_table(("engines", "places of each", "ms a decision"), rows)
+
+
+__all__ = ["main"]
