--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -10,7 +10,7 @@
 
 import eliot
 
-from ibisspring_core.clock import boot_now, wall_now
+from ibisspring_core.clock import PROCESS_STARTED_S, boot_now, wall_now
 from ibisspring_core.endpoint_table import SERVING, EndpointTable
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import LeaderClient
@@ -31,6 +31,10 @@
 # Far longer than an election, so that the loss of control VMs does not stop callers.
 SERVE_WITHOUT_CONTROL_S = 20.0
 KEEP_ENDPOINTS_S = 3600.0
+# After the end of all processes a leader is elected and heard about this long after a daemon's own
+# start: one election timeout, its draw, and the first renewals.
+TABLE_DUE_S = 1.15
+LEAST_RETRY_S = 0.3
 
 UsageSource = Callable[[int], tuple[UsageCount, ...]]
 Describe = Callable[[Renew], Renew]
@@ -98,6 +102,15 @@
             return False
         return boot_now() - self._heard_at <= SERVE_WITHOUT_CONTROL_S
 
+    def retry_after_s(self) -> float:
+        """
+        Seconds after which a caller that was refused for the want of a table may come back.
+
+        Told a third of a second right after a start, callers came back before there was a leader,
+        and had used up their one retry.
+        """
+        return max(LEAST_RETRY_S, PROCESS_STARTED_S + TABLE_DUE_S - boot_now())
+
     def wall_s(self) -> float:
         """The time of day that most daemons agree on, in seconds since 1970."""
         return boot_now() + self._wall_offset_s
--- /dev/null
+++ b/tests/unit/core/test_retry_after.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+import pytest
+
+from ibisspring_core import directory_view
+from ibisspring_core.directory_view import LEAST_RETRY_S, TABLE_DUE_S, DirectoryView
+from ibisspring_core.settings.vm import ENTRY, VmSettings
+
+STARTED_S = 500.0
+
+
+@pytest.mark.parametrize(
+    ("up_s", "told_s"),
+    [
+        (0.4, TABLE_DUE_S - 0.4),
+        (0.8, TABLE_DUE_S - 0.8),
+        (1.0, LEAST_RETRY_S),
+        (60.0, LEAST_RETRY_S),
+    ],
+)
+def test_callers_come_back_once_there_may_be_a_leader(monkeypatch, up_s, told_s) -> None:
+    # All processes end and are back within a second. A lookup is refused by an entry that has no
+    # table yet; sent back too early, it is refused once more and given up.
+    monkeypatch.setattr(directory_view, "PROCESS_STARTED_S", STARTED_S)
+    monkeypatch.setattr(directory_view, "boot_now", lambda: STARTED_S + up_s)
+    view = DirectoryView.from_config(VmSettings("e1", ENTRY, "derby", "10.0.0.1:1", ()))
+
+    assert view.retry_after_s() == pytest.approx(max(told_s, LEAST_RETRY_S))
