--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -200,9 +200,10 @@
             )
         except asyncio.CancelledError:
             scored = Unscored("broken", 0)
-        outcome = Outcome(assignment.number, "done", after=after, score=scored)
         if isinstance(scored, Unscored):
             outcome = Outcome(assignment.number, scored.kind, after=after, whole=True)
+        else:
+            outcome = Outcome(assignment.number, "done", after=after, score=scored)
         took_s = boot_now() - began_s
         self._counters.add(f"reward_call.{outcome.kind}")
         self._counters.observe("reward_call_seconds", took_s, outcome.kind)
