Take the leader's lease from the settings again

`election_spread` was put between two fields of CoreConfig whose values `from_config` passed by position: the product's own control daemons took `leader_lease_s` for the spread and kept the lease at its default of 0.8 s, whatever the settings said. With an election timeout under 0.8 s two leaders' leases would overlap. Ruled out: the platform's daemons, which use QUICK (named fields); other callers (none). Change: values are passed by name. Test: test_the_times_are_those_of_the_settings, failing before (lease 0.8 in place of 0.4). Conclusion: no test had set a lease other than through files whose lease is longer.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/state.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/state.py
@@ -60,7 +60,11 @@
         :param control: checked settings of the control role.
         :return: the configuration.
         """
-        return cls(control.heartbeat_s, control.election_timeout_s, control.leader_lease_s)
+        return cls(
+            heartbeat_s=control.heartbeat_s,
+            election_timeout_s=control.election_timeout_s,
+            leader_lease_s=control.leader_lease_s,
+        )
 
     @property
     def tick_s(self) -> float:
--- a/tests/unit/consensus/test_start.py
+++ b/tests/unit/consensus/test_start.py
@@ -6,7 +6,8 @@
 from ibisspring_consensus.core import Core, StoredState
 from ibisspring_consensus.election import heard_lately
 from ibisspring_consensus.messages import HardState, ReplicaId, SnapshotMeta
-from ibisspring_consensus.state import QUICK
+from ibisspring_consensus.state import QUICK, CoreConfig
+from ibisspring_core.settings import ControlSettings
 
 IMPORTS_S = 0.35
 STARTED_S = 10.0
@@ -35,3 +36,17 @@
     core.step(events.Tick(), STARTED_S + QUICK.election_timeout_s)
     assert not heard_lately(core.state)
     assert core.state.election_at <= STARTED_S + 2 * QUICK.election_timeout_s
+
+
+def test_the_times_are_those_of_the_settings() -> None:
+    # An operator shortens all times. A lease that stayed as long as before would outlast the silence
+    # after which another leader is elected, and both would believe that they are in charge.
+    control = ControlSettings(
+        "127.0.0.1:1", heartbeat_s=0.1, election_timeout_s=0.5, leader_lease_s=0.4
+    )
+
+    config = CoreConfig.from_config(control)
+
+    assert (config.heartbeat_s, config.election_timeout_s) == (0.1, 0.5)
+    assert config.leader_lease_s == 0.4
+    assert config.election_spread == CoreConfig().election_spread
