--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -136,7 +136,7 @@
             tuple((one.endpoint, one.incarnation, one.state, one.address) for one in records),
             self.endpoints.learning(now),
             self.sessions.members(now, "store"),
-            leader.renew.address if leader else "",
+            _address_of(leader),
             self.state.job_group,
             self._controls(),
         )
@@ -178,7 +178,7 @@
         leader = self.sessions.job_leader(now)
         seen = (
             self.sessions.members(now, "store"),
-            leader.renew.address if leader else "",
+            _address_of(leader),
             self.endpoints.learning(now),
         )
         if seen != self._seen or self.endpoints.table.changed:
@@ -241,7 +241,7 @@
             version_by_model=dict(state.version_by_model) if loads else {},
             loading=tuple(sorted(self.endpoints.loading)) if loads else (),
             stores=self.sessions.members(now, "store"),
-            job_leader=leader.renew.address if leader else "",
+            job_leader=_address_of(leader),
             job_group=state.job_group,
             controls=self._controls(),
             wall_s=self.wall_s(),
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -69,7 +69,10 @@
         busy = [
             run for run in self.run_by_number.values() if run.endpoint in slow and not run.scoring
         ]
-        for service in {self._state.job_by_id[run.job].job.service for run in busy}:
+        job_by_id = {run.job: self._state.job_by_id[run.job].job for run in busy}
+        allowed_by_job = {key: self.engines.allowed(job, now) for key, job in job_by_id.items()}
+        waiting = len(self.items.waiting(self.engines, now)) if busy else 0
+        for service in {job.service for job in job_by_id.values()}:
             records = self._around.serving(service)
             rooms = self.engines.rooms(service, records, self.run_by_number.values(), now)
             free_by_engine = {room.engine: max(0, room.slots) for room in rooms}
@@ -78,14 +81,13 @@
                     run.number,
                     run.endpoint,
                     self._events_left(run),
-                    self.engines.allowed(self._state.job_by_id[run.job].job, now),
+                    allowed_by_job[run.job],
                 )
                 for run in busy
                 if run.endpoint in free_by_engine
                 and not run.moved
                 and now - run.began_s > SETTLED_S
             ]
-            waiting = len(self.items.waiting(self.engines, now))
             for number in choose_moves(movable, slow, free_by_engine, waiting):
                 self._move(self.run_by_number[number])
 
--- a/tests/integration/test_platform_rewards.py
+++ b/tests/integration/test_platform_rewards.py
@@ -47,6 +47,14 @@
     await wait_until(kept, f"{count} texts to be kept")
 
 
+async def whole_texts_wait(system) -> None:
+    """Submit four items and wait until their texts are kept and their reward calls held up."""
+    archive(system).answer_s = HELD_S
+    await system.submit("lot1", job(4, scored=True))
+    await calls_held(system, 4)
+    await whole_texts_kept(system, 4)
+
+
 async def test_results_are_listed_with_their_scores(system) -> None:
     # A trainer's step: each text is scored by the plain service once it is whole, without a key
     # and without a client account.
@@ -83,10 +91,7 @@
 async def test_a_whole_text_outlives_the_entry_that_read_it(system) -> None:
     # Both entries' texts are whole and their reward calls under way when one entry is killed. The
     # text must not be made again: only the call goes on, from the other entry.
-    archive(system).answer_s = HELD_S
-    await system.submit("lot1", job(4, scored=True))
-    await calls_held(system, 4)
-    await whole_texts_kept(system, 4)
+    await whole_texts_wait(system)
     running = await system.running_by_entry()
     killed = max(running, key=running.get)
 
@@ -100,10 +105,7 @@
 
 async def test_a_whole_text_outlives_the_end_of_all_processes(system) -> None:
     # All VMs lose power between text and score: what the stores acknowledged holds the texts.
-    archive(system).answer_s = HELD_S
-    await system.submit("lot1", job(4, scored=True))
-    await calls_held(system, 4)
-    await whole_texts_kept(system, 4)
+    await whole_texts_wait(system)
 
     system.stop()
     for name in system.process_by_name:
--- a/tests/unit/consensus/test_start.py
+++ b/tests/unit/consensus/test_start.py
@@ -39,8 +39,8 @@
 
 
 def test_the_times_are_those_of_the_settings() -> None:
-    # An operator shortens all times. A lease that stayed as long as before would outlast the silence
-    # after which another leader is elected, and both would believe that they are in charge.
+    # An operator shortens all times. A lease that stayed as long as before would outlast the
+    # silence after which another leader is elected, and both would believe to be in charge.
     control = ControlSettings(
         "127.0.0.1:1", heartbeat_s=0.1, election_timeout_s=0.5, leader_lease_s=0.4
     )
