--- a/packages/ibisspring-core/src/ibisspring_core/logs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import atexit
+import faulthandler
 import os
 import sys
 import threading
@@ -138,10 +139,14 @@
     """
     Send eliot's messages to an open file or pipe.
 
-    :param descriptor: where lines are written.
+    A fatal signal writes the Python stacks of all threads there as well: a daemon that ends in
+    native code has no chance to log a line, and its exit code alone names no cause.
+
+    :param descriptor: where lines are written; stays open until the process ends.
     :param process: name of this daemon; stands in each line.
     :return: the writer.
     """
+    faulthandler.enable(descriptor, all_threads=True)
     writer = LineWriter(descriptor, process)
     writer.start()
     eliot.add_destinations(writer)
