Find control by the seeds that the settings file names now

What callers saw: an entry that was cut off while all control VMs it knew were replaced refused every request (503) from 20 s later on, for good; a configuration that was acknowledged never came into force there. Cause: the leader was looked for among the addresses last heard of and the seeds read at the start. SIGHUP was logged as daemon:reload_ignored. Looked for elsewhere: founding and founders use the seeds of the first start only, which all daemons are told alike. Why it holds: one call that reaches any present seed brings the leader and the list of all control daemons.

--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -71,6 +71,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Begin to renew."""
         self._counters = kernel.find("counters")
+        self._current_settings = kernel.find("current_settings")
         self._leader = LeaderClient(kernel.find("peer_client"), self._addresses)
         self._task = asyncio.create_task(self._run(), name="directory_view")
 
@@ -120,7 +121,7 @@
         return self.endpoints.serving(service, boot_now())
 
     def _addresses(self) -> tuple[str, ...]:
-        return tuple(dict.fromkeys((*self.view.controls, *self._settings.seeds)))
+        return tuple(dict.fromkeys((*self.view.controls, *self._current_settings.seeds)))
 
     async def _run(self) -> None:
         while True:
--- a/packages/ibisspring-directory/src/ibisspring_directory/membership.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/membership.py
@@ -51,6 +51,7 @@
         """Begin to tell and to look."""
         self._consensus = kernel.find("consensus")
         self._directory = kernel.find("directory")
+        self._current_settings = kernel.find("current_settings")
         self._leader = LeaderClient(kernel.find("peer_client"), self._addresses)
         timer = kernel.find("timer")
         self._subscriptions = (
@@ -65,7 +66,7 @@
 
     def _addresses(self) -> tuple[str, ...]:
         known = tuple(voter.daemon for voter in self._consensus.core.members.voters)
-        return tuple(dict.fromkeys((*known, *self._settings.seeds)))
+        return tuple(dict.fromkeys((*known, *self._current_settings.seeds)))
 
     async def _renew(self, now: float) -> None:
         """Tell the leader that this VM is there; one that is no member becomes a candidate."""
--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -14,8 +14,10 @@
 from typing import Any
 
 import aiohttp
+import grpc.aio
 
 from fakes.platform_engine import PlatformEngine
+from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
 from integration.processes import REPOSITORY, Process, free_port, wait_until
 
 CENTRES = ("derby", "stoke", "walsall")
@@ -204,6 +206,18 @@
             for one in runners
         }
 
+    async def replica_status(self, name: str) -> dict | None:
+        """What a daemon's replica says of itself; None where it does not answer."""
+        offset = 1 if name.startswith("store") else 0
+        address = f"{self.boot_by_name[name]['ip']}:{self.ports['peer'] + offset}"
+        async with grpc.aio.insecure_channel(address) as channel:
+            stub = consensus_pb2_grpc.ConsensusStub(channel)
+            try:
+                reply = await stub.Manage(consensus_pb2.ManageRequest(action="status"), timeout=2.0)
+            except grpc.aio.AioRpcError:
+                return None
+        return json.loads(reply.answer)
+
     def entry_url(self, number: int) -> str:
         """Callers' address of an entry."""
         return f"http://127.1.{NETWORK_BY_ROLE['entry']}.{number}:{self.ports['callers']}"
--- a/tests/integration/test_platform_faults.py
+++ b/tests/integration/test_platform_faults.py
@@ -2,10 +2,8 @@
 
 import json
 
-import grpc.aio
 import pytest
 
-from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
 from integration.platform_system import configuration, job, platform_system, wait_served
 from integration.processes import wait_until
 
@@ -110,25 +108,12 @@
 
 async def is_voter(system, name: str) -> bool:
     """Whether the present disk of a store is a voter and no change of the members is under way."""
-    own = await replica_status(system, name)
+    own = await system.replica_status(name)
     for other in ("store-1", "store-2", "store-3"):
-        status = await replica_status(system, other)
+        status = await system.replica_status(other)
         if own is None or status is None or status["role"] != "leader":
             continue
         voters = [voter["disk_id"] for voter in status["voters"]]
         if own["disk_id"] in voters and not status["outgoing"] and not status["learners"]:
             return True
     return False
-
-
-async def replica_status(system, name: str) -> dict | None:
-    """What a replica says of itself; None where it does not answer."""
-    # A store listens on the port after the one of control and entries.
-    address = f"{system.boot_by_name[name]['ip']}:{system.ports['peer'] + 1}"
-    async with grpc.aio.insecure_channel(address) as channel:
-        stub = consensus_pb2_grpc.ConsensusStub(channel)
-        try:
-            reply = await stub.Manage(consensus_pb2.ManageRequest(action="status"), timeout=2.0)
-        except grpc.aio.AioRpcError:
-            return None
-    return json.loads(reply.answer)
