Refuse bodies that nest too deeply in place of failing on them

What callers saw: 500, which asks for a retry, for a configuration, version, job or heartbeat that can never be taken. Cause: msgspec raises RecursionError, not DecodeError, where an unknown field nests deeper than the interpreter's limit. Ruled out on the way: a stack overflow in the decoders as the cause of an entry's signal 11: bodies of up to 3,000,000 levels ended no process. Change: decode_json reads all JSON from outside and turns the one error into the other; the product's own interface uses it as well.

--- a/packages/ibisspring-control/src/ibisspring_control/leader_duties/orders.py
+++ b/packages/ibisspring-control/src/ibisspring_control/leader_duties/orders.py
@@ -245,7 +245,7 @@
         return None
     try:
         fields = json.loads(answer.body or b"{}")
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     if not isinstance(fields, dict):
         return None
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/bodies.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/bodies.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.json_input import decode_json
 
 if TYPE_CHECKING:
     import falcon.asgi
@@ -53,7 +54,7 @@
     :return: the object, or a refusal that says what does not fit.
     """
     try:
-        return msgspec.json.decode(body, type=body_type)
+        return decode_json(body, body_type)
     except msgspec.DecodeError as error:
         return Refusal(Reason.BAD_REQUEST, True, None, f"the body does not fit: {error}")
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/engine_wire.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/engine_wire.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ibisspring_core.json_input import decode_json
+
 if TYPE_CHECKING:
     from ibisspring_entry.proxy.messages import GenerateRequest
 
@@ -64,7 +66,7 @@
     :return: the line, or None where it is not one: a stream that was cut may end in half a line.
     """
     try:
-        return msgspec.json.decode(data, type=EngineLine)
+        return decode_json(data, EngineLine)
     except msgspec.DecodeError:
         return None
 
@@ -77,7 +79,7 @@
     :return: the state, or None where the body is none.
     """
     try:
-        return msgspec.json.decode(data, type=RequestState)
+        return decode_json(data, RequestState)
     except msgspec.DecodeError:
         return None
 
@@ -90,7 +92,7 @@
     :return: True only where it says so.
     """
     try:
-        return msgspec.json.decode(data, type=dict).get("not_run") is True
+        return decode_json(data, dict).get("not_run") is True
     except msgspec.DecodeError:
         return False
 
--- a/packages/ibisspring-entry/src/ibisspring_entry/registry/announcement.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/registry/announcement.py
@@ -8,6 +8,7 @@
 
 from ibisspring_core.endpoint_table import KINDS, ROLES, STATES
 from ibisspring_core.errors import Finding
+from ibisspring_core.json_input import decode_json
 from ibisspring_core.messages.endpoints import EndpointRecord
 
 MAX_NAME = 200
@@ -22,7 +23,7 @@
     :return: the record, or everything that is wrong with it.
     """
     try:
-        record = msgspec.json.decode(data, type=EndpointRecord)
+        record = decode_json(data, EndpointRecord)
     except msgspec.DecodeError as error:
         return (Finding("announcement", 0, 0, str(error)),)
     findings = []
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ibisspring_core.errors import Reason
+from ibisspring_core.json_input import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -179,7 +180,7 @@
         ):
             if response.status != 200:
                 return None
-            return msgspec.json.decode(await response.read(), type=ScoreAnswer)
+            return decode_json(await response.read(), ScoreAnswer)
     except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
         return None
 
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -5,7 +5,16 @@
 
 import pytest
 
-from integration.platform_system import KEY, LOOKUP, configuration, job, platform_system
+from integration.platform_system import (
+    KEY,
+    LOOKUP,
+    SCORE,
+    configuration,
+    headers_of,
+    job,
+    platform_system,
+    request,
+)
 from integration.processes import wait_until
 
 
@@ -89,3 +98,18 @@
     for number in range(12):
         assert (await system.call("POST", f"{LOOKUP}7", f"z{number}"))[0] == 200
     assert not [run for run in other.runs if run.startswith("z")]
+
+
+async def test_bodies_that_nest_deeply_are_refused(system) -> None:
+    # An operator whose configuration cannot be read is told so, and does not send it again; neither
+    # does a trainer, and an engine that says nonsense harms nobody.
+    nested = b'{"unknown":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+
+    control = f"http://{system.seeds[0]}"
+    assert (await request("POST", f"{control}/v1/Config.Replace", nested))[0] == 400
+    assert (await request("POST", f"{control}/v1/version-put", nested))[0] == 400
+    path = f"{control}/v1/Instances.Heartbeat/i-9"
+    assert (await request("POST", path, nested))[0] == 400
+    entry = system.entry_url(1)
+    answer = await request("POST", f"{entry}{SCORE}lot9", nested, headers_of("lot9"))
+    assert answer[0] == 400
