Tell usage counts as they rise, so that a killed entry takes none along

What was seen: requests that an entry served in its last half second were not billed when it was killed. Ruled out: a shorter hold of the renewals (it costs the leader at each daemon and still loses its length). Change: the entry tells all its open counts as they rise, one message at a time; the leader answers with the pause to leave, so that all entries together send at most 500 a second. Counts of one start only rise, so that a late message lowers none. Upgrade: control daemons before entries; those of the release before do not know CountUsage. Left: a request in flight at the kill, and a leader that changes before the window is closed.

--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -6,7 +6,7 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import eliot
 
@@ -14,7 +14,7 @@
 from ibisspring_core.endpoint_table import SERVING, EndpointTable
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import LeaderClient
-from ibisspring_core.messages.directory import Renew, Unchanged, UsageCount, View
+from ibisspring_core.messages.directory import CountUsage, Renew, Unchanged, UsageCount, View
 from ibisspring_core.routes.index import RouteIndex
 
 if TYPE_CHECKING:
@@ -73,6 +73,7 @@
         self._counters = kernel.find("counters")
         self._current_settings = kernel.find("current_settings")
         self._leader = LeaderClient(kernel.find("peer_client"), self._addresses)
+        self._usage_leader = LeaderClient(kernel.find("peer_client"), self._addresses)
         self._task = asyncio.create_task(self._run(), name="directory_view")
 
     async def stop(self) -> None:
@@ -88,6 +89,16 @@
         """Send with each renewal what `source` gives for the newest closed window."""
         self._usage = source
 
+    async def tell_usage(self) -> Any:
+        """
+        Tell the leader the counts now, beside the renewals.
+
+        :return: the leader's answer, or a refusal.
+        """
+        usage = self._usage(self.view.closed_window)
+        message = CountUsage(self._settings.peer_address, self._incarnation, usage)
+        return await self._usage_leader.call(message, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+
     def describe(self, describe: Describe) -> None:
         """Let a part add to each renewal what it knows of this daemon."""
         self._describe = describe
--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -154,6 +154,32 @@
     closed_window: int = -1
 
 
+@dataclass(frozen=True)
+class CountUsage:
+    """
+    Counts that an entry tells between two renewals.
+
+    :param address: IP:port of its peer server.
+    :param incarnation: made at its start.
+    :param usage: all its counts of windows that are not closed.
+    """
+
+    address: str
+    incarnation: str
+    usage: tuple[UsageCount, ...]
+
+
+@dataclass(frozen=True)
+class UsageCounted:
+    """
+    The counts are noted.
+
+    :param pause_s: seconds to leave before the next ones.
+    """
+
+    pause_s: float
+
+
 @dataclass(frozen=True)
 class Announce:
     """An endpoint's announcement, handed on by the daemon that it reached."""
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -11,6 +11,7 @@
 from ibisspring_core.leader_client import NotLeader
 from ibisspring_core.messages.directory import (
     Announce,
+    CountUsage,
     Depart,
     NameVersion,
     ReadTable,
@@ -21,6 +22,7 @@
     TableRead,
     TableReplaced,
     Unchanged,
+    UsageCounted,
     VersionNamed,
     View,
 )
@@ -48,6 +50,9 @@
 # time after which they would take the order for lost.
 MAX_IN_FORCE_WAIT_S = 2.5
 JOB_VOTERS_NEEDED = 3
+# Messages of counts beside the renewals, from all entries together. Entries space theirs out, so
+# that a large fleet costs the leader no more.
+USAGE_MESSAGES_PER_S = 500
 
 
 class Directory:
@@ -95,6 +100,7 @@
             ReadTable: self.read_table,
             NameVersion: self.name_version,
             Retire: self.retire,
+            CountUsage: self.count_usage,
         }
         for message_type, handler in on_leader.items():
             server.answer(message_type, self._only_leading(handler))
@@ -225,6 +231,12 @@
             return Unchanged(self.wall_s(), self.state.closed_window)
         return self._view(renew)
 
+    async def count_usage(self, message: CountUsage) -> UsageCounted:
+        """Note an entry's counts at once, so that its end costs no more than the newest."""
+        self.counts.take(message, self.state.closed_window)
+        entries = len(self.sessions.in_touch(boot_now(), ENTRY))
+        return UsageCounted(entries / USAGE_MESSAGES_PER_S)
+
     def _view(self, renew: Renew) -> View:
         now = boot_now()
         state = self.state
--- a/packages/ibisspring-directory/src/ibisspring_directory/usage.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/usage.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ibisspring_core.messages.directory import Renew
+    from ibisspring_core.messages.directory import CountUsage, Renew
 
 
 class WindowCounts:
@@ -18,16 +18,20 @@
         """Forget all; entries send again what is not confirmed."""
         self._count_by_key.clear()
 
-    def take(self, renew: Renew, closed_window: int) -> None:
+    def take(self, told: Renew | CountUsage, closed_window: int) -> None:
         """
         Take in an entry's counts; each takes the place of its earlier ones.
 
+        Counts of one start only rise. A smaller one was sent earlier and came late.
+
         :param closed_window: newest window whose figures are fixed.
         """
-        start = f"{renew.address}/{renew.incarnation}"
-        for one in renew.usage:
-            if one.window > closed_window:
-                self._count_by_key[(one.window, start, one.client_account)] = one.count
+        start = f"{told.address}/{told.incarnation}"
+        for one in told.usage:
+            if one.window <= closed_window:
+                continue
+            key = (one.window, start, one.client_account)
+            self._count_by_key[key] = max(one.count, self._count_by_key.get(key, 0))
 
     def close(self, window: int) -> tuple[tuple[str, int], ...]:
         """
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/usage.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/usage.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from typing import TYPE_CHECKING
 
-from ibisspring_core.messages.directory import UsageCount
+from ibisspring_core.messages.directory import UsageCount, UsageCounted
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -15,14 +16,25 @@
 MAX_WINDOWS = 24
 
 
+# Where the leader did not say how long to wait, renewals carry the counts.
+UNTOLD_PAUSE_S = 1.0
+
+
 class UsageCounts:
-    """The service `usage_counts`; counts are sent with renewals until their window is closed."""
+    """
+    The service `usage_counts`.
+
+    Counts are sent with renewals until their window is closed. A renewal is held for half a second,
+    and an entry that is killed loses what it did not send; so they are also told as they rise.
+    """
 
     name = "usage_counts"
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
         self._count_by_key: dict[tuple[int, str], int] = {}
+        self._risen = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(cls, settings: VmSettings) -> UsageCounts:
@@ -35,12 +47,23 @@
         return cls(settings.usage_window_s)
 
     async def start(self, kernel: Kernel) -> None:
-        """Send counts with renewals."""
+        """Send counts with renewals, and as they rise."""
         self._view = kernel.find("directory_view")
         self._view.send_usage(self.open_counts)
+        self._task = asyncio.create_task(self._tell(), name="usage_counts")
 
     async def stop(self) -> None:
-        """Nothing to stop."""
+        """Tell no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _tell(self) -> None:
+        while True:
+            await self._risen.wait()
+            self._risen.clear()
+            answer = await self._view.tell_usage()
+            told = isinstance(answer, UsageCounted)
+            await asyncio.sleep(answer.pause_s if told else UNTOLD_PAUSE_S)
 
     def began(self, client_account: str, ago_s: float) -> None:
         """
@@ -53,6 +76,7 @@
         window = math.floor((self._view.wall_s() - ago_s) / self._window_s)
         key = (window, client_account)
         self._count_by_key[key] = self._count_by_key.get(key, 0) + 1
+        self._risen.set()
 
     def open_counts(self, closed_window: int) -> tuple[UsageCount, ...]:
         """
--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -105,6 +105,7 @@
     """The daemons by name, and the engines."""
 
     folder: Path
+    usage_to: str = ""
     process_by_name: dict[str, Process] = field(default_factory=dict)
     boot_by_name: dict[str, dict] = field(default_factory=dict)
     engines: list[PlatformEngine] = field(default_factory=list)
@@ -145,7 +146,9 @@
             "heartbeat_ms": 300,
             "fault_tolerance": {"machines": 1},
             "bounds": {"lease_ms": 1000, "thaw_ms": 100, "usage_window_s": 2},
-            "cloud_api": None,
+            "cloud_api": (
+                {"address": self.usage_to, "duties": ["metering"]} if self.usage_to else None
+            ),
         }
         # `env` sets the variable; the process that is signalled is the daemon itself.
         variable = f"IBISSPRING_CONFIG={self.folder / name / 'boot.json'}"
@@ -323,9 +326,13 @@
 
 
 @asynccontextmanager
-async def platform_system(folder: Path, entries: int = 2):
-    """Start three control daemons, three stores, entries, an archive and two engines."""
-    system = PlatformSystem(folder)
+async def platform_system(folder: Path, entries: int = 2, usage_to: str = ""):
+    """
+    Start three control daemons, three stores, entries, an archive and two engines.
+
+    :param usage_to: IP:port that takes usage reports; empty for none.
+    """
+    system = PlatformSystem(folder, usage_to)
     for number in (1, 2, 3):
         system.add("control", number)
         system.add("store", number)
