--- a/tests/integration/test_platform_faults.py
+++ b/tests/integration/test_platform_faults.py
@@ -1,12 +1,27 @@
 from __future__ import annotations
 
+import asyncio
 import json
+import time
 
 import pytest
 
-from integration.platform_system import configuration, job, platform_system, wait_served
+from integration.platform_system import (
+    KEY,
+    LOOKUP,
+    configuration,
+    job,
+    platform_system,
+    wait_served,
+)
 from integration.processes import wait_until
 
+# Where the platform's bounds are: an operator's call is answered, and a change is in force.
+ACKNOWLEDGED_S = 4.0
+IN_FORCE_S = 2.0
+# Changes reach entries within some tens of milliseconds.
+MOMENT_S = 0.008
+
 
 @pytest.fixture
 async def system(tmp_path):
@@ -117,3 +132,28 @@
         if own["disk_id"] in voters and not status["outgoing"] and not status["learners"]:
             return True
     return False
+
+
+async def test_an_entry_frozen_as_it_takes_a_change_goes_on_with_the_change(system) -> None:
+    # An entry stands still in the moment in which a change reaches it. The operator is answered
+    # without it, and once it wakes it obeys the change and never again what was before.
+    entry = system.process_by_name["entry-1"]
+    for version in range(2, 8):
+        key = f"k-{version}"
+        tenants = [{"name": "forge", "api_keys": [KEY, key]}]
+        change = asyncio.create_task(system.put(version, tenants=tenants))
+        await asyncio.sleep(MOMENT_S * (version - 2))
+        entry.freeze()
+        began = time.monotonic()
+        assert await change == 200
+        assert time.monotonic() - began <= ACKNOWLEDGED_S
+        entry.thaw()
+
+        async def obeyed(key: str = key) -> bool:
+            return (await system.call("POST", f"{LOOKUP}7", "x", None, entry=1, key=key))[0] == 200
+
+        await wait_until(obeyed, "the change to be in force at the entry", IN_FORCE_S)
+        before = f"k-{version - 1}"
+        for _ in range(10):
+            status, _ = await system.call("POST", f"{LOOKUP}7", "x", None, entry=1, key=before)
+            assert status == 401
