Prove that an end acknowledged amid a change of leader stops the runs

The test ends a job of long texts three times while the leading store is killed, through either entry: 3 s after the acknowledgement nothing of it runs at any engine, and nothing begins when the store is back. The stand-in engine now tells which texts it is writing.

--- a/tests/fakes/platform_engine.py
+++ b/tests/fakes/platform_engine.py
@@ -25,6 +25,7 @@
     :param failing: ids of the calls that are always answered 500.
     :param break_after: events after which the connection of a run breaks.
     :param runs: ids of the requests that ran, in order.
+    :param running: ids of the texts that are being written now.
     :param orders: bodies of the orders that were accepted.
     :param acknowledged: states whose heartbeat was answered.
     """
@@ -41,6 +42,7 @@
     failing: set[str] = field(default_factory=set)
     break_after: int | None = None
     runs: list[str] = field(default_factory=list)
+    running: list[str] = field(default_factory=list)
     heads: list[dict[str, str]] = field(default_factory=list)
     orders: list[dict] = field(default_factory=list)
     state: str = "ready"
@@ -128,6 +130,15 @@
         return await self._stream(request, said, {**own, "Weight-Versions": str(version)})
 
     async def _stream(self, request: web.Request, said: dict, headers: dict) -> web.StreamResponse:
+        self.running.append(said["attempt-id"])
+        try:
+            return await self._write_events(request, said, headers)
+        finally:
+            self.running.remove(said["attempt-id"])
+
+    async def _write_events(
+        self, request: web.Request, said: dict, headers: dict
+    ) -> web.StreamResponse:
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         await response.prepare(request)
         for number in range(int(said.get("last-event-id", 0)) + 1, self.events + 1):
--- a/tests/integration/test_platform_faults.py
+++ b/tests/integration/test_platform_faults.py
@@ -19,6 +19,8 @@
 # Where the platform's bounds are: an operator's call is answered, and a change is in force.
 ACKNOWLEDGED_S = 4.0
 IN_FORCE_S = 2.0
+# After the acknowledgement of a job's end none of its items runs for longer than this.
+CANCELLED_S = 3.0
 # Changes reach entries within some tens of milliseconds.
 MOMENT_S = 0.008
 
@@ -157,3 +159,34 @@
         for _ in range(10):
             status, _ = await system.call("POST", f"{LOOKUP}7", "x", None, entry=1, key=before)
             assert status == 401
+
+
+async def test_an_end_amid_a_change_of_leader_stops_the_runs(system) -> None:
+    # A trainer ends its job while the store that leads is killed. Once the end is acknowledged,
+    # nothing of the job may run any more, though the new leader has just taken it over.
+    for engine in system.engines:
+        engine.event_s = 0.1
+        engine.events = 200
+    for turn in range(3):
+        name = f"lot{turn}"
+        await system.submit(name, job(6, prefix=f"{name}-"))
+        await wait_until(lambda name=name: running_of(system, name), f"runs of {name}")
+        leader = job_leaders(system)[-1]
+        system.process_by_name[leader].kill()
+
+        async def ended(name: str = name, entry: int = turn % 2 + 1) -> bool:
+            return (await system.call("DELETE", f"/v1/lots/{name}", "x", None, entry))[0] == 200
+
+        await wait_until(ended, f"the end of {name} to be acknowledged")
+        await asyncio.sleep(CANCELLED_S)
+        assert not running_of(system, name)
+        begun = sum(len(engine.runs) for engine in system.engines)
+        system.restart(leader)
+        await asyncio.sleep(CANCELLED_S)
+        assert sum(len(engine.runs) for engine in system.engines) == begun
+
+
+def running_of(system, name: str) -> list[str]:
+    """Items of a job that run at an engine now."""
+    running = [item for engine in system.engines for item in engine.running]
+    return [item for item in running if item.startswith(f"{name}-")]
