Let a failed call to a daemon end no other caller

What callers saw: an operator's or trainer's call that a control daemon hands on to the leader was broken off without an answer when another call over the same channel had failed shortly before. What may follow unseen: the loops that renew, take work and report results wait for calls over shared channels, and end silently by the same error. Cause: a failed call leaves its channel and closes it with 1 s of grace; gRPC then cancels what is still open on it, and that raises asyncio.CancelledError in the tasks of the other calls, which only expected AioRpcError. Calls of up to 1 s usually end by their own deadline first; operators' calls last 1.2 s, and after a freeze of the process both are due at once. Evidence: two calls over one channel: the one with 0.1 s to go fails with deadline_exceeded, the one with 5 s raises CancelledError 1.0 s later. Change: a CancelledError that is not the task's own (Task.cancelling() is 0) becomes the refusal of a lost call. The same in ControlClient, whose channels are replaced alike. Looked at elsewhere: consensus peers and the entries' exchange close channels that one task alone uses. Why it holds: asyncio counts a task's own cancellations; a timeout around the call counts as one, too, and goes through (tests).

--- a/packages/ibisspring-core/src/ibisspring_core/control_client.py
+++ b/packages/ibisspring-core/src/ibisspring_core/control_client.py
@@ -11,6 +11,7 @@
 import grpc
 import msgspec
 
+from ibisspring_core.cancellation import is_task_cancelled
 from ibisspring_core.clock import boot_now
 from ibisspring_core.control_channels import ControlChannels
 from ibisspring_core.errors import Reason, Refusal
@@ -172,6 +173,11 @@
             call = getattr(self._channels.stub(address), method)
             left_s = max(MIN_TIMEOUT_S, timeout_s - (boot_now() - start))
             return Attempt(await call(request, timeout=left_s))
+        except asyncio.CancelledError:
+            if is_task_cancelled():
+                raise
+            # Another call failed, and the channel was closed under this one.
+            return Attempt(None, Reason.NO_LEADER, sent=True)
         except grpc.aio.AioRpcError as error:
             if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
                 self._give_up(address)
--- a/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
+++ b/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
@@ -11,6 +11,7 @@
 import grpc.aio
 import msgspec
 
+from ibisspring_core.cancellation import is_task_cancelled
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 
@@ -159,19 +160,25 @@
             return self._codec.decode(data)
         except grpc.aio.AioRpcError as error:
             code = error.code().name.lower()
-            self._counters.add(f"peer_call_failed.{code}")
             self._leave(address, channel)
-            return Refusal(Reason.ENDPOINT_SILENT, False, None, f"{address}: {code}")
+        except asyncio.CancelledError:
+            if is_task_cancelled():
+                raise
+            # Another call failed, and the channel was closed under this one.
+            code = "channel_left"
         except msgspec.DecodeError as error:
             self._counters.add("peer_call_failed.unreadable")
             return Refusal(Reason.MISMATCHED_ANSWER, False, None, f"{address}: {error}")
+        self._counters.add(f"peer_call_failed.{code}")
+        return Refusal(Reason.ENDPOINT_SILENT, False, None, f"{address}: {code}")
 
     def _leave(self, address: str, channel: grpc.aio.Channel) -> None:
         """
         Leave a channel after a failure.
 
         A connection whose other end lost track of it accepts bytes for ever and returns nothing,
-        while a new one works. Other calls over the channel fail as well and are tried again.
+        while a new one works. Other calls over the channel have `STOP_GRACE_S` to end; those still
+        open then fail as well and are tried again.
         """
         if self._channel_by_address.get(address) is not channel:
             return
--- a/tests/unit/core/test_control_client.py
+++ b/tests/unit/core/test_control_client.py
@@ -6,7 +6,7 @@
 import grpc
 import pytest
 
-from ibisspring_core import control_client
+from ibisspring_core import control_channels, control_client
 from ibisspring_core.control_client import ControlClient
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.commands import RESULTS, Done, DrainEndpoint
@@ -23,9 +23,11 @@
     def __init__(self, *replies: control_pb2.ProposeReply) -> None:
         self.replies = list(replies)
         self.request_ids: list[str] = []
+        self.late_s: list[float] = []
 
     async def Propose(self, request, context):
         self.request_ids.append(request.request_id)
+        await asyncio.sleep(self.late_s.pop(0) if self.late_s else 0.0)
         return self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
 
 
@@ -151,3 +153,20 @@
 
     assert refusal.not_run
     await client.stop()
+
+
+async def test_a_channel_that_another_call_gave_up_cancels_no_caller(monkeypatch) -> None:
+    # gRPC cancels the calls that are open on a closed channel; let through, that would end a task
+    # that nobody cancelled.
+    monkeypatch.setattr(control_channels, "CLOSE_GRACE_S", 0.1)
+    replica = _Replica(DONE)
+    replica.late_s = [1.0]
+    async with _served(replica) as client:
+        command = asyncio.create_task(client.propose(DRAIN, "r1"))
+        (address,) = client.address_by_daemon.values()
+        await asyncio.sleep(0.3)
+
+        client._channels.replace(address)
+
+        assert await command == Done()
+    assert replica.request_ids == ["r1", "r1"]
