--- /dev/null
+++ b/tests/integration/lone_caller.py
@@ -0,0 +1,34 @@
+"""A process that calls a silent daemon and says how each call ended; see test_frozen_calls."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+
+from ibisspring_core.counters import Counters
+from ibisspring_core.messages.directory import Renew
+from ibisspring_core.messages.peers import PEER_MESSAGES
+from ibisspring_core.peer_rpc import STOP_GRACE_S, PeerClient
+
+RENEW = Renew("10.0.0.1:1", "e1", "derby", "i", "entry")
+SHORT_S = 0.1
+FREEZE_ME = "freeze me"
+
+
+async def main(address: str, rounds: int) -> None:
+    """Leave a channel under a call, ask to be frozen until both are due, and say how it ended."""
+    client = PeerClient(PEER_MESSAGES, Counters.from_config(None))
+    for _ in range(rounds):
+        call = asyncio.create_task(client.call(address, RENEW, STOP_GRACE_S))
+        await asyncio.sleep(SHORT_S / 2)
+        await client.call(address, RENEW, SHORT_S)
+        print(FREEZE_ME, flush=True)
+        await asyncio.wait([call])
+        print("cancelled" if call.cancelled() else type(call.result()).__name__, flush=True)
+    # What is still open ends with the process.
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1], int(sys.argv[2])))
