Keep the texts half way in the test of a stopping runner

Cause, from the daemons' lines of that run: the job was accepted at 0.0 s, the stop began at 3.31 s (the test asks 'ibisspring status' in between, a process of its own), the texts took 6 s and ended by themselves at 6.05 s, while the stopping entry lets runs end. There was nothing left to hand over: the test's premise, texts half way, did not hold. The product did as it should. Change: texts of 15 s in place of 6 s. The check is the same, over 30 events of each text in place of 12: whole, in order, and some resumed.

--- a/tests/integration/test_platform_stops.py
+++ b/tests/integration/test_platform_stops.py
@@ -7,6 +7,10 @@
 from integration.platform_system import LOOKUP, NO_ANSWER, NOBODY_LISTENS, job, platform_system
 from integration.processes import wait_until
 
+# Texts of fifteen seconds are half way when the stop begins, also on a busy machine, and outlast
+# the time in which a stopping entry lets its runs end.
+EVENTS = 30
+
 
 @pytest.fixture
 async def system(tmp_path):
@@ -55,7 +59,7 @@
     # entry, and nothing of them is made twice. Which entry runs them follows from its address.
     for engine in system.engines:
         engine.event_s = 0.5
-        engine.events = 12
+        engine.events = EVENTS
     await system.submit("lot1", job(4), entry=2)
     await wait_until(lambda: sum(len(one.runs) for one in system.engines) >= 4, "the runs")
     running = await system.running_by_entry()
@@ -67,6 +71,6 @@
     (other,) = set(running) - {busiest}
     read = await system.whole("lot1", 4, entry=other)
     for result in read["results"]:
-        assert result["output"].split("\n") == [f"{result['id']}-{n}" for n in range(1, 13)]
+        assert result["output"].split("\n") == [f"{result['id']}-{n}" for n in range(1, EVENTS + 1)]
     resumed = [head for one in system.engines for head in one.heads if "last-event-id" in head]
     assert resumed
