Send weight versions and loads only to stores that hold the jobs' log

Cause: each change of a version or load (several a second) woke all stores and sent each the whole view, though only the leader of the jobs' log reads them. Control VMs, which read the directory's log themselves, got a whole view twice a second as the answer to being known, and threw it away.

Ruled out: telling the jobs' leader alone. A store that begins to lead would hand items to engines that load until its next renewal, 0.4 s later.

Change: stores without a replica are told what entries are; a store that has just become a member holds a view of a lower revision and is told at once. Control VMs are answered without a view. A replacement of a voter comes from the data centre with the fewest voters: candidates were taken by address, so that replacements of the large site's voters would gather in its first data centre.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/repair.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/repair.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -29,7 +30,7 @@
 @dataclass(frozen=True)
 class Candidate:
     """
-    A replica that is no member and may become one.
+    A replica in touch, which is a member or may become one.
 
     :param data_centre: where it stands.
     """
@@ -48,7 +49,7 @@
     Choose the next change of the members.
 
     :param state: the leader's core.
-    :param candidates: replicas in touch that are no members, in order of preference.
+    :param candidates: replicas in touch, members among them, in order of preference.
     :param leaving: daemons that an operator takes away.
     :param wanted_voters: voters that bear the losses that must be borne.
     :return: the change to begin; None for none.
@@ -66,15 +67,30 @@
     if not free:
         return None
     if len(members.voters) < wanted_voters:
-        return Replace(free[0].replica, None)
+        return Replace(_least_crowded(free, members.voters, candidates), None)
     for voter in members.voters:
         if voter == state.replica and voter.daemon not in leaving:
             continue
         if voter.daemon in leaving or silent_s(state, voter) > SILENT_S:
-            return Replace(free[0].replica, voter)
+            stay = [one for one in members.voters if one != voter]
+            return Replace(_least_crowded(free, stay, candidates), voter)
     return None
 
 
+def _least_crowded(
+    free: Sequence[Candidate], voters: Sequence[ReplicaId], candidates: Sequence[Candidate]
+) -> ReplicaId:
+    """
+    Choose the candidate whose data centre holds the fewest voters.
+
+    Taken in their order alone, one replacement after the other would bring a majority into one data
+    centre, whose loss ends the log.
+    """
+    centre_by_daemon = {one.replica.daemon: one.data_centre for one in candidates}
+    used = Counter(centre_by_daemon.get(voter.daemon) for voter in voters)
+    return min(free, key=lambda one: used[one.data_centre]).replica
+
+
 def silent_s(state: CoreState, replica: ReplicaId) -> float:
     """
     Tell for how long a replica has not answered its leader.
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -26,7 +26,7 @@
     VersionNamed,
     View,
 )
-from ibisspring_core.settings.vm import ENTRY
+from ibisspring_core.settings.vm import CONTROL, ENTRY
 from ibisspring_directory.commands import (
     COMMANDS,
     PutTable,
@@ -50,6 +50,9 @@
 # time after which they would take the order for lost.
 MAX_IN_FORCE_WAIT_S = 2.5
 JOB_VOTERS_NEEDED = 3
+# Revisions of views with weight versions and loads are above all others: a store that has just
+# become a member of the jobs' log holds a lower one and is told at once.
+LOADS_FROM = 1 << 32
 # Messages of counts beside the renewals, from all entries together. Entries space theirs out, so
 # that a large fleet costs the leader no more.
 USAGE_MESSAGES_PER_S = 500
@@ -63,7 +66,7 @@
     def __init__(self, settings: VmSettings) -> None:
         self.settings = settings
         self.sessions = Sessions()
-        self.revision = Revision()
+        self.revision = Revision(LOADS_FROM)
         self.entry_revision = Revision()
         self._entry_part: tuple[Any, ...] = ()
         self.counts = WindowCounts()
@@ -122,9 +125,9 @@
         """
         Let the daemons that wait know that something changed.
 
-        Entries are told only of what they use. Weight versions and loads change several times a
-        second, and only the jobs' dispatcher asks for them: sent to all, they were most of the
-        bytes between data centres, 0.055 of a day's worth at 77 entries.
+        Daemons are told only of what they use. Weight versions and loads change several times a
+        second, and only the jobs' dispatcher asks for them: entries and stores that hold no replica
+        of the jobs' log are not woken for these.
         """
         self.revision.rise()
         part = self._part_for_entries()
@@ -151,7 +154,7 @@
         return tuple(voter.daemon for voter in self.consensus.core.members.voters)
 
     def _revision_for(self, renew: Renew) -> Revision:
-        return self.entry_revision if renew.role == ENTRY else self.revision
+        return self.revision if _uses_loads(renew) else self.entry_revision
 
     def _only_leading(self, handler: Any) -> Any:
         async def answer(message: Any) -> Any:
@@ -227,7 +230,7 @@
             await revision.wait(renew.hold_s, is_new)
         if not self.leads() or self._term != epoch:
             return self.not_leader()
-        if not is_new():
+        if renew.role == CONTROL or not is_new():
             return Unchanged(self.wall_s(), self.state.closed_window)
         return self._view(renew)
 
@@ -242,7 +245,7 @@
         state = self.state
         leader = self.sessions.job_leader(now)
         lacks_table = renew.table_version != state.table_version
-        loads = renew.role != ENTRY
+        loads = _uses_loads(renew)
         return View(
             epoch=self._term,
             revision=self._revision_for(renew).number,
@@ -338,6 +341,11 @@
         return Retiring("active" if address in leader.renew.job_members else "completed")
 
 
+def _uses_loads(renew: Renew) -> bool:
+    """Whether a daemon may lead the jobs' log, which is handed out by versions and loads."""
+    return renew.member is not None and not renew.member.empty
+
+
 def _address_of(session: Session | None) -> str:
     return session.renew.address if session is not None else ""
 
--- a/packages/ibisspring-directory/src/ibisspring_directory/views.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/views.py
@@ -14,8 +14,8 @@
 class Revision:
     """A number that rises with each change of the view; renewals wait on it."""
 
-    def __init__(self) -> None:
-        self.number = 1
+    def __init__(self, first: int = 1) -> None:
+        self.number = first
         self._changed = asyncio.Event()
 
     def rise(self) -> None:
--- a/tests/unit/consensus/test_repair.py
+++ b/tests/unit/consensus/test_repair.py
@@ -57,6 +57,19 @@
     assert next_change(state, [SPARE], (), 3) == Replace(SPARE.replica, VOTERS[1])
 
 
+def test_a_replacement_comes_from_the_data_centre_with_the_fewest_voters() -> None:
+    # Of thirty stores the first by address stand in one data centre: replaced by those, one voter
+    # after the other ends up there, and its loss ends the log.
+    state = leader(MEMBERS_OF_THREE, silent=("c",))
+    here = [Candidate(VOTERS[0], "derby"), Candidate(VOTERS[1], "stoke")]
+    near = Candidate(ReplicaId("p", "d"), "derby")
+    far = Candidate(ReplicaId("q", "d"), "walsall")
+
+    assert next_change(state, [*here, near, far], (), 3) == Replace(far.replica, VOTERS[2])
+    assert next_change(state, [*here, near, far], (), 5) == Replace(far.replica, None)
+    assert next_change(state, [*here, near], (), 3) == Replace(near.replica, VOTERS[2])
+
+
 def test_silence_alone_removes_nobody() -> None:
     # A partition leaves two of three voters: taking the third out would let one more loss end it.
     state = leader(MEMBERS_OF_THREE, silent=("b",))
--- a/tests/unit/directory/test_service.py
+++ b/tests/unit/directory/test_service.py
@@ -16,6 +16,7 @@
     Announce,
     Announced,
     Depart,
+    Member,
     Renew,
     ReplaceTable,
     Unchanged,
@@ -30,6 +31,8 @@
 from ibisspring_directory.state import DirectoryState
 
 SETTINGS = VmSettings("c1", CONTROL, "derby", "10.0.0.1:1", ("10.0.0.1:1",), announce_every_s=0.1)
+HOLDER = Member("10.0.1.2:1", "2", "derby", "disk", empty=False, cluster="jobs")
+SPARE = dataclasses.replace(HOLDER, empty=True, cluster="")
 ENGINE = EndpointRecord("e1", 5, 1, "scorer", "engine", "standard", "derby", "10.0.0.9:80")
 
 
@@ -107,16 +110,16 @@
     # Engines load weights several times a second. Each entry woken by each of these would get all
     # endpoints anew; the stores, whose leader hands out the items, need them.
     await directory.endpoints.announce(Announce(ENGINE))
-    await directory.renew(dataclasses.replace(renew("2"), role="store"))
+    await directory.renew(dataclasses.replace(renew("2"), role="store", member=HOLDER))
     for _ in range(3):
         # What the announcement and the store's coming set off.
         await asyncio.sleep(0)
     view = await directory.renew(renew("1"))
     entry = await held(directory, view)
-    store_view = await directory.renew(dataclasses.replace(renew("2"), role="store"))
+    store_view = await directory.renew(dataclasses.replace(renew("2"), role="store", member=HOLDER))
     same = {"epoch": store_view.epoch, "revision": store_view.revision, "hold_s": 5.0}
     store = asyncio.create_task(
-        directory.renew(dataclasses.replace(renew("2", **same), role="store"))
+        directory.renew(dataclasses.replace(renew("2", **same), role="store", member=HOLDER))
     )
     await asyncio.sleep(0)
     assert not store.done()
@@ -138,6 +141,51 @@
         assert (await entry).endpoints[0].record.state == "leaving"
 
 
+async def test_a_store_without_a_replica_is_told_only_of_what_entries_are(directory) -> None:
+    # Of thirty stores five hold the jobs' log; told of each load, the others were most of what
+    # control sends to other data centres.
+    spare = dataclasses.replace(renew("2"), role="store", member=SPARE)
+    await directory.endpoints.announce(Announce(ENGINE))
+    await directory.renew(spare)
+    for _ in range(3):
+        await asyncio.sleep(0)
+    view = await directory.renew(spare)
+    same = {"epoch": view.epoch, "revision": view.revision, "hold_s": 5.0}
+    waiting = asyncio.create_task(directory.renew(dataclasses.replace(spare, **same)))
+    await asyncio.sleep(0)
+
+    directory.endpoints.note_loading(ENGINE.endpoint, "m", loads=True)
+    for _ in range(3):
+        await asyncio.sleep(0)
+    assert not waiting.done()
+
+    waiting.cancel()
+
+
+async def test_a_store_that_becomes_a_member_is_told_the_loads_at_once(directory) -> None:
+    # It may lead the jobs' log next, and would hand items to engines that load.
+    spare = dataclasses.replace(renew("2"), role="store", member=SPARE)
+    await directory.endpoints.announce(Announce(ENGINE))
+    directory.endpoints.note_loading(ENGINE.endpoint, "m", loads=True)
+    await directory.renew(spare)
+    for _ in range(3):
+        await asyncio.sleep(0)
+    view = await directory.renew(spare)
+    assert view.loading == ()
+
+    same = {"epoch": view.epoch, "revision": view.revision, "hold_s": 5.0}
+    async with asyncio.timeout(1.0):
+        told = await directory.renew(dataclasses.replace(spare, member=HOLDER, **same))
+    assert told.loading == ((ENGINE.endpoint, "m"),)
+
+
+async def test_control_vms_are_not_sent_a_view(directory) -> None:
+    # They renew twice a second to be known, and read the directory's state from their own log.
+    control = dataclasses.replace(renew("3"), role=CONTROL, member=HOLDER)
+
+    assert isinstance(await directory.renew(control), Unchanged)
+
+
 async def test_nothing_new_is_told_after_the_hold(directory) -> None:
     view = await directory.renew(renew("1"))
     unchanged = renew("1", epoch=view.epoch, revision=view.revision, hold_s=0.01)
