Import the text of the figures with its first reader

Ruled out: click (uvicorn imports it as well), multiprocessing and logging.config (uvicorn's own), aiohttp's server part.

Change: histograms are counted in plain lists; a thread waits on the listening socket without a wake-up and imports the exposition when somebody connects.

--- a/packages/ibisspring-core/src/ibisspring_core/metrics_server.py
+++ b/packages/ibisspring-core/src/ibisspring_core/metrics_server.py
@@ -1,43 +1,22 @@
-"""Serves counters and latency histograms as text, in the exposition format of Prometheus."""
+"""Listens for readers of the process's figures."""
 
 from __future__ import annotations
 
-import asyncio
+import selectors
+import socket
+import threading
 from typing import TYPE_CHECKING
 
 import eliot
-from prometheus_client import start_http_server
-from prometheus_client.core import CounterMetricFamily
-
-from ibisspring_core.latencies import PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from wsgiref.simple_server import WSGIServer
 
     from ibisspring_core.counters import Counters
     from ibisspring_core.kernel import Kernel
 
-COUNTED = PREFIX + "counted"
-
-
-class CounterCollector:
-    """The counters as one family of metrics; the label holds the counter's name."""
-
-    def __init__(self, counters: Counters) -> None:
-        self._counters = counters
-
-    def collect(self) -> Iterator[CounterMetricFamily]:
-        """
-        Read the counters, in the server's thread.
-
-        :return: one family.
-        """
-        family = CounterMetricFamily(COUNTED, "Counters of this process", labels=("name",))
-        # A copy: the event loop's thread may add a name meanwhile.
-        for name, count in sorted(self._counters.count_by_name.copy().items()):
-            family.add_metric((name,), count)
-        yield family
+BACKLOG = 16
+STOP_S = 1.0
 
 
 class MetricsServer:
@@ -45,33 +24,58 @@
     The service `metrics_server`.
 
     It answers in a thread of its own: the figures can be read while the event loop is stuck, and a
-    reader that stops in the middle of an answer holds up no request.
+    reader that stops in the middle of an answer holds up no request. What answers is imported with
+    the first reader: it takes a megabyte, and most processes are never read.
     """
 
     name = "metrics_server"
 
     def __init__(self, listen: str) -> None:
         self._listen = listen
-        self._server: WSGIServer | None = None
+        self._wake: socket.socket | None = None
+        self._thread: threading.Thread | None = None
 
     async def start(self, kernel: Kernel) -> None:
         """Listen; a port that is taken costs the figures and not the service."""
-        counters = kernel.find("counters")
-        registry = counters.latencies.registry
-        registry.register(CounterCollector(counters))
         host, _, port = self._listen.rpartition(":")
         try:
-            self._server, _ = start_http_server(int(port), host, registry)
+            listener = socket.create_server((host, int(port)), backlog=BACKLOG)
         except OSError as error:
             eliot.log_message("metrics_server:not_served", listen=self._listen, error=repr(error))
+            return
+        # A reader may be gone again before it is accepted.
+        listener.setblocking(False)
+        self._wake, woken = socket.socketpair()
+        self._thread = threading.Thread(
+            target=_serve,
+            args=(listener, woken, kernel.find("counters")),
+            name="metrics_server",
+            daemon=True,
+        )
+        self._thread.start()
 
     async def stop(self) -> None:
         """Close the listener."""
-        if self._server is None:
+        if self._wake is None or self._thread is None:
             return
-        # `shutdown` returns once the serving thread saw it, half a second later at most.
-        await asyncio.to_thread(self._server.shutdown)
-        self._server.server_close()
+        self._wake.close()
+        self._thread.join(STOP_S)
+
+
+def _serve(listener: socket.socket, woken: socket.socket, counters: Counters) -> None:
+    server: WSGIServer | None = None
+    with listener, woken, selectors.DefaultSelector() as selector:
+        selector.register(listener, selectors.EVENT_READ)
+        selector.register(woken, selectors.EVENT_READ)
+        while True:
+            readable = [key.fileobj for key, _ in selector.select()]
+            if woken in readable:
+                return
+            if server is None:
+                from ibisspring_core.exposition import build_server
+
+                server = build_server(listener, counters)
+            server.handle_request()
 
 
-__all__ = ["COUNTED", "MetricsServer"]
+__all__ = ["MetricsServer"]
--- a/tests/unit/core/test_metrics_server.py
+++ b/tests/unit/core/test_metrics_server.py
@@ -1,7 +1,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 import aiohttp
 import pytest
@@ -9,10 +13,13 @@
 
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason
+from ibisspring_core.exposition import COUNTED
 from ibisspring_core.kernel import Kernel
-from ibisspring_core.metrics_server import COUNTED, MetricsServer
+from ibisspring_core.metrics_server import MetricsServer
 from integration.processes import free_address
 
+REPOSITORY = Path(__file__).resolve().parents[3]
+
 
 async def _read(address: str) -> dict:
     async with aiohttp.ClientSession() as session:
@@ -54,6 +61,35 @@
     assert value_by_sample[("ibisspring_request_seconds_sum", "answered")] == 40.3
 
 
+async def test_several_outcomes_of_one_duration_are_one_family(served) -> None:
+    counters, address = served
+    counters.observe("try_seconds", 0.25, "answered")
+    counters.observe("try_seconds", 0.002, "timeout")
+    counters.observe("request_seconds", 0.002, "answered")
+
+    value_by_sample = await _read(address)
+
+    assert value_by_sample[("ibisspring_try_seconds_bucket", "answered", "0.25")] == 1
+    assert value_by_sample[("ibisspring_try_seconds_bucket", "timeout", "+Inf")] == 1
+    assert value_by_sample[("ibisspring_request_seconds_count", "answered")] == 1
+
+
+def test_a_process_that_nobody_reads_does_not_pay_for_the_exposition() -> None:
+    # Its modules are a megabyte of the thirty of an entry, in each of two hundred processes.
+    program = "import sys, ibisspring_platform.main; print('prometheus_client' in sys.modules)"
+    environment = {**os.environ, "PYTHONPATH": "platform"}
+    ran = subprocess.run(
+        [sys.executable, "-c", program],
+        cwd=REPOSITORY,
+        env=environment,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+
+    assert ran.stdout.strip() == "False"
+
+
 async def test_a_reader_that_stops_in_its_question_keeps_no_other_reader_waiting(served) -> None:
     """
     A collector connects, sends half a question and hangs; the figures are wanted just then.
