Follow news of another leader at once, and ask no spare store for work

Cause: after the loss of the jobs' leader each runner asked one store after the other, a tenth of a second apart. Of the large site's thirty stores five hold the log and can name its leader; the address that control names was asked in its turn only, though it stood first.

Ruled out: the call's own time limit (a killed leader resets its connections; a dark one costs one second, as before).

Change: an address that has just become the first is asked next; stores without a replica are not asked.

--- a/packages/ibisspring-core/src/ibisspring_core/leader_client.py
+++ b/packages/ibisspring-core/src/ibisspring_core/leader_client.py
@@ -33,10 +33,16 @@
     """Remembers who led last; every message that goes through it may arrive more than once."""
 
     def __init__(self, client: PeerClient, addresses: Addresses) -> None:
+        """
+        Build a client.
+
+        :param addresses: gives where the leader may be, the likeliest first.
+        """
         self._client = client
         self._addresses = addresses
         self._leader = ""
         self._next = 0
+        self._likeliest = ""
 
     async def call(self, message: Any, timeout_s: float, one_call_s: float) -> Any:
         """
@@ -75,6 +81,10 @@
         addresses = self._addresses()
         if not addresses:
             return ""
+        if addresses[0] != self._likeliest:
+            # News of another leader: in turn with thirty others it would be asked seconds later.
+            self._likeliest = addresses[0]
+            return addresses[0]
         self._next += 1
         return addresses[self._next % len(addresses)]
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -108,9 +108,10 @@
         """Peer addresses where the leader of the jobs' log may be, the likeliest first."""
         view = self._view.view
         founders = view.job_group.founders if view.job_group is not None else ()
-        stores = (*(one.address for one in view.stores), *(one.address for one in founders))
+        # A store without a replica neither leads nor knows who does.
+        holders = (one.address for one in view.stores if not one.empty)
         hint = (view.job_leader,) if view.job_leader else ()
-        return tuple(dict.fromkeys((*hint, *stores)))
+        return tuple(dict.fromkeys((*hint, *holders, *(one.address for one in founders))))
 
     async def _take(self) -> None:
         while True:
