Let the emulator play the large fleet

Change: a fleet names its places and memory; slow and reclaimed engines are a fifth of them. The fleets before play as they did.

--- a/bench/_emulated_system.py
+++ b/bench/_emulated_system.py
@@ -37,6 +37,8 @@
     :param groups_by_model: groups of a step by model.
     :param group_size: items of a group.
     :param reward_s: seconds from a whole text to its score; 0 where texts are not scored.
+    :param slots: texts that an engine works on at once.
+    :param memory_tokens: what an engine holds.
     """
 
     name: str
@@ -44,6 +46,13 @@
     groups_by_model: dict[str, int]
     group_size: int
     reward_s: float = 0.0
+    slots: int = SLOTS
+    memory_tokens: int = MEMORY_TOKENS
+
+    @property
+    def fifth(self) -> int:
+        """A fifth of the engines: as many turn slow at once, or stand in one data centre."""
+        return max(1, self.engines // 5)
 
 
 @dataclass(frozen=True)
@@ -51,9 +60,9 @@
     """
     What happens in the day.
 
-    :param slow_at_s: from then on for ten seconds one engine takes three times as long.
+    :param slow_at_s: from then on for ten seconds a fifth of the engines take three times as long.
     :param power_at_s: all runs are cut; nothing is dispatched for `DARK_S`.
-    :param reclaim_at_s: two engines are gone for `BOOT_S`.
+    :param reclaim_at_s: two engines, or a fifth of more than ten, are gone for `BOOT_S`.
     """
 
     name: str
@@ -101,6 +110,7 @@
 
     name: str
     version_by_model: dict[str, int]
+    slots: int = SLOTS
     runs: list[Text] = field(default_factory=list)
     loading: str = ""
     load_version: int = 0
@@ -110,7 +120,7 @@
 
     def event_s(self, slow: bool) -> float:
         """Seconds for an event of each run now."""
-        fullness = len(self.runs) / SLOTS
+        fullness = len(self.runs) / self.slots
         return EVENT_S * (1.0 + FULL_COSTS * fullness) * (SLOW_TIMES if slow else 1.0)
 
 
--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -17,8 +17,6 @@
 from dataclasses import dataclass
 
 from bench._emulated_system import (
-    MEMORY_TOKENS,
-    SLOTS,
     TOKENS_PER_EVENT,
     Engine,
     Fleet,
@@ -92,10 +90,11 @@
 
     def __init__(self, fleet: Fleet, trouble: Trouble, policy: Policy, seed: int) -> None:
         self._source = random.Random(f"{fleet.name} {trouble.name} {seed}")
+        self._fleet = fleet
         self._trouble = trouble
         self._policy = policy
         self._engines = [
-            Engine(f"e{number}", dict.fromkeys(fleet.groups_by_model, 0))
+            Engine(f"e{number}", dict.fromkeys(fleet.groups_by_model, 0), fleet.slots)
             for number in range(fleet.engines)
         ]
         self._trainers = [
@@ -143,7 +142,7 @@
                 for text in tuple(engine.runs):
                     self._cut(engine, text)
         if _is_now(trouble.reclaim_at_s, now):
-            for engine in self._engines[:RECLAIMED]:
+            for engine in self._engines[: max(RECLAIMED, self._fleet.fifth)]:
                 engine.gone_until_s = now + BOOT_S
                 engine.loading = ""
                 for text in tuple(engine.runs):
@@ -184,7 +183,11 @@
             if engine.loading and now >= engine.loads_until_s:
                 engine.version_by_model[engine.loading] = engine.load_version
                 engine.loading = ""
-            slow = index == 0 and slow_at is not None and slow_at <= now < slow_at + SLOW_FOR_S
+            slow = (
+                index < self._fleet.fifth
+                and slow_at is not None
+                and slow_at <= now < slow_at + SLOW_FOR_S
+            )
             made = TICK_S / engine.event_s(slow)
             for text in tuple(engine.runs):
                 if text.model == engine.loading:
@@ -260,8 +263,8 @@
         return [
             EngineRoom(
                 engine=one.name,
-                slots=SLOTS - len(one.runs),
-                tokens=MEMORY_TOKENS
+                slots=one.slots - len(one.runs),
+                tokens=self._fleet.memory_tokens
                 - sum(run.tokens(self._policy.by_estimate) for run in one.runs),
                 running=len(one.runs),
                 slowness=one.pace.seconds / fastest if one.pace.seconds else 1.0,
--- a/bench/emulated.py
+++ b/bench/emulated.py
@@ -15,6 +15,14 @@
     Fleet("one trainer, 8 engines", 8, {"m": 15}, 8),
     Fleet("three trainers, 5 engines", 5, {"x": 8, "y": 9, "z": 6}, 4),
     Fleet("two trainers, 5 engines, scored", 5, {"x": 7, "y": 7}, 8, reward_s=0.2),
+    Fleet(
+        "three trainers, 19 engines of 6 places",
+        19,
+        {"x": 10, "y": 10, "z": 7},
+        8,
+        slots=6,
+        memory_tokens=27_524,
+    ),
 )
 TROUBLES = (
     Trouble("calm"),
