Read long results from a store in the entry's data centre

Cause: callers read whole jobs again and again, from the jobs' leader alone.

Ruled out: a cache at each entry (memory costs more there than the bytes, and other callers come through other entries); reading from a follower alone (one that is behind would show fewer results than were read before).

Change: the leader, under its lease, says which positions are listed and sends texts of up to 16 KB itself, which is what a trainer that keeps up reads. Longer ones come from a store with a replica in the entry's data centre, the newest that it has not applied from the leader. Positions never change, so that both give the same. A store that does not answer in 0.3 s is left out for 2 s.

New: counters of bytes by message.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
@@ -126,7 +126,9 @@
             self._channel = open_channel(self._address)
         stub = consensus_pb2_grpc.ConsensusStub(self._channel)
         try:
-            compression = compression_for(request.ByteSize())
+            size = request.ByteSize()
+            self._counters.add("consensus.sent_bytes", size)
+            compression = compression_for(size)
             reply = await stub.Deliver(request, timeout=self._deadline_s, compression=compression)
         except grpc.aio.AioRpcError as error:
             self._counters.add(f"consensus.deliver_failed.{error.code().name.lower()}")
--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -129,6 +129,7 @@
     :param after: first position, from 0.
     :param hold_s: seconds to wait for a result at that position.
     :param max_bytes: most bytes of output; at least one result is given where there is one.
+    :param inline_bytes: with more output than this, only the positions are told; None for no bound.
     """
 
     job: str
@@ -136,6 +137,35 @@
     after: int
     hold_s: float
     max_bytes: int
+    inline_bytes: int | None = None
+
+
+@dataclass(frozen=True)
+class ResultsListed:
+    """
+    Results are listed, and any store that has applied them may be asked for them.
+
+    :param total: items of the job.
+    :param listed: position after the last of the results that fit into one answer.
+    """
+
+    total: int
+    listed: int
+
+
+@dataclass(frozen=True)
+class ReadListed:
+    """
+    Asks a store, which need not lead, for results that its leader said are listed.
+
+    :param after: first position.
+    :param listed: position after the last one.
+    """
+
+    job: str
+    client_account: str
+    after: int
+    listed: int
 
 
 @dataclass(frozen=True)
@@ -331,8 +361,10 @@
     "JobItem",
     "Outcome",
     "ReadBody",
+    "ReadListed",
     "ReadResults",
     "ReportWork",
+    "ResultsListed",
     "ResultsRead",
     "RewardCall",
     "SubmitJob",
--- a/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
+++ b/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
@@ -154,8 +154,10 @@
         try:
             data = self._codec.encode(message)
             compression = compression_for(len(data))
-            data = await method(data, timeout=timeout_s, compression=compression)
             kind = type(message).__name__
+            self._counters.add(f"peer_sent_bytes.{kind}", len(data))
+            data = await method(data, timeout=timeout_s, compression=compression)
+            self._counters.add(f"peer_received_bytes.{kind}", len(data))
             self._counters.observe("peer_call_seconds", boot_now() - began_s, kind)
             return self._codec.decode(data)
         except grpc.aio.AioRpcError as error:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
@@ -7,6 +7,7 @@
 from ibisspring_core.connections import Connections
 from ibisspring_core.directory_view import DirectoryView
 from ibisspring_gateway.forward import Forwarder
+from ibisspring_gateway.result_reads import ResultReads
 from ibisspring_gateway.reward_calls import RewardCalls
 from ibisspring_gateway.runner import Runner
 from ibisspring_gateway.usage import UsageCounts
@@ -30,6 +31,7 @@
         Forwarder.from_config(settings),
         RewardCalls(),
         Runner.from_config(settings),
+        ResultReads.from_config(settings),
     )
 
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -19,8 +19,10 @@
     JobAccepted,
     JobEnded,
     ReadBody,
+    ReadListed,
     ReadResults,
     ReportWork,
+    ResultsListed,
     ResultsRead,
     SubmitJob,
     TakeWork,
@@ -89,6 +91,7 @@
         }
         for message_type, handler in handler_by_type.items():
             server.answer(message_type, self._only_leading(handler))
+        server.answer(ReadListed, self.read_listed)
         self._ticks = kernel.find("timer").subscribe("jobs", TICK_S, self._tick)
 
     async def stop(self) -> None:
@@ -219,7 +222,18 @@
                 break
         if not self.leads():
             return NotLeader(self._consensus.leader_hint)
-        return ResultsRead(kept.total, _slice(kept.results, message.after, message.max_bytes))
+        results = _slice(kept.results, message.after, message.max_bytes)
+        size = sum(len(one.output) for one in results)
+        if message.inline_bytes is not None and size > message.inline_bytes:
+            return ResultsListed(kept.total, message.after + len(results))
+        return ResultsRead(kept.total, results)
+
+    async def read_listed(self, message: ReadListed) -> ResultsRead:
+        """Read results that the leader said are listed, as far as they are applied here."""
+        kept = self._state.job_by_id.get(message.job)
+        if kept is None or kept.job.client_account != message.client_account:
+            return ResultsRead(0, ())
+        return ResultsRead(kept.total, tuple(kept.results[message.after : message.listed]))
 
     async def read_body(self, message: ReadBody) -> Any:
         """Read the body of an item that is not listed yet."""
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ibisspring_gateway.result_reads import INLINE_BYTES
 from integration.platform_system import (
     KEY,
     LOOKUP,
@@ -57,6 +58,26 @@
     assert {(order["op"], order["version"]) for order in orders} == {("version", 2)}
 
 
+async def test_long_results_are_the_same_through_every_entry(system) -> None:
+    # Long texts come from a store near the entry: one that is frozen, or lacks the newest of them,
+    # must neither keep results from a trainer nor change their order.
+    for engine in system.engines:
+        engine.events = 400
+        engine.event_s = 0.001
+    await system.submit("long", job(8))
+    read = await system.whole("long", 8)
+    assert sum(len(one["output"]) for one in read["results"]) > INLINE_BYTES
+    assert await system.results("long", entry=2) == read
+
+    leader = system.leaders("jobs")[-1]
+    for store in {"store-1", "store-2", "store-3"} - {leader}:
+        process = system.process_by_name[store]
+        process.freeze()
+        for entry in (1, 2):
+            assert await system.results("long", entry) == read
+        process.thaw()
+
+
 async def test_a_withdrawn_key_and_a_moved_route_are_in_force_once_answered(system) -> None:
     # An operator withdraws a key; a moment after the answer one entry still lets it in.
     changed = configuration(2)
