Wait for room also where a full disk refuses a new name

A write without room is waited for, but the file of term and vote is written under a new name, and a full disk refuses the name, its sync or its renaming as well; that was taken for a failed sync of the log, after which a replica must take no further part. On small sites a leader seldom changes while a disk is full, since one loss is borne at a time there.

Change: a file that is replaced whole has nothing in doubt before its renaming: what refuses it for want of room is `DiskFull`, and the next try writes it anew.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
@@ -19,10 +19,10 @@
 
 class DiskFull(Exception):
     """
-    A write found no room.
+    There is no room, and nothing that was synced before is in doubt.
 
-    Only what a write says is meant: a sync that finds no room may have dropped what was written
-    before, and after it nobody knows what the disk holds.
+    The sync of a log that finds no room is not meant: it may have dropped what was written before,
+    and after it nobody knows what the disk holds.
     """
 
 
@@ -132,7 +132,7 @@
 
 def replace_file(path: Path, data: bytes) -> None:
     """
-    Write a file whole or not at all.
+    Write a file whole or not at all; `DiskFull` where there is no room for it.
 
     A crash leaves the old file or the new one: the new one is synced under another name before it
     takes the place, and the folder is synced after.
@@ -141,10 +141,18 @@
     :param data: its new content.
     """
     temporary = path.with_name(path.name + ".tmp")
-    with temporary.open("wb", buffering=0) as file:
-        write_all(file.fileno(), data)
-        os.fsync(file.fileno())
-    temporary.replace(path)
+    try:
+        with temporary.open("wb", buffering=0) as file:
+            write_all(file.fileno(), data)
+            os.fsync(file.fileno())
+        temporary.replace(path)
+    except OSError as error:
+        if error.errno != errno.ENOSPC:
+            raise
+        # A full disk refuses the new name as well, or says so at the sync: the old file stands, and
+        # the next try writes the new one whole.
+        temporary.unlink(missing_ok=True)
+        raise DiskFull(str(error)) from error
     sync_folder(path.parent)
 
 
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections import deque
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -107,7 +108,9 @@
         except Exception as error:
             # After a failed sync nobody knows what the disk holds, and a second sync may say that
             # all is well. The replica takes no further part, so that it promises nothing more.
-            eliot.log_message("consensus:disk_failed", error=repr(error))
+            frame = traceback.extract_tb(error.__traceback__)[-1]
+            at = f"{frame.name}:{frame.lineno}"
+            eliot.log_message("consensus:disk_failed", error=repr(error), at=at)
             self._on_failed()
 
     async def _do_next(self) -> None:
--- a/tests/unit/consensus/test_writer.py
+++ b/tests/unit/consensus/test_writer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+from pathlib import Path
 
 import pytest
 
@@ -109,3 +111,36 @@
     monkeypatch.undo()
 
     assert Storage.from_folder(storage.folder).stored.hard.term == 0
+
+
+@pytest.mark.parametrize("refused", ["open", "fsync", "replace"])
+async def test_a_new_term_on_a_full_disk_is_waited_for(storage, monkeypatch, refused) -> None:
+    # A leader is elected while the disk of a follower is full: the file of term and vote finds no
+    # room for its new name, and the control daemon ends.
+    monkeypatch.setattr(writer_module, "FULL_DISK_RETRY_S", 0.01)
+    place = {"open": Path, "fsync": files.os, "replace": Path}[refused]
+    room = asyncio.Event()
+    tried = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    plain = getattr(place, refused)
+
+    def without_room(*arguments, **options):
+        if room.is_set():
+            return plain(*arguments, **options)
+        loop.call_soon_threadsafe(tried.set)
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(place, refused, without_room)
+    synced, failed = asyncio.Queue(), asyncio.Event()
+    writer = Writer(storage, synced.put_nowait, failed.set)
+    writer.start()
+    writer.add(Persist(1, hard_state=HardState(term=9)))
+    async with asyncio.timeout(5.0):
+        await tried.wait()
+        room.set()
+        assert await synced.get() == 1
+    await writer.stop()
+    monkeypatch.undo()
+
+    assert not failed.is_set()
+    assert Storage.from_folder(storage.folder).stored.hard.term == 9
