Write a long text to the jobs' log once

Cause: what a text of more than a second made is kept in the log every second; at its end the whole text was listed once more, since its last part came with the result.

Ruled out: handing parts over less often (what a loss costs a text grows with it).

Change: where a text's beginning is kept, the leader keeps its last part like the others and lists the result without the text. A text without parts is listed as before, in one command.

Figures: the new test finds the beginning of a text twice in the log before and once now; the random histories of texts take the same way.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import eliot
 
-from ibisspring_core.messages.jobs import Assignment, ItemResult, Outcome, TextPart
+from ibisspring_core.messages.jobs import PART, Assignment, ItemResult, Outcome, TextPart
 from ibisspring_decisions.dispatch import place
 from ibisspring_decisions.stragglers import LEAST_LEFT, MovableRun, choose_moves
 from ibisspring_jobs.engines import Engines
@@ -224,6 +225,25 @@
             self.engines.begins(runner.address, record.endpoint, group, now)
         runner.give(assignment)
 
+    def apart(self, outcome: Outcome) -> tuple[Outcome, ...]:
+        """
+        Take the end of a run apart from the text that it made, where the text's beginning is kept.
+
+        Listed in one piece, the text would go to all replicas of the log a second time.
+        """
+        run = self.run_by_number.get(outcome.number)
+        kept = self._state.job_by_id.get(run.job) if run is not None else None
+        if outcome.kind != "done" or not outcome.events or kept is None:
+            return (outcome,)
+        if (
+            run.item not in kept.item_by_id
+            or not self.items.progress_of((run.job, run.item)).events
+        ):
+            return (outcome,)
+        last = replace(outcome, kind=PART, whole=True)
+        after = outcome.after + outcome.events
+        return last, replace(outcome, output="", events=0, versions=(), after=after)
+
     def take_part(self, outcome: Outcome) -> tuple[str, TextPart] | None:
         """
         Take in what a run made.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -297,17 +297,18 @@
         by_job: dict[str, list[ItemResult]] = {}
         parts_by_job: dict[str, list[TextPart]] = {}
         now = boot_now()
-        for outcome in message.outcomes:
-            dispatcher.release(outcome, now)
-            if outcome.kind != "done" and (outcome.events or outcome.whole):
-                made = dispatcher.take_part(outcome)
-                if made is not None:
-                    parts_by_job.setdefault(made[0], []).append(made[1])
-            if outcome.kind == PART:
-                continue
-            ended = dispatcher.report(outcome, now)
-            if ended is not None:
-                by_job.setdefault(ended[0], []).append(ended[1])
+        for reported in message.outcomes:
+            dispatcher.release(reported, now)
+            for outcome in dispatcher.apart(reported):
+                if outcome.kind != "done" and (outcome.events or outcome.whole):
+                    made = dispatcher.take_part(outcome)
+                    if made is not None:
+                        parts_by_job.setdefault(made[0], []).append(made[1])
+                if outcome.kind == PART:
+                    continue
+                ended = dispatcher.report(outcome, now)
+                if ended is not None:
+                    by_job.setdefault(ended[0], []).append(ended[1])
         dispatcher.match(now)
         # A result may stand for the text that is kept with it, so the text goes first.
         if not await self._keep(parts_by_job) or not await self._record(by_job):
--- /dev/null
+++ b/tests/unit/jobs/test_service.py
@@ -0,0 +1,142 @@
+"""The jobs' leader, with a log that applies at once."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from unit.jobs.test_dispatcher import ENGINE
+from unit.jobs.test_state import job_of
+
+from ibisspring_consensus.proposals import Committed
+from ibisspring_core.counters import Counters
+from ibisspring_core.kernel import Kernel
+from ibisspring_core.messages.jobs import (
+    PART,
+    Outcome,
+    ReadListed,
+    ReadResults,
+    ReportWork,
+    ResultsListed,
+    ResultsRead,
+    SubmitJob,
+    TakeWork,
+)
+from ibisspring_core.settings.vm import STORE, VmSettings
+from ibisspring_core.timer import TimerService
+from ibisspring_jobs.service import Jobs
+from ibisspring_jobs.state import JobsState
+
+SETTINGS = VmSettings("s1", STORE, "derby", "10.0.0.1:1", ("10.0.0.1:1",))
+
+
+class _Consensus:
+    name = "consensus"
+    is_leader = True
+    term = 7
+    leader_hint = ""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        self._state = kernel.find("jobs_state")
+
+    async def stop(self) -> None: ...
+
+    def lease_left_s(self) -> float:
+        return 0.5
+
+    async def propose(self, data: bytes) -> Committed:
+        self.written.append(data)
+        return Committed(1, self._state.apply(1, data))
+
+
+class _View:
+    name = "directory_view"
+    view = SimpleNamespace(loading=())
+    index = None
+
+    async def start(self, kernel: Kernel) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def subscribe(self, callback) -> None: ...
+
+    def serving(self, service: str):
+        return (ENGINE,)
+
+    def wall_s(self) -> float:
+        return 1000.0
+
+
+class _Server:
+    name = "peer_server"
+
+    async def start(self, kernel: Kernel) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def answer(self, message_type, handler) -> None: ...
+
+
+@pytest.fixture
+async def jobs():
+    jobs = Jobs.from_config(SETTINGS)
+    parts = (TimerService(), Counters.from_config(None), _Server(), JobsState(), _View())
+    kernel = Kernel.from_services((*parts, _Consensus(), jobs))
+    await kernel.start()
+    await jobs.submit(SubmitJob(job_of()))
+    yield jobs, kernel.find("consensus")
+    await kernel.stop()
+
+
+async def _begin(jobs: Jobs) -> int:
+    """Take one item; its number."""
+    call = TakeWork("e1", "derby", "x", 7, 1, (), 1, 0.0)
+    return (await jobs.take_work(call)).assignments[0].number
+
+
+async def test_a_long_text_is_written_to_the_log_once(jobs) -> None:
+    # Each replica stands in another data centre: listed whole after its parts were kept, every text
+    # of more than a second went there twice.
+    jobs, log = jobs
+    number = await _begin(jobs)
+    first, last = "first" * 100, "last" * 100
+
+    part = Outcome(number, PART, first, 1, (4,))
+    await jobs.report_work(ReportWork("e1", 7, (part,)))
+    done = Outcome(number, "done", last, 1, (5,), after=1)
+    await jobs.report_work(ReportWork("e1", 7, (done,)))
+
+    read = await jobs.read_results(ReadResults(job_of().job, job_of().client_account, 0, 0.0, 9999))
+    assert read.results[0].output == f"{first}\n{last}"
+    assert read.results[0].versions == (4, 5)
+    written = b"".join(log.written)
+    assert written.count(first.encode()) == 1
+    assert written.count(last.encode()) == 1
+
+
+async def test_a_short_text_takes_one_command(jobs) -> None:
+    jobs, log = jobs
+    number = await _begin(jobs)
+    before = len(log.written)
+
+    await jobs.report_work(ReportWork("e1", 7, (Outcome(number, "done", "a\nb", 2, (4,)),)))
+
+    assert len(log.written) == before + 1
+
+
+async def test_a_leader_tells_of_long_results_and_any_store_gives_them(jobs) -> None:
+    jobs, _ = jobs
+    number = await _begin(jobs)
+    text = "x" * 5000
+    await jobs.report_work(ReportWork("e1", 7, (Outcome(number, "done", text, 1, (4,)),)))
+    name, account = job_of().job, job_of().client_account
+
+    told = await jobs.read_results(ReadResults(name, account, 0, 0.0, 9999, inline_bytes=4000))
+    assert told == ResultsListed(len(job_of().items), 1)
+    read = await jobs.read_listed(ReadListed(name, account, 0, told.listed))
+    assert [one.output for one in read.results] == [text]
+    assert await jobs.read_listed(ReadListed(name, "other", 0, 1)) == ResultsRead(0, ())
+    assert await jobs.read_listed(ReadListed("unknown", account, 0, 1)) == ResultsRead(0, ())
--- a/tests/unit/jobs/test_texts_random.py
+++ b/tests/unit/jobs/test_texts_random.py
@@ -70,14 +70,15 @@
     def report(self, outcome: Outcome) -> None:
         """Take a report in as the leader does."""
         dispatcher, world = self.world.dispatcher, self.world
-        if outcome.kind == PART:
-            made = dispatcher.take_part(outcome)
-            if made is not None:
-                world.apply(KeepTexts(made[0], (made[1],)))
-            return
-        ended = dispatcher.report(outcome, self.now)
-        if ended is not None:
-            world.apply(RecordResults(ended[0], (ended[1],)))
+        for one in dispatcher.apart(outcome):
+            if one.kind == PART:
+                made = dispatcher.take_part(one)
+                if made is not None:
+                    world.apply(KeepTexts(made[0], (made[1],)))
+                continue
+            ended = dispatcher.report(one, self.now)
+            if ended is not None:
+                world.apply(RecordResults(ended[0], (ended[1],)))
 
     def step(self, action: str, count: int) -> None:
         if self.run is None:
