Give job calls, full disks and open jobs one piece of code each

- ENOSPC was turned into DiskFull in two places of one module, one inside the other: one context manager.
A file that the disk refuses at its sync or renaming is no longer removed at once, as it never was after a refused write: the next try writes it anew, a start removes what is left.
- What an open job is stood twice in Items; the stand-in for a peer server stood in two tests.

Left as it is: DirectoryView's second LeaderClient (a failed call of the one would make the other look for a leader that it knows), and what services share in `from_config` and `start`.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
@@ -6,10 +6,12 @@
 import os
 import struct
 import zlib
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from pathlib import Path
 
 # Length of the payload, CRC-32 of the payload, CRC-32 of the eight bytes before.
@@ -122,13 +124,20 @@
     :param descriptor: an open file.
     """
     left = memoryview(data)
-    while left:
-        try:
+    with _disk_full():
+        while left:
             left = left[os.write(descriptor, left) :]
-        except OSError as error:
-            if error.errno == errno.ENOSPC:
-                raise DiskFull(str(error)) from error
+
+
+@contextmanager
+def _disk_full() -> Iterator[None]:
+    """Raise `DiskFull` where what is done within finds no room."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno != errno.ENOSPC:
             raise
+        raise DiskFull(str(error)) from error
 
 
 def sync_folder(folder: Path) -> None:
@@ -151,19 +160,14 @@
     :param pieces: its new content, one after the other.
     """
     temporary = path.with_name(path.name + ".tmp")
-    try:
+    # A full disk refuses the new name as well, or says so at the sync: the old file stands, and the
+    # next try writes the new one whole.
+    with _disk_full():
         with temporary.open("wb", buffering=0) as file:
             for piece in pieces:
                 write_all(file.fileno(), piece)
             os.fsync(file.fileno())
         temporary.replace(path)
-    except OSError as error:
-        if error.errno != errno.ENOSPC:
-            raise
-        # A full disk refuses the new name as well, or says so at the sync: the old file stands, and
-        # the next try writes the new one whole.
-        temporary.unlink(missing_ok=True)
-        raise DiskFull(str(error)) from error
     sync_folder(path.parent)
 
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/result_reads.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/result_reads.py
@@ -12,9 +12,6 @@
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings.vm import VmSettings
 
-# Callers of jobs come again by themselves after a second or two without an answer.
-CALL_S = 2.0
-ONE_CALL_S = 0.8
 # What a trainer that keeps up reads at a time comes with the leader's word that it is listed.
 INLINE_BYTES = 16_384
 NEAR_CALL_S = 0.3
@@ -51,7 +48,7 @@
         self._view = kernel.find("directory_view")
         self._client = kernel.find("peer_client")
         self._counters = kernel.find("counters")
-        self._leader = kernel.find("runner").leader
+        self._runner = kernel.find("runner")
 
     async def stop(self) -> None:
         """Nothing to stop."""
@@ -66,7 +63,7 @@
         near = self._near()
         if near:
             message = replace(message, inline_bytes=INLINE_BYTES)
-        answer = await self._ask_leader(message)
+        answer = await self._runner.call_jobs(message, message.hold_s)
         if not isinstance(answer, ResultsListed):
             return answer
         listed = ReadListed(message.job, message.client_account, message.after, answer.listed)
@@ -79,17 +76,17 @@
         if message.after + found >= answer.listed:
             return ResultsRead(answer.total, read.results)
         # It has not applied the newest of them yet.
-        rest = replace(message, after=message.after + found, hold_s=0.0, inline_bytes=None)
-        newest = await self._ask_leader(rest)
+        rest = replace(
+            message,
+            after=message.after + found,
+            hold_s=0.0,
+            inline_bytes=None,
+        )
+        newest = await self._runner.call_jobs(rest)
         if not isinstance(newest, ResultsRead):
             return newest
         return ResultsRead(answer.total, (*read.results, *newest.results))
 
-    async def _ask_leader(self, message: ReadResults) -> Any:
-        return await self._leader.call(
-            message, CALL_S + message.hold_s, ONE_CALL_S + message.hold_s
-        )
-
     def _near(self) -> str:
         """Find a store with a replica in this data centre; empty where the leader is as near."""
         view = self._view.view
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -5,7 +5,7 @@
 import asyncio
 import secrets
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import eliot
 
@@ -26,6 +26,9 @@
 HOLD_S = 0.4
 CALL_TIMEOUT_S = 1.0
 FIND_LEADER_S = 3.0
+# Callers of jobs come again by themselves after a second or two without an answer.
+JOB_CALL_S = 2.0
+ONE_JOB_CALL_S = 0.8
 # Outcomes that come close together travel and are committed together.
 GATHER_S = 0.02
 # What runs made is handed over this often, to be kept in the jobs' log: the loss of an entry, of
@@ -113,6 +116,16 @@
         hint = (view.job_leader,) if view.job_leader else ()
         return tuple(dict.fromkeys((*hint, *holders, *(one.address for one in founders))))
 
+    async def call_jobs(self, message: Any, hold_s: float = 0.0) -> Any:
+        """
+        Pass a caller's call on to the leader of the jobs' log.
+
+        :param message: a message that may run twice.
+        :param hold_s: seconds for which the leader may keep it waiting.
+        :return: the leader's answer; a refusal where none was found in time.
+        """
+        return await self.leader.call(message, JOB_CALL_S + hold_s, ONE_JOB_CALL_S + hold_s)
+
     async def _take(self) -> None:
         while True:
             self._sequence += 1
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -103,19 +103,16 @@
 
     def services(self) -> frozenset[str]:
         """Services that have items which are not listed yet."""
-        return frozenset(
-            kept.job.service
-            for kept in self._state.job_by_id.values()
-            if kept.item_by_id and not kept.ended
-        )
+        return frozenset(kept.job.service for kept in self._open_jobs())
+
+    def _open_jobs(self) -> Iterator[KeptJob]:
+        for kept in self._state.job_by_id.values():
+            if kept.item_by_id and not kept.ended:
+                yield kept
 
     def waiting(self, service: str, engines: Engines, now: float) -> Iterator[WaitingItem]:
         """Items that may begin at some engine of a service, the one that begins first first."""
-        jobs = [
-            kept
-            for kept in self._state.job_by_id.values()
-            if kept.item_by_id and not kept.ended and kept.job.service == service
-        ]
+        jobs = [kept for kept in self._open_jobs() if kept.job.service == service]
         jobs.sort(key=lambda kept: (kept.job.priority, _due_s(kept)))
         for kept in jobs:
             allowed = engines.allowed(kept.job, now)
--- a/tests/unit/directory/test_service.py
+++ b/tests/unit/directory/test_service.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fakes.still_server import StillServer
 from ibisspring_consensus.proposals import Committed
 from ibisspring_core.clock import boot_now
 from ibisspring_core.counters import Counters
@@ -62,20 +63,10 @@
         return 1
 
 
-class _Server:
-    name = "peer_server"
-
-    async def start(self, kernel: Kernel) -> None: ...
-
-    async def stop(self) -> None: ...
-
-    def answer(self, message_type, handler) -> None: ...
-
-
 @pytest.fixture
 async def directory():
     directory = Directory(SETTINGS)
-    services = (TimerService(), Counters.from_config(None), _Server(), DirectoryState())
+    services = (TimerService(), Counters.from_config(None), StillServer(), DirectoryState())
     kernel = Kernel.from_services((*services, _Consensus(), directory))
     await kernel.start()
     directory.begin_term()
--- a/tests/unit/gateway/test_result_reads.py
+++ b/tests/unit/gateway/test_result_reads.py
@@ -32,20 +32,15 @@
         self.asked: list[tuple[str, int]] = []
         self.answers = True
 
-    async def call(self, *arguments) -> object:
-        if isinstance(arguments[0], str):
-            return self._near(*arguments[:2])
-        return self._lead(arguments[0])
-
-    def _lead(self, message: ReadResults) -> object:
+    async def call_jobs(self, message: ReadResults, hold_s: float = 0.0) -> object:
         self.asked.append(("leader", message.after))
-        results = RESULTS[message.after :]
+        results = RESULTS[message.after :][: message.max_bytes // 2000]
         size = sum(len(one.output) for one in results)
         if message.inline_bytes is not None and size > message.inline_bytes:
-            return ResultsListed(len(RESULTS), len(RESULTS))
+            return ResultsListed(len(RESULTS), message.after + len(results))
         return ResultsRead(len(RESULTS), results)
 
-    def _near(self, address: str, message: ReadListed) -> object:
+    async def call(self, address: str, message: ReadListed, timeout_s: float) -> object:
         self.asked.append((address, message.after))
         if not self.answers:
             return Refusal(Reason.ENDPOINT_SILENT, False, None)
@@ -57,7 +52,7 @@
     reader = ResultReads("derby")
     reader._view = SimpleNamespace(view=View(1, 1, stores=members, job_leader=LEADER.address))
     reader._client = stores
-    reader._leader = stores
+    reader._runner = stores
     reader._counters = Counters.from_config(None)
     return reader
 
@@ -118,7 +113,7 @@
     stores = _Stores(applied=40)
     refusal = Refusal(Reason.NO_LEADER, False, 0.1)
     reader = reads(stores, LEADER, NEAR)
-    reader._leader = SimpleNamespace(call=_answer(refusal))
+    reader._runner = SimpleNamespace(call_jobs=_answer(refusal))
 
     assert await reader.read(READ) is refusal
 
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -8,6 +8,7 @@
 from unit.jobs.test_dispatcher import ENGINE
 from unit.jobs.test_state import job_of
 
+from fakes.still_server import StillServer
 from ibisspring_consensus.proposals import Committed
 from ibisspring_core.counters import Counters
 from ibisspring_core.kernel import Kernel
@@ -70,20 +71,10 @@
         return 1000.0
 
 
-class _Server:
-    name = "peer_server"
-
-    async def start(self, kernel: Kernel) -> None: ...
-
-    async def stop(self) -> None: ...
-
-    def answer(self, message_type, handler) -> None: ...
-
-
 @pytest.fixture
 async def jobs():
     jobs = Jobs.from_config(SETTINGS)
-    parts = (TimerService(), Counters.from_config(None), _Server(), JobsState(), _View())
+    parts = (TimerService(), Counters.from_config(None), StillServer(), JobsState(), _View())
     kernel = Kernel.from_services((*parts, _Consensus(), jobs))
     await kernel.start()
     await jobs.submit(SubmitJob(job_of()))
