Hold results from two stores within one answer's measure

Cause: where the store in the entry's data centre had applied some of the listed results, the rest was asked of the leader with the whole measure of an answer: together up to 1.8 MB, where callers take 1 MB. Such reads need a job with more than 0.9 MB of texts and a store that is behind.

Change: the leader is asked for what is left of the measure. What it said is listed fitted into the whole one, so the rest of that fits.

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/result_reads.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/result_reads.py
@@ -76,10 +76,12 @@
         if message.after + found >= answer.listed:
             return ResultsRead(answer.total, read.results)
         # It has not applied the newest of them yet.
+        left = message.max_bytes - sum(len(one.output) for one in read.results)
         rest = replace(
             message,
             after=message.after + found,
             hold_s=0.0,
+            max_bytes=left,
             inline_bytes=None,
         )
         newest = await self._runner.call_jobs(rest)
--- a/tests/unit/gateway/test_result_reads.py
+++ b/tests/unit/gateway/test_result_reads.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -79,6 +80,16 @@
     assert stores.asked[-1] == ("leader", applied)
 
 
+async def test_an_answer_from_two_stores_holds_no_more_than_one_from_the_leader() -> None:
+    # The newest results, which the store has not applied, came with the leader's whole measure: an
+    # answer twice as long as callers take.
+    stores = _Stores(applied=10)
+
+    read = await reads(stores, LEADER, NEAR).read(replace(READ, max_bytes=40_000))
+
+    assert read.results == RESULTS[:20]
+
+
 async def test_a_silent_store_is_not_asked_again_at_once() -> None:
     stores = _Stores(applied=40)
     stores.answers = False
