Wait for room on a full disk also at a daemon's start

What operators would see: a store or control VM with an empty disk that has no room ends by itself at each start, until there is room. Cause: the wait for room stood in the writer, which starts after the folder is laid out; mkdir, the first segment, term and vote and their syncs raised through Kernel.start. A second one beside it: a process that ended between mkdir and the sync of the parent never synced the name, since it was synced only by the process that made it. Change: laying out waits as the writer does, and gives up with exit code 0 where the daemon is told to stop. The parent is synced until term and vote stand in the folder. Before: test_a_replica_that_starts_on_a_full_disk_waits_for_room 5 of 5 refused calls ended the start, test_a_replica_that_waits_for_room_stops_when_told failed.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
@@ -149,6 +149,17 @@
         os.close(descriptor)
 
 
+def make_folder(path: Path) -> None:
+    """
+    Make a folder whose name lasts; `DiskFull` where there is no room.
+
+    :param path: the folder; it may exist, left by a process that ended before its name was synced.
+    """
+    with _disk_full():
+        path.mkdir(parents=True, exist_ok=True)
+        sync_folder(path.parent)
+
+
 def replace_file(path: Path, *pieces: bytes) -> None:
     """
     Write a file whole or not at all; `DiskFull` where there is no room for it.
@@ -178,6 +189,7 @@
     "Records",
     "frame",
     "header_of",
+    "make_folder",
     "read_records",
     "replace_file",
     "sync_folder",
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
@@ -20,7 +20,7 @@
 from ibisspring_consensus.proposals import Committed, Waiting, copy_result
 from ibisspring_consensus.snapshots import snapshot_job
 from ibisspring_consensus.storage import Storage
-from ibisspring_consensus.writer import Writer
+from ibisspring_consensus.writer import Writer, with_room
 from ibisspring_core.clock import boot_now
 
 if TYPE_CHECKING:
@@ -66,7 +66,7 @@
         self._state = kernel.find(config.state)
         self._counters = kernel.find("counters")
         timer = kernel.find("timer")
-        storage = await asyncio.to_thread(Storage.from_folder, config.folder)
+        storage = await self._open_storage(kernel.stopping)
         if isinstance(storage, Damage):
             eliot.log_message("consensus:damaged", damage=str(storage))
             # The one way out of a start: the daemon ends and its output says why.
@@ -88,6 +88,20 @@
         )
         self._ticks = timer.subscribe("consensus", self.config.tick_s, self._tick)
 
+    async def _open_storage(self, stopping: asyncio.Event) -> Storage | Damage:
+        """Open the disk, which may have no room for a new folder; end where the daemon stops."""
+        folder = self.replica_config.folder
+        opening = asyncio.create_task(
+            with_room(lambda: asyncio.to_thread(Storage.from_folder, folder))
+        )
+        stopped = asyncio.create_task(stopping.wait())
+        await asyncio.wait((opening, stopped), return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if opening.done():
+            return opening.result()
+        opening.cancel()
+        raise SystemExit(0)
+
     def _restore(self, storage: Storage) -> None:
         snapshot = storage.stored.snapshot
         self.applied_index = snapshot.index
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/storage.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/storage.py
@@ -20,6 +20,7 @@
     DiskFull,
     frame,
     header_of,
+    make_folder,
     read_records,
     replace_file,
     sync_folder,
@@ -91,12 +92,11 @@
         Open the folder, or lay it out at its first use.
 
         :param folder: `data_folder/consensus`.
-        :return: the storage, or where its files are damaged.
+        :return: the storage, or where its files are damaged; raises `DiskFull` where a new folder
+            finds no room.
         """
-        created = not folder.exists()
-        folder.mkdir(parents=True, exist_ok=True)
-        if created:
-            sync_folder(folder.parent)
+        if not (folder / _HARD_STATE).exists():
+            make_folder(folder)
         for leftover in folder.glob("*.tmp"):
             leftover.unlink()
         hard = _load_hard_state(folder)
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
@@ -7,7 +7,7 @@
 from collections import deque
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import eliot
 
@@ -16,7 +16,7 @@
 from ibisspring_consensus.storage import LogChange, SegmentStart
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from ibisspring_consensus.messages import Entry, SnapshotMeta
     from ibisspring_consensus.storage import Storage
@@ -36,6 +36,29 @@
 
 
 Job = Persist | InstallSnapshot | StoreSnapshot
+Written = TypeVar("Written")
+
+
+async def with_room(write: Callable[[], Awaitable[Written]]) -> Written:
+    """
+    Write, and wait where the disk is full.
+
+    Nothing was promised for what is not written, so a full disk is like one that is slow: the other
+    replicas go on, and this one takes part again once there is room. Ended instead, it would end
+    again at each start.
+
+    :param write: tries once; raises `DiskFull` where there is no room.
+    :return: what the try with room returned.
+    """
+    full = False
+    while True:
+        try:
+            return await write()
+        except DiskFull as error:
+            if not full:
+                eliot.log_message("consensus:disk_full", error=repr(error))
+            full = True
+            await asyncio.sleep(FULL_DISK_RETRY_S)
 
 
 class Writer:
@@ -80,23 +103,7 @@
     async def _in_thread_with_room(
         self, function: Callable[..., object], *arguments: object
     ) -> None:
-        """
-        Write, and wait where the disk is full.
-
-        Nothing was promised for what is not written, so a full disk is like one that is slow: the
-        other replicas go on, and this one takes part again once there is room. Ended instead, it
-        would end again at each start.
-        """
-        full = False
-        while True:
-            try:
-                await self._in_thread(function, *arguments)
-                return
-            except DiskFull as error:
-                if not full:
-                    eliot.log_message("consensus:disk_full", error=repr(error))
-                full = True
-                await asyncio.sleep(FULL_DISK_RETRY_S)
+        await with_room(lambda: self._in_thread(function, *arguments))
 
     async def _run(self) -> None:
         try:
@@ -152,4 +159,4 @@
     return SegmentStart(meta.index, meta.term)
 
 
-__all__ = ["StoreSnapshot", "Writer"]
+__all__ = ["StoreSnapshot", "Writer", "with_room"]
--- a/packages/ibisspring-core/src/ibisspring_core/kernel.py
+++ b/packages/ibisspring-core/src/ibisspring_core/kernel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any, Protocol
 
 
@@ -18,10 +19,15 @@
 
 
 class Kernel:
-    """Holds the services of one process, starts them in order and stops them in reverse."""
+    """
+    Holds the services of one process, starts them in order and stops them in reverse.
+
+    `stopping` is set once the process was told to stop; a start that waits gives up then.
+    """
 
     def __init__(self) -> None:
         self.service_by_name: dict[str, Any] = {}
+        self.stopping = asyncio.Event()
         self._started: list[Service] = []
 
     @classmethod
--- a/packages/ibisspring-daemon/src/ibisspring_daemon/main.py
+++ b/packages/ibisspring-daemon/src/ibisspring_daemon/main.py
@@ -22,14 +22,13 @@
 
     :param settings: checked settings.
     """
-    stopping = asyncio.Event()
+    kernel = build_kernel(settings)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopping.set)
-    kernel = build_kernel(settings)
+        loop.add_signal_handler(signal_number, kernel.stopping.set)
     await kernel.start()
     eliot.log_message("daemon:started", daemon=settings.daemon, roles=list(settings.roles))
-    await stopping.wait()
+    await kernel.stopping.wait()
     eliot.log_message("daemon:stopping", daemon=settings.daemon)
     await kernel.stop()
     eliot.log_message("daemon:stopped", daemon=settings.daemon)
--- a/tests/unit/consensus/test_start.py
+++ b/tests/unit/consensus/test_start.py
@@ -1,13 +1,24 @@
 from __future__ import annotations
 
+import asyncio
+import errno
 import random
+from pathlib import Path
 
-from ibisspring_consensus import events
+import pytest
+
+from fakes.replica import Lines
+from ibisspring_consensus import ConsensusNode, events, files
+from ibisspring_consensus import writer as writer_module
+from ibisspring_consensus.config import ReplicaConfig
 from ibisspring_consensus.core import Core, StoredState
 from ibisspring_consensus.election import heard_lately
 from ibisspring_consensus.messages import HardState, ReplicaId, SnapshotMeta
 from ibisspring_consensus.state import QUICK, CoreConfig
+from ibisspring_core.counters import Counters
+from ibisspring_core.kernel import Kernel
 from ibisspring_core.settings import ControlSettings
+from ibisspring_core.timer import TimerService
 
 IMPORTS_S = 0.35
 STARTED_S = 10.0
@@ -50,3 +61,65 @@
     assert (config.heartbeat_s, config.election_timeout_s) == (0.1, 0.5)
     assert config.leader_lease_s == 0.4
     assert config.election_spread == CoreConfig().election_spread
+
+
+class FullDisk:
+    """Refuses one kind of call for want of room until `room` is set; `tried` tells of the first."""
+
+    def __init__(self, monkeypatch, refused: str) -> None:
+        place = Path if refused in ("mkdir", "open", "replace") else files.os
+        self.room = asyncio.Event()
+        self.tried = asyncio.Event()
+        plain = getattr(place, refused)
+        loop = asyncio.get_running_loop()
+
+        def without_room(*arguments, **options):
+            if self.room.is_set():
+                return plain(*arguments, **options)
+            loop.call_soon_threadsafe(self.tried.set)
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        monkeypatch.setattr(place, refused, without_room)
+
+
+def kernel_of_a_replica(folder: Path) -> Kernel:
+    replica = ReplicaConfig("c1", folder, CoreConfig(), lambda daemon: "")
+    services = (TimerService(), Counters.from_config(None), Lines(), ConsensusNode(replica))
+    return Kernel.from_services(services)
+
+
+@pytest.mark.parametrize("refused", ["mkdir", "open", "write", "fsync", "replace"])
+async def test_a_replica_that_starts_on_a_full_disk_waits_for_room(
+    tmp_path, monkeypatch, refused
+) -> None:
+    # A VM with an empty disk that is full for a while ends at each start.
+    monkeypatch.setattr(writer_module, "FULL_DISK_RETRY_S", 0.01)
+    disk = FullDisk(monkeypatch, refused)
+    kernel = kernel_of_a_replica(tmp_path / "control" / "consensus")
+    async with asyncio.timeout(5.0):
+        start = asyncio.create_task(kernel.start())
+        tried = asyncio.create_task(disk.tried.wait())
+        await asyncio.wait((start, tried), return_when=asyncio.FIRST_COMPLETED)
+        assert not start.done()
+        disk.room.set()
+        await start
+        await kernel.stop()
+
+
+async def test_a_replica_that_waits_for_room_stops_when_told(tmp_path, monkeypatch) -> None:
+    # A daemon that waits for room at its start is killed after its grace in place of stopping.
+    disk = FullDisk(monkeypatch, "mkdir")
+    kernel = kernel_of_a_replica(tmp_path / "consensus")
+
+    async def start() -> int | None:
+        try:
+            await kernel.start()
+        except SystemExit as ended:
+            return ended.code
+        return None
+
+    async with asyncio.timeout(5.0):
+        starting = asyncio.create_task(start())
+        await disk.tried.wait()
+        kernel.stopping.set()
+        assert await starting == 0
