Refuse to empty a store for good only where stores are truly too few

What operators saw: Retire.Start ends with 409 (or 404) while another store restarts, is frozen for a moment, or control has just changed its leader; the platform does not ask again. Cause: stores in touch within 1.2 s were counted, and a new leader has heard only some; both answers are final. Needed were three, also where two losses are to be borne (five voters). No line told the counts; one does now. Change: final only by what was heard within 4 s, and once the leader had time to hear; else 503. Needed is 2 x losses + 1.

--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -49,7 +49,8 @@
 # Operators wait this long at most for entries that renew and still lack the change: less than the
 # time after which they would take the order for lost.
 MAX_IN_FORCE_WAIT_S = 2.5
-JOB_VOTERS_NEEDED = 3
+# A store that is frozen or started again is back within this time.
+STORE_BACK_S = 4.0
 # Revisions of views with weight versions and loads are above all others: a store that has just
 # become a member of the jobs' log holds a lower one and is told at once.
 LOADS_FROM = 1 << 32
@@ -323,15 +324,14 @@
         now = boot_now()
         address = self.sessions.address_of(message.daemon)
         leader = self.sessions.job_leader(now)
-        if address is None and now < self.led_since + IN_TOUCH_S:
+        if address is None and now < self.led_since + STORE_BACK_S:
             return Refusal(Reason.NO_LEADER, True, IN_TOUCH_S, "a new leader knows no store yet")
         if address is None:
             return Retiring("unknown")
         if message.begin and address not in self.state.retiring:
-            stores = {member.address for member in self.sessions.members(now, "store")}
-            left = stores - {address} - set(self.state.retiring)
-            if len(left) < JOB_VOTERS_NEEDED:
-                return Retiring("too_few")
+            refused = self._refused_retirement(address, now)
+            if refused is not None:
+                return refused
             committed = await self.propose(RetireStore(address))
             if isinstance(committed, Refusal):
                 return committed
@@ -340,6 +340,37 @@
             return Retiring("active")
         return Retiring("active" if address in leader.renew.job_members else "completed")
 
+    def _refused_retirement(self, address: str, now: float) -> Retiring | Refusal | None:
+        """
+        Tell why a store can't be emptied now.
+
+        Too few stores is a final answer, so that a store which is silent for a moment doesn't lead
+        to it: the operator asks again instead.
+        """
+        needed = 2 * self.settings.losses + 1
+        in_touch = self._stores_left(address, now, IN_TOUCH_S)
+        if in_touch >= needed:
+            return None
+        expected = self._stores_left(address, now, STORE_BACK_S)
+        final = expected < needed and now >= self.led_since + IN_TOUCH_S
+        eliot.log_message(
+            "directory:retire_refused",
+            address=address,
+            in_touch=in_touch,
+            expected=expected,
+            needed=needed,
+            reason="too_few" if final else "silent_stores",
+        )
+        if final:
+            return Retiring("too_few")
+        detail = f"{in_touch} other stores are in touch, {needed} are needed"
+        return Refusal(Reason.NO_ENDPOINT, True, IN_TOUCH_S, detail)
+
+    def _stores_left(self, address: str, now: float, within_s: float) -> int:
+        """How many stores could hold the jobs' log without one of them."""
+        stores = {member.address for member in self.sessions.members(now, "store", within_s)}
+        return len(stores - {address} - set(self.state.retiring))
+
 
 def _uses_loads(renew: Renew) -> bool:
     """Whether a daemon may lead the jobs' log, which is handed out by versions and loads."""
--- a/packages/ibisspring-directory/src/ibisspring_directory/sessions.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/sessions.py
@@ -53,15 +53,16 @@
             if now - session.heard_at > FORGET_S:
                 del self._session_by_address[address]
 
-    def in_touch(self, now: float, role: str) -> tuple[Session, ...]:
+    def in_touch(self, now: float, role: str, within_s: float = IN_TOUCH_S) -> tuple[Session, ...]:
         """
         Find the daemons of a role that renewed lately.
 
+        :param within_s: what counts as lately, in seconds.
         :return: their sessions.
         """
         found = []
         for session in self._session_by_address.values():
-            if session.renew.role == role and now - session.heard_at <= IN_TOUCH_S:
+            if session.renew.role == role and now - session.heard_at <= within_s:
                 found.append(session)
         return tuple(found)
 
@@ -77,14 +78,15 @@
                 found.append(session.renew.daemon)
         return tuple(found)
 
-    def members(self, now: float, role: str) -> tuple[Member, ...]:
+    def members(self, now: float, role: str, within_s: float = IN_TOUCH_S) -> tuple[Member, ...]:
         """
         Find the disks of a role's daemons in touch.
 
+        :param within_s: what counts as in touch, in seconds.
         :return: them, sorted by address.
         """
         found = []
-        for session in self.in_touch(now, role):
+        for session in self.in_touch(now, role, within_s):
             if session.renew.member is not None:
                 found.append(session.renew.member)
         return tuple(sorted(found, key=lambda member: member.address))
--- a/tests/unit/directory/test_service.py
+++ b/tests/unit/directory/test_service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -20,6 +22,8 @@
     Member,
     Renew,
     ReplaceTable,
+    Retire,
+    Retiring,
     Unchanged,
     View,
 )
@@ -27,6 +31,7 @@
 from ibisspring_core.routes import RouteTable
 from ibisspring_core.settings.vm import CONTROL, VmSettings
 from ibisspring_core.timer import TimerService
+from ibisspring_directory import service
 from ibisspring_directory.service import Directory
 from ibisspring_directory.sessions import IN_TOUCH_S
 from ibisspring_directory.state import DirectoryState
@@ -63,9 +68,9 @@
         return 1
 
 
-@pytest.fixture
-async def directory():
-    directory = Directory(SETTINGS)
+@asynccontextmanager
+async def started(settings: VmSettings) -> AsyncIterator[Directory]:
+    directory = Directory(settings)
     services = (TimerService(), Counters.from_config(None), StillServer(), DirectoryState())
     kernel = Kernel.from_services((*services, _Consensus(), directory))
     await kernel.start()
@@ -74,6 +79,12 @@
     await kernel.stop()
 
 
+@pytest.fixture
+async def directory():
+    async with started(SETTINGS) as directory:
+        yield directory
+
+
 def renew(name: str, **fields) -> Renew:
     return Renew(f"10.0.1.{name}:1", name, "derby", "s", "entry", **fields)
 
@@ -270,3 +281,68 @@
     directory.consensus.is_leader = False
 
     assert await directory.renew(renew("1")) == NotLeader("10.0.0.2:1")
+
+
+async def renew_stores(directory: Directory, *names: str) -> None:
+    for name in names:
+        member = dataclasses.replace(HOLDER, address=f"10.0.1.{name}:1", daemon=name)
+        await directory.renew(dataclasses.replace(renew(name), role="store", member=member))
+
+
+async def test_a_store_that_is_silent_for_a_moment_ends_no_retirement(
+    directory, monkeypatch
+) -> None:
+    # An operator who empties a store while another one restarts is told for good that there are
+    # too few.
+    began = boot_now()
+    await renew_stores(directory, "1", "2", "3", "4")
+    monkeypatch.setattr(service, "boot_now", lambda: began + IN_TOUCH_S + 0.5)
+    await renew_stores(directory, "1", "2", "3")
+
+    refusal = await directory.retire(Retire("1", begin=True))
+    assert isinstance(refusal, Refusal)
+    assert refusal.not_run
+
+    await renew_stores(directory, "4")
+    assert await directory.retire(Retire("1", begin=True)) == Retiring("active")
+
+
+async def test_a_store_that_is_gone_counts_as_one_too_few(directory, monkeypatch) -> None:
+    # An operator who empties one of too few stores waits for a store that never comes back.
+    began = boot_now()
+    await renew_stores(directory, "1", "2", "3", "4")
+    monkeypatch.setattr(service, "boot_now", lambda: began + service.STORE_BACK_S + 0.5)
+    await renew_stores(directory, "1", "2", "3")
+
+    assert await directory.retire(Retire("1", begin=True)) == Retiring("too_few")
+
+
+async def test_enough_stores_stay_for_the_losses_to_be_borne() -> None:
+    # Where two stores may be lost at once, three that stay bear one loss.
+    async with started(dataclasses.replace(SETTINGS, losses=2)) as directory:
+        directory.led_since -= IN_TOUCH_S
+        await renew_stores(directory, "1", "2", "3", "4", "5")
+
+        assert await directory.retire(Retire("1", begin=True)) == Retiring("too_few")
+
+
+async def test_a_new_leader_does_not_yet_say_that_there_are_too_few_stores(directory) -> None:
+    # An operator who empties a store while control changes its leader is refused for good: the new
+    # leader has heard only some of the stores.
+    await renew_stores(directory, "1", "2", "3")
+
+    assert isinstance(await directory.retire(Retire("1", begin=True)), Refusal)
+
+
+async def test_a_store_silent_since_the_change_of_leader_is_not_unknown(
+    directory, monkeypatch
+) -> None:
+    # An operator who empties a store that restarts while control changes its leader is told that
+    # no such store exists.
+    began = boot_now()
+    monkeypatch.setattr(service, "boot_now", lambda: began + IN_TOUCH_S + 0.5)
+    await renew_stores(directory, "1", "2", "3")
+    assert isinstance(await directory.retire(Retire("4", begin=True)), Refusal)
+
+    monkeypatch.setattr(service, "boot_now", lambda: began + service.STORE_BACK_S + 0.5)
+    assert await directory.retire(Retire("4", begin=True)) == Retiring("unknown")
