Let a busy machine decide no test of spoiled bodies

Cause: the first draw of a process reads the source of each loaded module for constants. The deadline of 200 ms is wall clock, waits for a core included. Ruled out: the readers; alone the same 40 pass in 20 s. Change: hypothesis' check of how fast inputs are drawn is off for all tests. The 200 ms stay, as processor time of the reader alone.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,18 @@
-"""Reads KNOWN-RED.txt: its tests run, their failures are passed over and printed."""
+"""
+Settings of all tests, and KNOWN-RED.txt: its tests run, their failures are passed over and printed.
+"""
 
 from __future__ import annotations
 
 from pathlib import Path
 
 import pytest
+from hypothesis import HealthCheck, settings
+
+# The first draw of each process reads all loaded modules for constants, for seconds on a busy
+# machine, which the health check takes for a strategy that is too slow.
+settings.register_profile("ibisspring", suppress_health_check=[HealthCheck.too_slow])
+settings.load_profile("ibisspring")
 
 KNOWN_RED = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
 MOST_LINES = 3
--- a/tests/unit/platform/test_hostile_bodies.py
+++ b/tests/unit/platform/test_hostile_bodies.py
@@ -11,10 +11,11 @@
 from __future__ import annotations
 
 import json
+import time
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ibisspring_core.errors import Finding, Refusal
@@ -40,6 +41,8 @@
 
 DEPTHS = (900, 5_000, 200_000)
 HEARTBEAT = {"service": "a", "address": "10.0.0.1:1", "state": "ready", "sequence": 1, "born": 1}
+# Processor time of one body; a deadline by the wall clock would also count waiting for a core.
+READ_WITHIN_S = 0.2
 SPOILED = st.binary(max_size=3) | st.sampled_from([b"-1", b"1e999", b"{"])
 
 
@@ -96,13 +99,14 @@
 
 
 @pytest.mark.parametrize("name", READERS)
+@settings(deadline=None)
 @given(st.data())
 def test_a_body_with_spoiled_bytes_is_refused_or_read(name, data) -> None:
     body = bytearray(READERS[name][1])
     for _ in range(data.draw(st.integers(1, 4))):
         begin = data.draw(st.integers(0, len(body)))
         end = min(len(body), begin + data.draw(st.integers(0, 3)))
-        body[begin:end] = data.draw(
-            st.binary(max_size=3) | st.sampled_from([b"-1", b"1e999", b"{"])
-        )
+        body[begin:end] = data.draw(SPOILED)
+    began_s = time.thread_time()
     assert_read(name, bytes(body))
+    assert time.thread_time() - began_s < READ_WITHIN_S
