Sync the names of all folders that a replica makes

What callers would see: after a power loss of all VMs that follows their first start, each may come back without its data folder, and what was accepted is gone. Cause: missing folders are made in one call, but only the parent of the last one was synced, and only by the process that made it. Evidence: a list of what is synced before term and vote are written lacks the folders above data/control. Ruled out: names within the folder, proved by the model of power losses. Change: all holders of names that the daemon may have made are synced until term and vote stand there.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
@@ -153,11 +153,19 @@
     """
     Make a folder whose name lasts; `DiskFull` where there is no room.
 
-    :param path: the folder; it may exist, left by a process that ended before its name was synced.
+    Without its name a folder is gone after a power loss, with all that was synced in it. The folder
+    and the data folder that holds it may be left by a process that ended before it synced them.
+
+    :param path: the folder; it may exist.
     """
+    named = {path, path.parent}
+    named.update(folder for folder in path.parents if not folder.exists())
     with _disk_full():
         path.mkdir(parents=True, exist_ok=True)
-        sync_folder(path.parent)
+        for holder in {folder.parent for folder in named}:
+            # Nothing of ours can have been made in a folder that is not ours to write to.
+            if os.access(holder, os.W_OK):
+                sync_folder(holder)
 
 
 def replace_file(path: Path, *pieces: bytes) -> None:
--- a/tests/unit/consensus/test_storage.py
+++ b/tests/unit/consensus/test_storage.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import tracemalloc
 import zlib
+from pathlib import Path
 
 import pytest
 
@@ -49,6 +51,20 @@
     return tmp_path / "consensus"
 
 
+@pytest.fixture
+def synced(monkeypatch) -> list[Path]:
+    """Paths that were synced, in order."""
+    paths = []
+    plain = os.fsync
+
+    def fsync(descriptor: int) -> None:
+        paths.append(Path(os.readlink(f"/proc/self/fd/{descriptor}")))
+        plain(descriptor)
+
+    monkeypatch.setattr(os, "fsync", fsync)
+    return paths
+
+
 def segment_of(folder):
     return sorted(folder.glob("log-*"))[-1]
 
@@ -194,3 +210,21 @@
     again.write_log((LogChange(0, entries(51, 52)),))
     again.close()
     assert opened(folder).stored.entries == entries(51, 52)
+
+
+def test_the_names_of_new_folders_are_synced_before_anything_is_promised(tmp_path, synced) -> None:
+    # All VMs lose power after their first start, and each comes back without its data folder.
+    opened(tmp_path / "data" / "control" / "consensus").close()
+
+    term_and_vote = synced.index(tmp_path / "data" / "control" / "consensus" / "hard_state.tmp")
+    for holder in (tmp_path, tmp_path / "data", tmp_path / "data" / "control"):
+        assert holder in synced[:term_and_vote]
+
+
+def test_names_left_by_a_process_that_ended_are_synced(tmp_path, synced) -> None:
+    # The same loss where the first process was killed between making its folders and syncing them.
+    folder = tmp_path / "control" / "consensus"
+    folder.mkdir(parents=True)
+    opened(folder).close()
+
+    assert {tmp_path, tmp_path / "control"} <= set(synced)
