Let the soak overlap its faults and tell of a daemon that ends by itself

Change: two series of faults at once (wipes still one at a time, after 8 s without a fault on a daemon with a disk); a new fault that leaves a daemon no or a few descriptors; lookups over connections that are used until they break; findings where a daemon ends without a fault, or stops with a code other than 0.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,9 +1,10 @@
 """
 Random faults on a system of real processes: `make soak`, or one seed again by `--seed`.
 
-Daemons are killed, frozen, stopped, wiped and started again while jobs and lookups go on; no more
-disks are away at once than the system bears. What was accepted must be there afterwards, and what
-was read must not change. A seed that shows a fault is kept in `tests/soak/seeds.txt`.
+Faults come in two series at once, so that they overlap: daemons are killed, frozen, stopped, wiped,
+kept from opening descriptors and started again while jobs and lookups go on; no more disks are away
+at once than the system bears. What was accepted must be there afterwards, what was read must not
+change, and no daemon may end by itself. Seeds that showed a fault stand in `tests/soak/seeds.txt`.
 """
 
 from __future__ import annotations
@@ -12,22 +13,36 @@
 import json
 import logging
 import random
+import resource
 import sys
 import tempfile
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import aiohttp
 import click
 
-from integration.platform_system import LOOKUP, PlatformSystem, job, platform_system
+from integration.platform_system import (
+    LOOKUP,
+    PlatformSystem,
+    headers_of,
+    job,
+    platform_system,
+)
 from integration.processes import wait_until
 
 ENTRIES = 3
+FAULT_LANES = 2
+LOOKUP_LANES = 3
 PAUSE_S = (0.3, 2.0)
 AWAY_S = (0.3, 4.0)
 SETTLE_S = 8.0
-FAULTS = ("kill", "freeze", "stop", "wipe", "kill_all", "engine", "table")
+POLL_S = 0.05
+STOP_WITHIN_S = 9.0
+FAULTS = ("kill", "freeze", "stop", "wipe", "descriptors", "kill_all", "engine", "table")
+SPARE_DESCRIPTORS = (0, 4)
+MOST_DESCRIPTORS = 4096
 SEEDS = Path(__file__).parent / "seeds.txt"
 
 
@@ -38,6 +53,10 @@
 
     :param read_by_job: results that were read, by job; they must come again.
     :param version: newest configuration that was acknowledged.
+    :param sent_version: newest configuration that was sent.
+    :param taken: daemons under a fault; no other fault begins there.
+    :param down: daemons that a fault ends.
+    :param disk_away_at: when a daemon with a disk was last under a fault.
     """
 
     system: PlatformSystem
@@ -45,7 +64,12 @@
     until_s: float
     read_by_job: dict[str, list] = field(default_factory=dict)
     version: int = 1
+    sent_version: int = 1
     findings: list[str] = field(default_factory=list)
+    taken: set[str] = field(default_factory=set)
+    down: set[str] = field(default_factory=set)
+    disk_away_at: float = 0.0
+    wiping: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def running(self) -> bool:
         return time.monotonic() < self.until_s
@@ -55,39 +79,103 @@
         while self.running():
             await asyncio.sleep(self.source.uniform(*PAUSE_S))
             fault = self.source.choice(FAULTS)
-            name = self.source.choice(sorted(self.system.process_by_name))
+            free = sorted(set(self.system.process_by_name) - self.taken)
             away_s = self.source.uniform(*AWAY_S)
+            if not free:
+                continue
+            name = self.source.choice(free)
             print(f"{fault} {name} for {away_s:.1f} s", flush=True)
-            await self._do(fault, name, away_s)
-            if fault == "wipe":
-                await asyncio.sleep(SETTLE_S)
-
-    async def _do(self, fault: str, name: str, away_s: float) -> None:
-        system = self.system
-        process = system.process_by_name[name]
-        if fault == "table":
-            status = await system.put(self.version + 1)
-            if status == 200:
-                self.version += 1
-        elif fault == "engine":
-            engine = await system.add_engine("scorer", models={"m": 1})
+            if fault == "kill_all":
+                await self._kill_all()
+            elif fault == "wipe":
+                async with self.wiping:
+                    await self._settled()
+                    await self._on_daemon(fault, name, away_s)
+            elif fault in ("engine", "table"):
+                await self._on_system(fault, away_s)
+            else:
+                await self._on_daemon(fault, name, away_s)
+
+    async def _settled(self) -> None:
+        """Wait until the daemons with disks were left alone for long enough to catch up."""
+        while time.monotonic() < self.disk_away_at + SETTLE_S:
+            await asyncio.sleep(POLL_S)
+
+    async def _on_system(self, fault: str, away_s: float) -> None:
+        if fault == "engine":
+            engine = await self.system.add_engine("scorer", models={"m": 1})
             await asyncio.sleep(away_s)
             await engine.stop()
-        elif fault == "freeze":
-            process.freeze()
-            await asyncio.sleep(away_s)
-            process.thaw()
-        elif fault == "kill_all":
-            system.stop()
-            for one in system.process_by_name:
-                system.restart(one)
-        elif fault == "stop":
-            await process.terminate(bound_s=9.0)
-            system.restart(name)
+            return
+        self.sent_version += 1
+        version = self.sent_version
+        if await self.system.put(version) == 200:
+            self.version = max(self.version, version)
+
+    async def _kill_all(self) -> None:
+        while self.taken:
+            await asyncio.sleep(POLL_S)
+        names = set(self.system.process_by_name)
+        self.taken |= names
+        self.system.stop()
+        for name in names:
+            self.system.restart(name)
+        self.taken -= names
+        self.disk_away_at = time.monotonic()
+
+    async def _on_daemon(self, fault: str, name: str, away_s: float) -> None:
+        if name in self.taken:
+            return
+        self.taken.add(name)
+        try:
+            if fault == "freeze":
+                await self._freeze(name, away_s)
+            elif fault == "descriptors":
+                await self._no_descriptors(name, away_s)
+            else:
+                self.down.add(name)
+                await self._end(fault, name, away_s)
+        finally:
+            self.down.discard(name)
+            self.taken.discard(name)
+            if not name.startswith("entry"):
+                self.disk_away_at = time.monotonic()
+
+    async def _freeze(self, name: str, away_s: float) -> None:
+        process = self.system.process_by_name[name]
+        process.freeze()
+        await asyncio.sleep(away_s)
+        process.thaw()
+
+    async def _no_descriptors(self, name: str, away_s: float) -> None:
+        process = self.system.process_by_name[name].popen.pid
+        opened = len(list(Path(f"/proc/{process}/fd").iterdir()))
+        limit = opened + self.source.randint(*SPARE_DESCRIPTORS)
+        resource.prlimit(process, resource.RLIMIT_NOFILE, (limit, MOST_DESCRIPTORS))
+        await asyncio.sleep(away_s)
+        resource.prlimit(process, resource.RLIMIT_NOFILE, (MOST_DESCRIPTORS, MOST_DESCRIPTORS))
+
+    async def _end(self, fault: str, name: str, away_s: float) -> None:
+        process = self.system.process_by_name[name]
+        if fault == "stop":
+            code = await process.terminate(STOP_WITHIN_S)
+            if code != 0:
+                self.findings.append(f"{name}: stopped with code {code}")
         else:
             process.kill()
             await asyncio.sleep(away_s)
-            system.restart(name, wipe=fault == "wipe" and not name.startswith("entry"))
+        self.system.restart(name, wipe=fault == "wipe" and not name.startswith("entry"))
+
+    async def watch(self) -> None:
+        """No daemon ends but by a fault."""
+        ended: set[str] = set()
+        while self.running():
+            for name, process in self.system.process_by_name.items():
+                if process.alive() or name in self.down or name in ended:
+                    continue
+                ended.add(name)
+                self.findings.append(f"{name}: ended by itself with code {process.popen.poll()}")
+            await asyncio.sleep(POLL_S)
 
     async def jobs(self, lane: int) -> None:
         """Submit jobs and read their results until all are listed."""
@@ -112,18 +200,28 @@
             self.read_by_job[name] = read["results"]
         return len(read["results"]) == read["total"]
 
-    async def lookups(self) -> None:
-        """Each lookup gets its own answer or none."""
+    async def lookups(self, lane: int) -> None:
+        """Each lookup gets its own answer or none; connections are used until they break."""
         number = 0
-        while self.running():
-            number += 1
-            path = f"{LOOKUP}{number}"
-            status, body = await self.system.call("POST", path, f"l{number}", None, self._entry())
-            if status == 200 and body != path.encode():
-                self.findings.append(f"{path}: got {body!r}")
-            if status in (401, 404):
-                self.findings.append(f"{path}: {status} though it is allowed")
-            await asyncio.sleep(0.05)
+        timeout = aiohttp.ClientTimeout(total=5.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while self.running():
+                number += 1
+                await self._lookup(session, f"l{lane}-{number}")
+                await asyncio.sleep(POLL_S)
+
+    async def _lookup(self, session: aiohttp.ClientSession, attempt: str) -> None:
+        path = f"{LOOKUP}{attempt}"
+        url = self.system.entry_url(self._entry()) + path
+        try:
+            async with session.post(url, headers=headers_of(attempt)) as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+        if answer.status == 200 and body != path.encode():
+            self.findings.append(f"{path}: got {body!r}")
+        if answer.status in (401, 404):
+            self.findings.append(f"{path}: {answer.status} though it is allowed")
 
     async def check(self) -> None:
         """Read again all that was accepted."""
@@ -153,8 +251,10 @@
     with tempfile.TemporaryDirectory() as folder:
         async with platform_system(Path(folder), ENTRIES) as system:
             run = Soak(system, random.Random(seed), time.monotonic() + seconds)
-            work = [run.jobs(lane) for lane in range(2)]
-            ended = await asyncio.gather(run.faults(), run.lookups(), *work, return_exceptions=True)
+            work = [run.faults() for _ in range(FAULT_LANES)]
+            work += [run.lookups(lane) for lane in range(LOOKUP_LANES)]
+            work += [run.jobs(lane) for lane in range(2)]
+            ended = await asyncio.gather(run.watch(), *work, return_exceptions=True)
             run.findings.extend(repr(one) for one in ended if isinstance(one, Exception))
             if not run.findings:
                 await run.check()
