Set gRPC up once there are descriptors, before any service uses it

What callers saw: an entry or a store ends by signal 11 (or 6) while it starts, for as long as its VM has no descriptors to give. Cause: gRPC's native library does not check the descriptors of its pollers. A refused eventfd leaves a poller that does not exist; the next step of its first use ends the process. Ten lines that create a server with 0 to 5 descriptors to spare end by signal 11 (0, 1) and 6 (2 to 5) each time; with 6 they serve. Change: the service grpc_runtime, first in every daemon, waits for 16 descriptors, sets the pollers up and holds them.

--- a/packages/ibisspring-daemon/src/ibisspring_daemon/wiring.py
+++ b/packages/ibisspring-daemon/src/ibisspring_daemon/wiring.py
@@ -6,6 +6,7 @@
 
 from ibisspring_core.control_client import ControlClient
 from ibisspring_core.counters import Counters
+from ibisspring_core.grpc_runtime import GrpcRuntime
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.timer import TimerService
 
@@ -24,6 +25,7 @@
     :return: a kernel that is not started.
     """
     services = [
+        GrpcRuntime(),
         TimerService(),
         Counters.from_config(settings.statsd),
         ControlClient.from_config(settings),
