Wait where a replica has no descriptor for a file

Cause: only a full disk was waited for; a file that can't be opened was taken for a failed sync. Until its renaming a file that is replaced whole leaves nothing in doubt, whatever refuses it. Evidence: the new tests end with consensus:disk_failed, OSError(24). Change: EMFILE and ENFILE are waited for like ENOSPC, with a line of their own. compact opens the new segment before it closes the old one. Before: 4 of 4 new tests fail. After: 187 of consensus and docs pass.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/files.py
@@ -19,15 +19,30 @@
 _LENGTH_AND_SUM = struct.Struct("<II")
 
 
-class DiskFull(Exception):
+class WriteRefused(Exception):
+    """The system refuses a write for now, and nothing that was synced before is in doubt."""
+
+
+class DiskFull(WriteRefused):
     """
-    There is no room, and nothing that was synced before is in doubt.
+    There is no room.
 
     The sync of a log that finds no room is not meant: it may have dropped what was written before,
     and after it nobody knows what the disk holds.
     """
 
 
+class NoDescriptors(WriteRefused):
+    """The process or its VM has no descriptor left for a file."""
+
+
+_REFUSAL_BY_ERRNO = {
+    errno.ENOSPC: DiskFull,
+    errno.EMFILE: NoDescriptors,
+    errno.ENFILE: NoDescriptors,
+}
+
+
 @dataclass(frozen=True)
 class Damage:
     """
@@ -124,25 +139,31 @@
     :param descriptor: an open file.
     """
     left = memoryview(data)
-    with _disk_full():
+    with refusals():
         while left:
             left = left[os.write(descriptor, left) :]
 
 
 @contextmanager
-def _disk_full() -> Iterator[None]:
-    """Raise `DiskFull` where what is done within finds no room."""
+def refusals() -> Iterator[None]:
+    """Raise `WriteRefused` where what is done within is refused for now."""
     try:
         yield
     except OSError as error:
-        if error.errno != errno.ENOSPC:
+        refusal = _REFUSAL_BY_ERRNO.get(error.errno)
+        if refusal is None:
             raise
-        raise DiskFull(str(error)) from error
+        raise refusal(str(error)) from error
 
 
 def sync_folder(folder: Path) -> None:
-    """Make created, renamed and removed names in a folder last."""
-    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    """
+    Make created, renamed and removed names in a folder last.
+
+    Raises `WriteRefused` where the folder can't be opened now; a sync that fails is another matter.
+    """
+    with refusals():
+        descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(descriptor)
     finally:
@@ -151,7 +172,7 @@
 
 def make_folder(path: Path) -> None:
     """
-    Make a folder whose name lasts; `DiskFull` where there is no room.
+    Make a folder whose name lasts; `WriteRefused` where it can't be made now.
 
     Without its name a folder is gone after a power loss, with all that was synced in it. The folder
     and the data folder that holds it may be left by a process that ended before it synced them.
@@ -160,7 +181,7 @@
     """
     named = {path, path.parent}
     named.update(folder for folder in path.parents if not folder.exists())
-    with _disk_full():
+    with refusals():
         path.mkdir(parents=True, exist_ok=True)
         for holder in {folder.parent for folder in named}:
             # Nothing of ours can have been made in a folder that is not ours to write to.
@@ -170,7 +191,7 @@
 
 def replace_file(path: Path, *pieces: bytes) -> None:
     """
-    Write a file whole or not at all; `DiskFull` where there is no room for it.
+    Write a file whole or not at all; `WriteRefused` where it can't be written now.
 
     A crash leaves the old file or the new one: the new one is synced under another name before it
     takes the place, and the folder is synced after.
@@ -181,7 +202,7 @@
     temporary = path.with_name(path.name + ".tmp")
     # A full disk refuses the new name as well, or says so at the sync: the old file stands, and the
     # next try writes the new one whole.
-    with _disk_full():
+    with refusals():
         with temporary.open("wb", buffering=0) as file:
             for piece in pieces:
                 write_all(file.fileno(), piece)
@@ -194,11 +215,14 @@
     "HEADER",
     "Damage",
     "DiskFull",
+    "NoDescriptors",
+    "WriteRefused",
     "Records",
     "frame",
     "header_of",
     "make_folder",
     "read_records",
+    "refusals",
     "replace_file",
     "sync_folder",
     "write_all",
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/storage.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/storage.py
@@ -22,6 +22,7 @@
     header_of,
     make_folder,
     read_records,
+    refusals,
     replace_file,
     sync_folder,
     write_all,
@@ -92,17 +93,18 @@
         Open the folder, or lay it out at its first use.
 
         :param folder: `data_folder/consensus`.
-        :return: the storage, or where its files are damaged; raises `DiskFull` where a new folder
-            finds no room.
+        :return: the storage, or where its files are damaged; raises `WriteRefused` where a file
+            can't be opened or written now.
         """
-        if not (folder / _HARD_STATE).exists():
-            make_folder(folder)
-        for leftover in folder.glob("*.tmp"):
-            leftover.unlink()
-        hard = _load_hard_state(folder)
-        if isinstance(hard, Damage):
-            return hard
-        return _open(cls, folder, hard)
+        with refusals():
+            if not (folder / _HARD_STATE).exists():
+                make_folder(folder)
+            for leftover in folder.glob("*.tmp"):
+                leftover.unlink()
+            hard = _load_hard_state(folder)
+            if isinstance(hard, Damage):
+                return hard
+            return _open(cls, folder, hard)
 
     def write_hard_state(self, hard: HardState) -> None:
         """Replace term and vote, synced."""
@@ -144,8 +146,10 @@
         path = self.folder / f"log-{number:020d}"
         record = LogRecord((LogChange(0, entries),))
         replace_file(path, frame(encode(base)) + frame(encode(record)))
+        with refusals():
+            opened = os.open(path, os.O_WRONLY | os.O_APPEND)
         os.close(self._descriptor)
-        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self._descriptor = opened
         self._segment.unlink()
         self._segment = path
         self._snapshot_index = snapshot.index
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
@@ -12,7 +12,7 @@
 import eliot
 
 from ibisspring_consensus.events import InstallSnapshot, Persist
-from ibisspring_consensus.files import DiskFull
+from ibisspring_consensus.files import DiskFull, NoDescriptors, WriteRefused
 from ibisspring_consensus.storage import LogChange, SegmentStart
 
 if TYPE_CHECKING:
@@ -22,6 +22,10 @@
     from ibisspring_consensus.storage import Storage
 
 FULL_DISK_RETRY_S = 0.25
+_KIND_BY_REFUSAL = {
+    DiskFull: "consensus:disk_full",
+    NoDescriptors: "consensus:no_descriptors",
+}
 
 
 @dataclass(frozen=True)
@@ -41,23 +45,23 @@
 
 async def with_room(write: Callable[[], Awaitable[Written]]) -> Written:
     """
-    Write, and wait where the disk is full.
+    Write, and wait where the disk is full or there is no descriptor for a file.
 
     Nothing was promised for what is not written, so a full disk is like one that is slow: the other
     replicas go on, and this one takes part again once there is room. Ended instead, it would end
     again at each start.
 
-    :param write: tries once; raises `DiskFull` where there is no room.
+    :param write: tries once; raises `WriteRefused` where it is refused for now.
     :return: what the try with room returned.
     """
-    full = False
+    refused = False
     while True:
         try:
             return await write()
-        except DiskFull as error:
-            if not full:
-                eliot.log_message("consensus:disk_full", error=repr(error))
-            full = True
+        except WriteRefused as error:
+            if not refused:
+                eliot.log_message(_KIND_BY_REFUSAL[type(error)], error=repr(error))
+            refused = True
             await asyncio.sleep(FULL_DISK_RETRY_S)
 
 
--- a/tests/unit/consensus/test_writer.py
+++ b/tests/unit/consensus/test_writer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import zlib
 from pathlib import Path
 
 import pytest
@@ -11,10 +12,10 @@
 from ibisspring_consensus import files
 from ibisspring_consensus import writer as writer_module
 from ibisspring_consensus.events import Persist
-from ibisspring_consensus.files import DiskFull
-from ibisspring_consensus.messages import COMMAND, Entry, HardState
-from ibisspring_consensus.storage import Storage
-from ibisspring_consensus.writer import Writer
+from ibisspring_consensus.files import DiskFull, NoDescriptors
+from ibisspring_consensus.messages import COMMAND, Entry, HardState, Members, SnapshotMeta
+from ibisspring_consensus.storage import LogChange, SegmentStart, Storage
+from ibisspring_consensus.writer import StoreSnapshot, Writer
 
 
 def persist(sequence: int) -> Persist:
@@ -144,3 +145,101 @@
 
     assert not failed.is_set()
     assert Storage.from_folder(storage.folder).stored.hard.term == 9
+
+
+async def written_without_descriptors(storage, monkeypatch, job) -> bool:
+    """Whether a replica ended over a job for which no file could be opened at first."""
+    monkeypatch.setattr(writer_module, "FULL_DISK_RETRY_S", 0.01)
+    room = asyncio.Event()
+    tried = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def patch(place, name):
+        plain = getattr(place, name)
+
+        def without_descriptors(*arguments, **options):
+            if room.is_set():
+                return plain(*arguments, **options)
+            loop.call_soon_threadsafe(tried.set)
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        monkeypatch.setattr(place, name, without_descriptors)
+
+    patch(files.os, "open")
+    patch(Path, "open")
+    synced, failed = asyncio.Queue(), asyncio.Event()
+    writer = Writer(storage, synced.put_nowait, failed.set)
+    writer.start()
+    writer.add(job)
+    writer.add(persist(1))
+    async with asyncio.timeout(5.0):
+        ended = asyncio.create_task(failed.wait())
+        await tried.wait()
+        room.set()
+        written = asyncio.create_task(synced.get())
+        await asyncio.wait((ended, written), return_when=asyncio.FIRST_COMPLETED)
+    await writer.stop()
+    monkeypatch.undo()
+    return failed.is_set()
+
+
+async def test_a_new_term_without_descriptors_is_waited_for(storage, monkeypatch) -> None:
+    # A store that is out of descriptors for a moment ends by itself as soon as a leader changes.
+    job = Persist(1, hard_state=HardState(term=9))
+    assert not await written_without_descriptors(storage, monkeypatch, job)
+    assert Storage.from_folder(storage.folder).stored.hard.term == 9
+
+
+async def test_a_snapshot_without_descriptors_is_waited_for(storage, monkeypatch) -> None:
+    # The same at the next snapshot.
+    meta = SnapshotMeta(1, 1, Members(), 5, zlib.crc32(b"state"))
+    job = StoreSnapshot(meta, b"state", SegmentStart(0, 0), (), lambda: None)
+    assert not await written_without_descriptors(storage, monkeypatch, job)
+    assert Storage.from_folder(storage.folder).stored.snapshot == meta
+
+
+def test_a_segment_that_can_not_be_opened_leaves_the_one_before(storage, monkeypatch) -> None:
+    # A replica that is out of descriptors in the middle of a snapshot writes to a closed file.
+    plain = files.os.open
+
+    def without_descriptors(path, *arguments):
+        if str(path).rpartition("/")[2].startswith("log-"):
+            raise OSError(errno.EMFILE, "Too many open files")
+        return plain(path, *arguments)
+
+    monkeypatch.setattr(files.os, "open", without_descriptors)
+    meta = SnapshotMeta(0, 0, Members(), 0, 0)
+    with pytest.raises(NoDescriptors):
+        storage.compact(meta, SegmentStart(0, 0), ())
+    monkeypatch.undo()
+
+    storage.write_log((LogChange(0, (Entry(1, 1, COMMAND, b"line"),)),))
+    storage.compact(meta, SegmentStart(0, 0), (Entry(1, 1, COMMAND, b"line"),))
+    assert [entry.index for entry in Storage.from_folder(storage.folder).stored.entries] == [1]
+
+
+async def test_a_name_whose_folder_can_not_be_opened_is_synced_later(storage, monkeypatch) -> None:
+    # A replica is out of descriptors between the renaming of its term and the sync of the name.
+    plain = files.os.open
+    refused = []
+
+    def without_descriptors(path, *arguments):
+        if Path(path).is_dir() and not refused:
+            refused.append(path)
+            raise OSError(errno.EMFILE, "Too many open files")
+        return plain(path, *arguments)
+
+    monkeypatch.setattr(writer_module, "FULL_DISK_RETRY_S", 0.01)
+    monkeypatch.setattr(files.os, "open", without_descriptors)
+    synced, failed = asyncio.Queue(), asyncio.Event()
+    writer = Writer(storage, synced.put_nowait, failed.set)
+    writer.start()
+    writer.add(Persist(1, hard_state=HardState(term=9)))
+    async with asyncio.timeout(5.0):
+        ended = asyncio.create_task(failed.wait())
+        written = asyncio.create_task(synced.get())
+        await asyncio.wait((ended, written), return_when=asyncio.FIRST_COMPLETED)
+    await writer.stop()
+
+    assert refused
+    assert not failed.is_set()
