--- a/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/writer.py
@@ -97,8 +97,16 @@
         self._wake.set()
 
     async def read_snapshot(self, index: int, offset: int, size: int) -> bytes | None:
-        """Read a piece of a stored snapshot off the event loop."""
-        return await self._in_thread(self.storage.read_snapshot, index, offset, size)
+        """
+        Read a piece of a stored snapshot off the event loop.
+
+        :return: the bytes; None where it went, or can't be read now and is asked for again.
+        """
+        try:
+            return await self._in_thread(self.storage.read_snapshot, index, offset, size)
+        except OSError as error:
+            eliot.log_message("consensus:snapshot_unread", index=index, error=repr(error))
+            return None
 
     async def _in_thread(self, function: Callable[..., object], *arguments: object) -> object:
         loop = asyncio.get_running_loop()
