Stop the held gRPC server with its service

Dropped without being stopped, a server that had started would plan its own stop on a loop that may be closed by then.

--- a/packages/ibisspring-core/src/ibisspring_core/grpc_runtime.py
+++ b/packages/ibisspring-core/src/ibisspring_core/grpc_runtime.py
@@ -47,7 +47,7 @@
 
     async def stop(self) -> None:
         """Let go of the pollers."""
-        self._held = None
+        await self._held.stop(None)
 
 
 async def _pause(stopping: asyncio.Event) -> None:
