--- a/tests/integration/test_platform_start.py
+++ b/tests/integration/test_platform_start.py
@@ -42,3 +42,16 @@
         await wait_until(started, f"{process.name} to start")
     finally:
         system.stop()
+
+
+@pytest.mark.parametrize("role", ["control", "store", "entry"])
+async def test_a_daemon_that_is_stopped_while_it_starts_ends_with_success(tmp_path, role) -> None:
+    # A planned stop that comes early looks like a crash to whoever reads the exit code.
+    system = PlatformSystem(tmp_path)
+    process = system.add(role, 1)
+    try:
+        process.start()
+        await wait_until(lambda: imports(process), "the imports")
+        assert await process.terminate() == 0
+    finally:
+        system.stop()
