--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
 import logging
 import random
 import resource
+import shutil
 import sys
 import tempfile
 import time
@@ -248,18 +249,22 @@
     :param seconds: how long faults go on.
     :return: what was found.
     """
-    with tempfile.TemporaryDirectory() as folder:
-        async with platform_system(Path(folder), ENTRIES) as system:
-            run = Soak(system, random.Random(seed), time.monotonic() + seconds)
-            work = [run.faults() for _ in range(FAULT_LANES)]
-            work += [run.lookups(lane) for lane in range(LOOKUP_LANES)]
-            work += [run.jobs(lane) for lane in range(2)]
-            ended = await asyncio.gather(run.watch(), *work, return_exceptions=True)
-            run.findings.extend(repr(one) for one in ended if isinstance(one, Exception))
-            if not run.findings:
-                await run.check()
-            print(f"seed {seed}: {len(run.read_by_job)} jobs read, version {run.version}")
-            return run.findings
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    async with platform_system(folder, ENTRIES) as system:
+        run = Soak(system, random.Random(seed), time.monotonic() + seconds)
+        work = [run.faults() for _ in range(FAULT_LANES)]
+        work += [run.lookups(lane) for lane in range(LOOKUP_LANES)]
+        work += [run.jobs(lane) for lane in range(2)]
+        ended = await asyncio.gather(run.watch(), *work, return_exceptions=True)
+        run.findings.extend(repr(one) for one in ended if isinstance(one, Exception))
+        if not run.findings:
+            await run.check()
+    print(f"seed {seed}: {len(run.read_by_job)} jobs read, version {run.version}")
+    if run.findings:
+        print(f"seed {seed}: the lines of all daemons are in {folder}")
+    else:
+        shutil.rmtree(folder)
+    return run.findings
 
 
 @click.command()
