--- a/packages/ibisspring-consensus/src/ibisspring_consensus/storage.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/storage.py
@@ -18,6 +18,7 @@
     HEADER,
     Damage,
     DiskFull,
+    WriteRefused,
     frame,
     header_of,
     make_folder,
@@ -233,7 +234,11 @@
     # overwritten.
     stored = StoredState(hard.hard, snapshot, snapshot.index, snapshot.term, ())
     storage = cls(folder, hard.disk_id, stored, segment)
-    storage.compact(snapshot, SegmentStart(snapshot.index, snapshot.term), ())
+    try:
+        storage.compact(snapshot, SegmentStart(snapshot.index, snapshot.term), ())
+    except WriteRefused:
+        storage.close()
+        raise
     return storage
 
 
--- a/tests/unit/consensus/test_storage.py
+++ b/tests/unit/consensus/test_storage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import tracemalloc
 import zlib
@@ -228,3 +229,23 @@
     opened(folder).close()
 
     assert {tmp_path, tmp_path / "control"} <= set(synced)
+
+
+def test_a_start_that_is_refused_leaves_no_file_open(folder, monkeypatch) -> None:
+    # A replica that waits for room at its start loses a descriptor with each try.
+    data = b"state"
+    storage = opened(folder)
+    storage.write_snapshot(meta(30, data), data)
+    storage.close()
+
+    def without_room(*arguments) -> int:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    before = len(os.listdir("/proc/self/fd"))
+    monkeypatch.setattr(files.os, "write", without_room)
+    with pytest.raises(files.DiskFull):
+        Storage.from_folder(folder)
+    monkeypatch.undo()
+
+    assert len(os.listdir("/proc/self/fd")) == before
+    assert opened(folder).stored.snapshot == meta(30, data)
