Refuse calls of the storage in one place of the tests

Change: one class, Refusing; the assertions, errors and refused calls are the same. Looked at and left: the start of services that find their parts (result_reads, forwarder, usage), which share a shape and no logic; the two tests of a daemon's start, which send different signals and check different ends.

--- a/tests/unit/consensus/test_start.py
+++ b/tests/unit/consensus/test_start.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from unit.consensus.refusing import Refusing
 
 from fakes.replica import Lines
 from ibisspring_consensus import ConsensusNode, events, files
@@ -63,23 +64,9 @@
     assert config.election_spread == CoreConfig().election_spread
 
 
-class FullDisk:
-    """Refuses one kind of call for want of room until `room` is set; `tried` tells of the first."""
-
-    def __init__(self, monkeypatch, refused: str) -> None:
-        place = Path if refused in ("mkdir", "open", "replace") else files.os
-        self.room = asyncio.Event()
-        self.tried = asyncio.Event()
-        plain = getattr(place, refused)
-        loop = asyncio.get_running_loop()
-
-        def without_room(*arguments, **options):
-            if self.room.is_set():
-                return plain(*arguments, **options)
-            loop.call_soon_threadsafe(self.tried.set)
-            raise OSError(errno.ENOSPC, "No space left on device")
-
-        monkeypatch.setattr(place, refused, without_room)
+def full_disk(monkeypatch, refused: str) -> Refusing:
+    place = Path if refused in ("mkdir", "open", "replace") else files.os
+    return Refusing(monkeypatch, errno.ENOSPC, (place, refused))
 
 
 def kernel_of_a_replica(folder: Path) -> Kernel:
@@ -94,7 +81,7 @@
 ) -> None:
     # A VM with an empty disk that is full for a while ends at each start.
     monkeypatch.setattr(writer_module, "FULL_DISK_RETRY_S", 0.01)
-    disk = FullDisk(monkeypatch, refused)
+    disk = full_disk(monkeypatch, refused)
     kernel = kernel_of_a_replica(tmp_path / "control" / "consensus")
     async with asyncio.timeout(5.0):
         start = asyncio.create_task(kernel.start())
@@ -108,7 +95,7 @@
 
 async def test_a_replica_that_waits_for_room_stops_when_told(tmp_path, monkeypatch) -> None:
     # A daemon that waits for room at its start is killed after its grace in place of stopping.
-    disk = FullDisk(monkeypatch, "mkdir")
+    disk = full_disk(monkeypatch, "mkdir")
     kernel = kernel_of_a_replica(tmp_path / "consensus")
 
     async def start() -> int | None:
--- a/tests/unit/consensus/test_writer.py
+++ b/tests/unit/consensus/test_writer.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from unit.consensus.refusing import Refusing
 
 from ibisspring_consensus import files
 from ibisspring_consensus import writer as writer_module
@@ -120,25 +121,14 @@
     # room for its new name, and the control daemon ends.
     monkeypatch.setattr(writer_module, "FULL_DISK_RETRY_S", 0.01)
     place = {"open": Path, "fsync": files.os, "replace": Path}[refused]
-    room = asyncio.Event()
-    tried = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    plain = getattr(place, refused)
-
-    def without_room(*arguments, **options):
-        if room.is_set():
-            return plain(*arguments, **options)
-        loop.call_soon_threadsafe(tried.set)
-        raise OSError(errno.ENOSPC, "No space left on device")
-
-    monkeypatch.setattr(place, refused, without_room)
+    disk = Refusing(monkeypatch, errno.ENOSPC, (place, refused))
     synced, failed = asyncio.Queue(), asyncio.Event()
     writer = Writer(storage, synced.put_nowait, failed.set)
     writer.start()
     writer.add(Persist(1, hard_state=HardState(term=9)))
     async with asyncio.timeout(5.0):
-        await tried.wait()
-        room.set()
+        await disk.tried.wait()
+        disk.room.set()
         assert await synced.get() == 1
     await writer.stop()
     monkeypatch.undo()
@@ -150,23 +140,7 @@
 async def written_without_descriptors(storage, monkeypatch, job) -> bool:
     """Whether a replica ended over a job for which no file could be opened at first."""
     monkeypatch.setattr(writer_module, "FULL_DISK_RETRY_S", 0.01)
-    room = asyncio.Event()
-    tried = asyncio.Event()
-    loop = asyncio.get_running_loop()
-
-    def patch(place, name):
-        plain = getattr(place, name)
-
-        def without_descriptors(*arguments, **options):
-            if room.is_set():
-                return plain(*arguments, **options)
-            loop.call_soon_threadsafe(tried.set)
-            raise OSError(errno.EMFILE, "Too many open files")
-
-        monkeypatch.setattr(place, name, without_descriptors)
-
-    patch(files.os, "open")
-    patch(Path, "open")
+    disk = Refusing(monkeypatch, errno.EMFILE, (files.os, "open"), (Path, "open"))
     synced, failed = asyncio.Queue(), asyncio.Event()
     writer = Writer(storage, synced.put_nowait, failed.set)
     writer.start()
@@ -174,8 +148,8 @@
     writer.add(persist(1))
     async with asyncio.timeout(5.0):
         ended = asyncio.create_task(failed.wait())
-        await tried.wait()
-        room.set()
+        await disk.tried.wait()
+        disk.room.set()
         written = asyncio.create_task(synced.get())
         await asyncio.wait((ended, written), return_when=asyncio.FIRST_COMPLETED)
     await writer.stop()
