--- a/packages/ibisspring-cli/src/ibisspring_cli/main.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/main.py
@@ -6,6 +6,7 @@
 
 from ibisspring_cli.control import control
 from ibisspring_cli.endpoints import endpoint
+from ibisspring_cli.evacuate import evacuate
 from ibisspring_cli.explain import explain
 from ibisspring_cli.keys import key
 from ibisspring_cli.options import Options
@@ -54,6 +55,7 @@
       ibisspring rules check rules.txt            list all errors, with line and column
       ibisspring rules apply rules.txt --base 3   replace version 3; waits for all entries
       ibisspring status                           show leader, entries, endpoints, trainers
+      ibisspring evacuate start derby             keep new requests from a data centre
       ibisspring explain ID LOG...                show from log files what happened to a request
 
     \b
@@ -71,7 +73,7 @@
     context.default_map = {"control": {"addresses": addresses, "as_json": as_json}}
 
 
-for command in (control, endpoint, explain, key, rules, settings, status, usage):
+for command in (control, endpoint, evacuate, explain, key, rules, settings, status, usage):
     main.add_command(command)
 
 __all__ = ["main"]
--- a/packages/ibisspring-cli/src/ibisspring_cli/session.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/session.py
@@ -150,4 +150,15 @@
     fail(options, EXIT_UNKNOWN, refusal.reason.value, message, request_id=request_id)
 
 
-__all__ = ["EXIT_CONFLICT", "fail", "fail_findings", "propose", "read", "show"]
+__all__ = [
+    "EXIT_CONFLICT",
+    "EXIT_FINDINGS",
+    "EXIT_REFUSED",
+    "EXIT_UNKNOWN",
+    "EXIT_UNREACHABLE",
+    "fail",
+    "fail_findings",
+    "propose",
+    "read",
+    "show",
+]
--- a/packages/ibisspring-cli/src/ibisspring_cli/system_status.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/system_status.py
@@ -95,6 +95,8 @@
     newest_versions = ", ".join(
         f"{model}={newest}" for model, newest in sorted(status.version_by_model.items())
     )
+    if status.evacuated:
+        lines += ["", f"evacuated data centres: {', '.join(status.evacuated)}"]
     lines += ["", f"newest weight versions: {newest_versions or 'none'}"]
     lines += ["", "duties"]
     for duty in status.duties:
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/repair.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/repair.py
@@ -4,12 +4,16 @@
 A lost VM is replaced by an empty VM at another address. While the lost VM remains a voter, the
 loss of one more VM can stop the log. A voter is removed only if another replica is available to
 replace it, never for silence alone, so that a partition cannot shrink the majority.
+
+Where the loss of a data centre must be tolerated, no data centre may hold so many voters that the
+others lack a majority. Successive replacements of silent voters would otherwise gather them in the
+data centres that still respond.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ibisspring_consensus.events import Replace
@@ -17,7 +21,7 @@
 from ibisspring_consensus.quorum import all_replicas
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from ibisspring_consensus.messages import ReplicaId
     from ibisspring_consensus.state import CoreState
@@ -41,19 +45,35 @@
     data_centre: str
 
 
+@dataclass(frozen=True)
+class Placement:
+    """
+    How the voters of a log are placed over data centres.
+
+    :param wanted_voters: number of voters needed to tolerate the required number of losses.
+    :param most_per_data_centre: most voters in one data centre, so that its loss leaves a majority;
+        None for no limit.
+    :param data_centre_by_daemon: data centres of daemons that may be silent at the moment.
+    """
+
+    wanted_voters: int
+    most_per_data_centre: int | None = None
+    data_centre_by_daemon: Mapping[str, str] = field(default_factory=dict)
+
+
 def next_membership_change(
     state: CoreState,
     candidates: Sequence[ReplacementCandidate],
     leaving: Sequence[str],
-    wanted_voters: int,
+    placement: Placement,
 ) -> Replace | None:
     """
-    Return the next change of the log's members that restores the wanted number of live voters.
+    Return the next change of the log's members that restores the wanted voters and their placement.
 
     :param state: state of the leader's consensus core.
     :param candidates: replicas that respond, including members, in order of preference.
     :param leaving: daemons that an operator is removing.
-    :param wanted_voters: number of voters needed to tolerate the required number of losses.
+    :param placement: number of voters, and their limit in a data centre.
     :return: the change to start; None if no change is needed or possible.
     """
     members = state.log.members
@@ -70,41 +90,51 @@
     ]
     if not non_members:
         return None
-    if len(members.voters) < wanted_voters:
-        return Replace(_from_least_used_data_centre(non_members, members.voters, candidates), None)
+    data_centre_by_daemon = dict(placement.data_centre_by_daemon)
+    for candidate in candidates:
+        data_centre_by_daemon[candidate.replica.daemon] = candidate.data_centre
+
+    def replacement(voter: ReplicaId | None) -> Replace | None:
+        remaining = [other for other in members.voters if other != voter]
+        used = Counter(data_centre_by_daemon.get(other.daemon) for other in remaining)
+        chosen = min(non_members, key=lambda candidate: used[candidate.data_centre])
+        limit = placement.most_per_data_centre
+        if limit is not None and used[chosen.data_centre] >= limit:
+            # The loss of this data centre would then stop the log, and a voter that is silent with
+            # its data centre usually returns with it.
+            return None
+        return Replace(chosen.replica, voter)
+
+    if len(members.voters) < placement.wanted_voters:
+        return replacement(None)
     for voter in members.voters:
         if voter == state.replica and voter.daemon not in leaving:
             continue
         if voter.daemon in leaving or time_since_reply_s(state, voter) > REPLACE_AFTER_SILENCE_S:
-            remaining_voters = [other for other in members.voters if other != voter]
-            return Replace(
-                _from_least_used_data_centre(non_members, remaining_voters, candidates), voter
-            )
-    return None
+            change = replacement(voter)
+            if change is not None:
+                return change
+    return _from_crowded_data_centre(state, data_centre_by_daemon, placement, replacement)
 
 
-def _from_least_used_data_centre(
-    non_members: Sequence[ReplacementCandidate],
-    voters: Sequence[ReplicaId],
-    candidates: Sequence[ReplacementCandidate],
-) -> ReplicaId:
-    """
-    Choose the new voter from the data centre that holds the fewest voters.
-
-    If candidates were taken in their order alone, successive replacements could place a majority of
-    the voters in one data centre, and the loss of that data centre would stop the log.
-
-    :param non_members: replicas that may be added.
-    :param voters: the voters that remain after the change.
-    :param candidates: all replicas that respond; used to look up the voters' data centres.
-    """
-    data_centre_by_daemon = {
-        candidate.replica.daemon: candidate.data_centre for candidate in candidates
-    }
-    voters_by_data_centre = Counter(data_centre_by_daemon.get(voter.daemon) for voter in voters)
-    return min(
-        non_members, key=lambda candidate: voters_by_data_centre[candidate.data_centre]
-    ).replica
+def _from_crowded_data_centre(
+    state: CoreState,
+    data_centre_by_daemon: Mapping[str, str],
+    placement: Placement,
+    replacement: Callable[[ReplicaId | None], Replace | None],
+) -> Replace | None:
+    """Replace a voter of a data centre that holds more of them than the limit allows."""
+    if placement.most_per_data_centre is None:
+        return None
+    voters = state.log.members.voters
+    used = Counter(data_centre_by_daemon.get(voter.daemon) for voter in voters)
+    for voter in voters:
+        data_centre = data_centre_by_daemon.get(voter.daemon)
+        if voter == state.replica or data_centre is None:
+            continue
+        if used[data_centre] > placement.most_per_data_centre:
+            return replacement(voter)
+    return None
 
 
 def time_since_reply_s(state: CoreState, replica: ReplicaId) -> float:
@@ -122,6 +152,7 @@
 
 __all__ = [
     "REPLACE_AFTER_SILENCE_S",
+    "Placement",
     "ReplacementCandidate",
     "next_membership_change",
     "time_since_reply_s",
--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -58,6 +58,7 @@
         self.view = View(0, 0)
         self.index: RouteIndex | None = None
         self.endpoints = EndpointTable(KEEP_ENDPOINTS_S)
+        self._cold_until_by_endpoint: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
 
     @classmethod
@@ -136,7 +137,26 @@
 
     def serving(self, service: str) -> tuple[EndpointRecord, ...]:
         """Return the endpoints of a service that may get new work."""
-        return self.endpoints.serving(service, boot_now())
+        evacuated = self.view.evacuated
+        found = self.endpoints.serving(service, boot_now())
+        if not evacuated:
+            return found
+        return tuple(record for record in found if record.data_centre not in evacuated)
+
+    def has_evacuated(self, service: str) -> bool:
+        """Whether a service has endpoints that would serve if no data centre were evacuated."""
+        if not self.view.evacuated:
+            return False
+        found = self.endpoints.serving(service, boot_now())
+        return any(record.data_centre in self.view.evacuated for record in found)
+
+    def is_cold(self, endpoint: str) -> bool:
+        """Whether an endpoint's newest announcement says that it is still cold."""
+        return boot_now() < self._cold_until_by_endpoint.get(endpoint, 0.0)
+
+    def age_s(self) -> float:
+        """Seconds since the leader last confirmed this view; infinite before the first time."""
+        return boot_now() - self._renewed_at if self._renewed_at is not None else float("inf")
 
     def _addresses(self) -> tuple[str, ...]:
         return tuple(dict.fromkeys((*self.view.controls, *self._current_settings.seeds)))
@@ -159,6 +179,7 @@
             hold_s=HOLD_S,
             usage=self._usage_source(self.view.closed_window),
             wall_s=wall_now(),
+            evacuation_change=self.view.evacuation_change,
         )
         answer = await self._leader.call(
             self._complete_renewal(renew), RENEW_TIMEOUT_S, CALL_TIMEOUT_S
@@ -197,8 +218,12 @@
         """
         now = boot_now()
         table = self.endpoints if view.learning else EndpointTable(KEEP_ENDPOINTS_S)
+        if not view.learning:
+            self._cold_until_by_endpoint.clear()
         for placed in view.endpoints:
             table.merge(placed.record, now)
+            cold_until = now - placed.age_s + placed.record.cold_s
+            self._cold_until_by_endpoint[placed.record.endpoint] = cold_until
         before = {one.record.endpoint for one in self.endpoints.records()}
         after = {one.record.endpoint for one in table.records() if one.record.state == SERVING}
         if before != after:
--- a/packages/ibisspring-core/src/ibisspring_core/endpoint_table.py
+++ b/packages/ibisspring-core/src/ibisspring_core/endpoint_table.py
@@ -256,7 +256,7 @@
     :return: equal values for two records of an endpoint that differ only in sequence, load and
         other hints.
     """
-    return (
+    fields = (
         record.endpoint,
         record.incarnation,
         record.service,
@@ -264,6 +264,9 @@
         record.address,
         tuple(sorted(record.version_by_adapter.items())),
     )
+    # Appended only for a cold endpoint, so that the digests of peers that do not know the field are
+    # equal while no endpoint is cold.
+    return (*fields, "cold") if record.cold_s > 0 else fields
 
 
 __all__ = [
--- a/packages/ibisspring-core/src/ibisspring_core/errors.py
+++ b/packages/ibisspring-core/src/ibisspring_core/errors.py
@@ -15,6 +15,7 @@
     NOT_ALLOWED = "not_allowed"
     UNKNOWN_SERVICE = "unknown_service"
     NO_ENDPOINT = "no_endpoint"
+    EVACUATED = "evacuated"
     RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     CANNOT_FINISH = "cannot_finish"
--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -82,6 +82,7 @@
         only from the jobs' leader.
     :param allowed: pairs of model and oldest weight version that the newest job of the model
         accepts; only from the jobs' leader.
+    :param evacuation_change: number of the newest change of an evacuation in the daemon's view.
     """
 
     address: str
@@ -100,6 +101,7 @@
     wall_s: float = 0.0
     demand: tuple[tuple[str, int], ...] = ()
     allowed: tuple[tuple[str, int], ...] = ()
+    evacuation_change: int = 0
 
 
 @dataclass(frozen=True)
@@ -138,6 +140,8 @@
     :param wall_s: wall clock that most daemons agree on, in seconds since 1970.
     :param closed_window: newest usage window whose counts are final; -1 for none.
     :param retiring: peer addresses of stores whose data moves to other stores.
+    :param evacuated: data centres whose endpoints get no new requests.
+    :param evacuation_change: number of the newest change of an evacuation; rises with each change.
     """
 
     epoch: int
@@ -155,6 +159,8 @@
     wall_s: float = 0.0
     closed_window: int = -1
     retiring: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] = ()
+    evacuation_change: int = 0
 
 
 @dataclass(frozen=True)
@@ -318,15 +324,82 @@
     state: str
 
 
+@dataclass(frozen=True)
+class Evacuation:
+    """
+    Whether the endpoints of a data centre get new requests.
+
+    :param data_centre: name of the data centre.
+    :param change: number of the change that made this record; rises with each change.
+    :param active: True while the endpoints get no new requests; False after the evacuation ended.
+    """
+
+    data_centre: str
+    change: int
+    active: bool
+
+
+@dataclass(frozen=True)
+class Evacuate:
+    """
+    An operator starts or ends the evacuation of a data centre.
+
+    :param data_centre: name of the data centre.
+    :param active: True starts the evacuation, False ends it.
+    :param expected_change: number of the data centre's newest change that the caller has read, 0
+        for none. If another change came in between, nothing is changed; a call that was delayed in
+        the system thus never reverts a later one.
+    """
+
+    data_centre: str
+    active: bool
+    expected_change: int
+
+
+@dataclass(frozen=True)
+class Evacuated:
+    """
+    Answer to `Evacuate`: the change is durable and in force in all active daemons.
+
+    :param evacuation: the data centre's record, which may be older than the call if it already had
+        the wanted state.
+    """
+
+    evacuation: Evacuation
+
+
+@dataclass(frozen=True)
+class ReadEvacuations:
+    """Asks for the evacuations, after a quorum confirmed that no newer ones are committed."""
+
+
+@dataclass(frozen=True)
+class EvacuationsRead:
+    """
+    Answer to `ReadEvacuations`.
+
+    :param evacuations: the newest record of each data centre that was ever evacuated.
+    :param data_centres: all data centres that the system knows.
+    """
+
+    evacuations: tuple[Evacuation, ...]
+    data_centres: tuple[str, ...]
+
+
 __all__ = [
     "Announce",
     "UNKNOWN_INCARNATION",
     "Announced",
     "Depart",
+    "Evacuate",
+    "Evacuated",
+    "Evacuation",
+    "EvacuationsRead",
     "Group",
     "Member",
     "NameVersion",
     "AgedEndpoint",
+    "ReadEvacuations",
     "ReadTable",
     "Renew",
     "ReplaceTable",
--- a/packages/ibisspring-core/src/ibisspring_core/messages/endpoints.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/endpoints.py
@@ -40,6 +40,8 @@
     :param prefixes: digests of prompt prefixes that the endpoint reports as cached. The report is
         late and incomplete, so this is a hint.
     :param checks_fencing: whether the endpoint rejects orders with an old fencing number.
+    :param cold_s: seconds from the announcement for which the endpoint is cold: it has just
+        started and bears only few requests per second.
     """
 
     endpoint: str
@@ -55,6 +57,7 @@
     load: EndpointLoad = EndpointLoad()
     prefixes: tuple[str, ...] = ()
     checks_fencing: bool = False
+    cold_s: float = 0.0
 
     def order(self) -> tuple[int, int]:
         """Return the sort key of the records of one endpoint; the newest record has the highest."""
--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -246,6 +246,9 @@
     :param deadline_s: time limit of the run, in seconds.
     :param max_attempts: number of failures, of runs or reward calls, after which the item is
         abandoned.
+    :param data_centre: data centre of the endpoint.
+    :param paced: whether the endpoint bears only a limited number of requests per second, so that
+        the run must begin within MAX_PACED_DELAY_S seconds of its assignment or not at all.
     """
 
     number: int
@@ -261,6 +264,8 @@
     resume_after: int
     deadline_s: float
     max_attempts: int = 1
+    data_centre: str = ""
+    paced: bool = False
 
 
 @dataclass(frozen=True)
@@ -302,12 +307,15 @@
     :param cancelled: numbers of assignments to stop.
     :param moved: numbers of assignments to stop and to report, because their items continue at
         another endpoint.
+    :param held_s: seconds that the leader held the call before this answer. The rest of the time
+        that the call took is the longest time for which an assignment can have been on its way.
     """
 
     epoch: int
     assignments: tuple[Assignment, ...] = ()
     cancelled: tuple[int, ...] = ()
     moved: tuple[int, ...] = ()
+    held_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-core/src/ibisspring_core/messages/status.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/status.py
@@ -67,6 +67,7 @@
     :param version_by_model: newest published weight version by model.
     :param duties: the duties that involve orders, with the daemon that performs each.
     :param closed_window: newest usage window whose counts are final; -1 for none.
+    :param evacuated: data centres whose endpoints get no new requests.
     """
 
     leader: str
@@ -79,6 +80,7 @@
     version_by_model: dict[str, int]
     duties: tuple[DutyStatus, ...]
     closed_window: int
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-core/src/ibisspring_core/routes/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/model.py
@@ -66,6 +66,7 @@
     :param stream: whether the answer is a stream of events, forwarded as they arrive.
     :param resumable: whether a broken stream may be resumed at another endpoint.
     :param job: time limits and version rule of its jobs; None on routes that accept no jobs.
+    :param regions: regions in which its requests may run; empty for all.
     """
 
     name: str
@@ -81,6 +82,7 @@
     stream: bool = False
     resumable: bool = False
     job: JobTerms | None = None
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -116,6 +118,8 @@
     :param memory_tokens: number of tokens that fit into an engine's memory.
     :param models: names of the models that its engines serve.
     :param scaling: limits and costs of ordering endpoints; None if they cannot be ordered.
+    :param cold_requests_per_s: requests per second that an endpoint bears while it is cold, the
+        first seconds after its start; 0 for no limit.
     """
 
     name: str
@@ -124,6 +128,7 @@
     memory_tokens: int = 0
     models: tuple[str, ...] = ()
     scaling: ScalingTerms | None = None
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -135,11 +140,13 @@
     :param keys: the keys that callers of the account send.
     :param priority: rank of its requests, 0 for the highest, which overrides the route's priority;
         None uses the route's.
+    :param regions: regions in which its requests may run; empty for all.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/fleet_size.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/fleet_size.py
@@ -14,6 +14,9 @@
 The policy keeps as many endpoints as at the first start, since the operator paid for this number
 and sized the work for the fleet by it. The policy orders more endpoints if a trainer's items do not
 find free slots: a step ends with its longest item, which begins late if it has to wait for a slot.
+While a data centre is evacuated, its endpoints serve nothing but return at the end. They are not
+replaced as such: the fleet of the other data centres grows only by what waits for a slot.
+
 A missing endpoint is ordered in the cheapest data centre that has capacity, since data centres are
 only about a millisecond apart.
 """
@@ -109,8 +112,8 @@
     """
     Compute the number of endpoints that a service needs.
 
-    :param initial: number of endpoints at the first start of the service; the result is never
-        smaller.
+    :param initial: number of endpoints at the first start of the service, without those that an
+        evacuation keeps from serving; the result is never smaller.
     :param demand: highest recent number of items that were to run at the same time.
     :param capacity: number of items that one endpoint works on at a time; if it is 0, the result is
         `initial`.
--- a/packages/ibisspring-directory/src/ibisspring_directory/commands.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/commands.py
@@ -107,8 +107,30 @@
     window: int
 
 
+@dataclass(frozen=True)
+class SetEvacuation:
+    """
+    Start or end the evacuation of a data centre, unless it has changed since the operator's read.
+
+    :param active: True starts the evacuation, False ends it.
+    :param expected_change: number of the data centre's newest change that the operator has read, 0
+        for none; a command with another number has no effect.
+    """
+
+    data_centre: str
+    active: bool
+    expected_change: int
+
+
 Command = (
-    PutTable | PutVersion | EndpointLeaves | FoundJobs | RetireStore | CloseWindow | WindowReported
+    PutTable
+    | PutVersion
+    | EndpointLeaves
+    | FoundJobs
+    | RetireStore
+    | CloseWindow
+    | WindowReported
+    | SetEvacuation
 )
 
 COMMANDS = KindCodec.from_types(
@@ -121,6 +143,7 @@
     SetFleet,
     CloseWindow,
     WindowReported,
+    SetEvacuation,
 )
 
 __all__ = [
@@ -133,6 +156,7 @@
     "PutTable",
     "PutVersion",
     "RetireStore",
+    "SetEvacuation",
     "SetFleet",
     "WindowReported",
 ]
--- a/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
@@ -88,6 +88,9 @@
         record_by_engine = {}
         for received in directory.endpoints.table.records():
             record = received.record
+            if record.data_centre in directory.state.evacuated:
+                # A load would take its place among the hosts of the model without serving it.
+                continue
             if record.state == SERVING and record.version_by_adapter:
                 record_by_engine[record.endpoint] = record
         hosts = [self._to_host(record) for record in record_by_engine.values()]
--- a/packages/ibisspring-directory/src/ibisspring_directory/fleet.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/fleet.py
@@ -71,17 +71,25 @@
                 await self._order_missing(terms, now)
 
     async def _order_missing(self, terms: ServiceTerms, now: float) -> None:
-        present = self._count_serving(terms.name)
-        total = sum(present.values())
+        evacuated = self._directory.state.evacuated
+        serving = self._count_serving(terms.name)
+        present = {name: count for name, count in serving.items() if name not in evacuated}
+        total = sum(serving.values())
         wanted = self._directory.state.fleet_by_service.get(terms.name)
         if wanted is None:
             if total:
                 await self._directory.propose(SetFleet(terms.name, total))
             return
         demand = self._directory.sessions.demand(terms.name, now)
-        wanted = wanted_count(wanted, demand, terms.capacity)
+        returning = total - sum(present.values())
+        wanted = wanted_count(wanted - returning, demand, terms.capacity)
         scaling = terms.scaling
-        market = PlatformOffer(scaling.most, scaling.boot_s, scaling.price_by_data_centre)
+        prices = {
+            name: price
+            for name, price in scaling.price_by_data_centre.items()
+            if name not in evacuated
+        }
+        market = PlatformOffer(scaling.most, scaling.boot_s, prices)
         fleet = self._fleet_by_service.setdefault(terms.name, OrderHistory())
         order = next_order(fleet, market, wanted, present, now)
         if order is None:
--- a/packages/ibisspring-directory/src/ibisspring_directory/membership.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/membership.py
@@ -14,10 +14,12 @@
 
 from ibisspring_consensus.messages import ReplicaId
 from ibisspring_consensus.own_member import own_member
-from ibisspring_consensus.repair import ReplacementCandidate, next_membership_change
+from ibisspring_consensus.repair import Placement, ReplacementCandidate, next_membership_change
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.directory import Group, Renew
+from ibisspring_core.settings.vm import CONTROL
 from ibisspring_directory.commands import FoundJobs
+from ibisspring_directory.sessions import FORGET_S
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -43,7 +45,7 @@
 
     def __init__(self, settings: VmSettings) -> None:
         self._settings = settings
-        self._wanted = 2 * settings.losses + 1
+        self._wanted = settings.voters
         self._incarnation = secrets.token_hex(8)
         self._first_store_at = 0.0
 
@@ -103,10 +105,15 @@
         if not self._directory.holds_lease():
             return
         await self._bootstrap_jobs_log(now)
-        members = self._directory.sessions.members(now, "control")
-        change = next_membership_change(
-            self._consensus.core.state, to_candidates(members), (), self._wanted
+        sessions = self._directory.sessions
+        candidates = to_candidates(sessions.members(now, CONTROL))
+        known = sessions.members(now, CONTROL, FORGET_S)
+        placement = Placement(
+            self._wanted,
+            self._settings.most_voters_per_data_centre,
+            {member.address: member.data_centre for member in known},
         )
+        change = next_membership_change(self._consensus.core.state, candidates, (), placement)
         if change is not None:
             eliot.log_message("membership:change", log="directory", change=str(change))
             self._consensus.dispatch(change)
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -19,12 +19,13 @@
     Announce,
     CountUsage,
     Depart,
+    Evacuate,
     NameVersion,
+    ReadEvacuations,
     ReadTable,
     Renew,
     ReplaceTable,
     Retire,
-    Retiring,
     TableRead,
     TableReplaced,
     Unchanged,
@@ -33,31 +34,28 @@
     View,
 )
 from ibisspring_core.settings.vm import CONTROL, ENTRY
-from ibisspring_directory.commands import (
-    COMMANDS,
-    PutTable,
-    PutVersion,
-    RetireStore,
-)
+from ibisspring_directory.commands import COMMANDS, PutTable, PutVersion
+from ibisspring_directory.evacuations import Evacuations
 from ibisspring_directory.known_endpoints import KnownEndpoints
+from ibisspring_directory.leader_context import LeaderContext
+from ibisspring_directory.retirements import Retirements
 from ibisspring_directory.sessions import SESSION_ACTIVE_S, Sessions
 from ibisspring_directory.usage import WindowCounts
 from ibisspring_directory.version_lags import VersionLags
 from ibisspring_directory.views import Revision
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ibisspring_consensus.proposals import Committed
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings.vm import VmSettings
     from ibisspring_directory.sessions import Session
 
 SWEEP_S = 0.2
-# Longest time, in seconds, that a request to replace the route table waits for active entries that
-# still use the older table. The limit is below the time after which the operator's client treats
-# the request as lost.
-MAX_TABLE_WAIT_S = 2.5
-# Longest time, in seconds, until a store that was frozen or restarted renews its session again.
-STORE_RESTART_S = 4.0
+# Longest time, in seconds, that an operator's change waits for active daemons whose view lacks it.
+# The limit is below the time after which the operator's client treats the request as lost.
+MAX_CHANGE_WAIT_S = 2.5
 # First revision number of full views, which also contain the engines' weight versions and current
 # loads of weights. It is above the revisions of all views without these (entry views). A store that
 # has just become a member of the jobs' log holds a lower revision and is therefore sent the full
@@ -121,6 +119,20 @@
         self.endpoints = KnownEndpoints(
             self.settings, self.state, self._counters, self.propose, self.mark_changed
         )
+        context = LeaderContext(
+            settings=self.settings,
+            state=self.state,
+            sessions=self.sessions,
+            endpoints=self.endpoints,
+            counters=self._counters,
+            propose=self.propose,
+            confirm_read=self.consensus.confirm_read,
+            holds_lease=self.holds_lease,
+            led_since=lambda: self.led_since,
+            wait_until_applied=self._wait_until_applied,
+        )
+        self.evacuations = Evacuations(context)
+        self.retirements = Retirements(context)
         self.state.subscribe(self.mark_changed)
         server = kernel.find("peer_server")
         server.register_handler(Renew, self.renew)
@@ -130,7 +142,9 @@
             ReplaceTable: self.replace_table,
             ReadTable: self.read_table,
             NameVersion: self.name_version,
-            Retire: self.retire,
+            Retire: self.retirements.retire,
+            Evacuate: self.evacuations.evacuate,
+            ReadEvacuations: self.evacuations.read,
             CountUsage: self.count_usage,
         }
         for message_type, handler in on_leader.items():
@@ -174,7 +188,13 @@
             self._term,
             self.state.table_version,
             tuple(
-                (record.endpoint, record.incarnation, record.state, record.address)
+                (
+                    record.endpoint,
+                    record.incarnation,
+                    record.state,
+                    record.address,
+                    record.cold_s > 0,
+                )
                 for record in records
             ),
             self.endpoints.is_learning(now),
@@ -182,6 +202,7 @@
             _address_of(leader),
             self.state.job_group,
             self._controls(),
+            self.state.evacuation_change,
         )
 
     def _controls(self) -> tuple[str, ...]:
@@ -314,6 +335,8 @@
             wall_s=self.agreed_wall_s(),
             closed_window=state.closed_window,
             retiring=state.retiring,
+            evacuated=state.evacuated,
+            evacuation_change=state.evacuation_change,
         )
 
     async def propose(self, command: Any) -> Committed | Refusal:
@@ -324,7 +347,7 @@
         """
         Commit a route table, and answer once all active entries use it.
 
-        The answer is sent after MAX_TABLE_WAIT_S seconds even if some entries do not use it yet.
+        The answer is sent after MAX_CHANGE_WAIT_S seconds even if some entries do not use it yet.
         """
         version = message.table.version
         if version > self.state.table_version:
@@ -332,33 +355,39 @@
             if isinstance(committed, Refusal):
                 return committed
             eliot.log_message("directory:table", version=version, routes=len(message.table.routes))
-        if not await self._wait_until_applied(self.state.table_version):
+        in_force = self.state.table_version
+
+        def is_applied(now: float) -> bool:
+            return not self.sessions.with_older_table(in_force, now)
+
+        if not await self._wait_until_applied(is_applied):
             self._counters.add("directory.table_not_everywhere")
         if not self.holds_lease():
             return Refusal(Reason.MAY_HAVE_RUN, False, None, "the leader changed")
         return TableReplaced(self.state.table_version)
 
-    async def _wait_until_applied(self, version: int) -> bool:
+    async def _wait_until_applied(self, is_applied: Callable[[float], bool]) -> bool:
         """
-        Wait until no active entry uses an older route table.
+        Wait until all active daemons hold a change, as their renewals show.
 
-        A newly elected leader has no sessions yet and would confirm a table that no entry has
-        received, so it first waits SESSION_ACTIVE_S seconds for the entries' renewals.
+        A newly elected leader has no sessions yet and would confirm a change that no daemon has
+        received, so it first waits SESSION_ACTIVE_S seconds for the daemons' renewals.
 
-        :return: True once all use the table; False where MAX_TABLE_WAIT_S seconds passed or this
+        :param is_applied: whether no active session lacks the change; its argument is the time in
+            seconds on this leader's boot clock.
+        :return: True once all hold the change; False where MAX_CHANGE_WAIT_S seconds passed or this
             daemon is no longer the leader.
         """
 
-        def is_applied() -> bool:
+        def is_confirmed() -> bool:
             now = boot_now()
-            sessions_known = now > self.led_since + SESSION_ACTIVE_S
-            return sessions_known and not self.sessions.with_older_table(version, now)
+            return now > self.led_since + SESSION_ACTIVE_S and is_applied(now)
 
-        end_s = boot_now() + MAX_TABLE_WAIT_S
-        while not is_applied():
+        end_s = boot_now() + MAX_CHANGE_WAIT_S
+        while not is_confirmed():
             if boot_now() > end_s or not self.holds_lease():
                 return False
-            await self.full_revision.wait(0.05, is_applied)
+            await self.full_revision.wait(0.05, is_confirmed)
         return True
 
     async def read_table(self, message: ReadTable) -> Any:
@@ -377,74 +406,6 @@
             eliot.log_message("directory:version", model=message.model, version=message.version)
         return VersionNamed()
 
-    async def retire(self, message: Retire) -> Any:
-        """
-        Start the retirement of a store, or report its progress.
-
-        A store is retired when its replica of the jobs' log has moved to another store.
-        """
-        now = boot_now()
-        address = self.sessions.address_of(message.daemon)
-        leader = self.sessions.job_leader(now)
-        if address is None and now < self.led_since + STORE_RESTART_S:
-            return Refusal(
-                Reason.NO_LEADER,
-                True,
-                SESSION_ACTIVE_S,
-                "the new leader has received no renewal of this store yet",
-            )
-        if address is None:
-            return Retiring("unknown")
-        if message.begin and address not in self.state.retiring:
-            refused = self._retirement_refusal(address, now)
-            if refused is not None:
-                return refused
-            committed = await self.propose(RetireStore(address))
-            if isinstance(committed, Refusal):
-                return committed
-            eliot.log_message("directory:retire", daemon=message.daemon, address=address)
-        if address not in self.state.retiring or leader is None:
-            return Retiring("active")
-        return Retiring("active" if address in leader.renew.job_members else "completed")
-
-    def _retirement_refusal(self, address: str, now: float) -> Retiring | Refusal | None:
-        """
-        Check whether a store can be retired now.
-
-        The answer `too_few` is final. It is sent only where too few other stores have renewed
-        within STORE_RESTART_S seconds. While a missing store may still return within this time, the
-        operator receives a refusal and may retry.
-
-        :return: the negative answer to the operator; None where the retirement may start.
-        """
-        needed = 2 * self.settings.losses + 1
-        active = self._count_other_stores(address, now, SESSION_ACTIVE_S)
-        if active >= needed:
-            return None
-        expected = self._count_other_stores(address, now, STORE_RESTART_S)
-        final = expected < needed and now >= self.led_since + SESSION_ACTIVE_S
-        eliot.log_message(
-            "directory:retire_refused",
-            address=address,
-            in_touch=active,
-            expected=expected,
-            needed=needed,
-            reason="too_few" if final else "silent_stores",
-        )
-        if final:
-            return Retiring("too_few")
-        detail = f"{active} other stores renewed recently, {needed} are needed"
-        return Refusal(Reason.NO_ENDPOINT, True, SESSION_ACTIVE_S, detail)
-
-    def _count_other_stores(self, address: str, now: float, within_s: float) -> int:
-        """
-        Number of stores, without the one at `address`, that could hold a replica of the jobs' log.
-
-        :param within_s: longest time since a store's last renewal, in seconds.
-        """
-        stores = {member.address for member in self.sessions.members(now, "store", within_s)}
-        return len(stores - {address} - set(self.state.retiring))
-
 
 def _gets_full_view(renew: Renew) -> bool:
     """
--- a/packages/ibisspring-directory/src/ibisspring_directory/sessions.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/sessions.py
@@ -90,6 +90,20 @@
                 found.append(session.renew.daemon)
         return tuple(found)
 
+    def with_older_evacuations(self, change: int, now: float) -> tuple[str, ...]:
+        """
+        Find the active entries and stores whose view lacks a change of an evacuation.
+
+        :param change: number of the change that all of them are to have.
+        :return: names of the daemons that do not have it yet.
+        """
+        found = []
+        for role in ("entry", "store"):
+            for session in self.active(now, role):
+                if session.renew.evacuation_change < change:
+                    found.append(session.renew.daemon)
+        return tuple(found)
+
     def members(
         self, now: float, role: str, within_s: float = SESSION_ACTIVE_S
     ) -> tuple[Member, ...]:
@@ -105,6 +119,11 @@
                 found.append(session.renew.member)
         return tuple(sorted(found, key=lambda member: member.address))
 
+    def data_centres(self) -> frozenset[str]:
+        """Return the data centres of all daemons with a session."""
+        sessions = self._session_by_address.values()
+        return frozenset(session.renew.data_centre for session in sessions)
+
     def address_of(self, daemon: str) -> str | None:
         """
         Find a daemon's peer address by its name.
--- a/packages/ibisspring-directory/src/ibisspring_directory/state.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/state.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.messages.codec import decode, encode
-from ibisspring_core.messages.directory import Group
+from ibisspring_core.messages.directory import Evacuation, Group
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.routes.model import RouteTable
 from ibisspring_directory.commands import (
@@ -24,6 +24,7 @@
     PutTable,
     PutVersion,
     RetireStore,
+    SetEvacuation,
     SetFleet,
     WindowReported,
 )
@@ -57,6 +58,7 @@
     :param fleet_by_service: by service, the minimum number of endpoints to keep.
     :param closed_window: newest usage window whose counts are final; -1 for none.
     :param windows: closed usage windows that are not reported yet.
+    :param evacuations: newest record of each data centre that was ever evacuated.
     """
 
     table: RouteTable | None = None
@@ -69,6 +71,7 @@
     fleet_by_service: dict[str, int] = field(default_factory=dict)
     closed_window: int = -1
     windows: tuple[CloseWindow, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 class DirectoryState:
@@ -94,6 +97,7 @@
             SetFleet: self._set_fleet,
             CloseWindow: self._close_window,
             WindowReported: self._window_reported,
+            SetEvacuation: self._set_evacuation,
         }
 
     async def start(self, kernel: Kernel) -> None:
@@ -111,6 +115,18 @@
         """Version of the current route table; -1 before the first one."""
         return self.table.version if self.table is not None else -1
 
+    @property
+    def evacuation_change(self) -> int:
+        """Number of the newest change of any evacuation; 0 before the first one."""
+        changes = (one.change for one in self.evacuation_by_data_centre.values())
+        return max(changes, default=0)
+
+    @property
+    def evacuated(self) -> tuple[str, ...]:
+        """Data centres whose endpoints get no new requests, sorted."""
+        evacuations = self.evacuation_by_data_centre.values()
+        return tuple(sorted(one.data_centre for one in evacuations if one.active))
+
     def apply(self, index: int, data: bytes) -> bytes:
         """
         Apply one committed command.
@@ -142,6 +158,7 @@
                 self.fleet_by_service,
                 self.closed_window,
                 tuple(self.window_by_number.values()),
+                tuple(self.evacuation_by_data_centre.values()),
             )
         )
 
@@ -171,6 +188,7 @@
         self.fleet_by_service = dict(snapshot.fleet_by_service)
         self.closed_window = snapshot.closed_window
         self.window_by_number = {window.window: window for window in snapshot.windows}
+        self.evacuation_by_data_centre = {one.data_centre: one for one in snapshot.evacuations}
 
     def _put_table(self, command: PutTable) -> None:
         # A command with the current version is ignored as well: a second table under the same
@@ -224,6 +242,16 @@
         self.closed_window = command.window
         self.window_by_number[command.window] = command
 
+    def _set_evacuation(self, command: SetEvacuation) -> None:
+        known = self.evacuation_by_data_centre.get(command.data_centre)
+        if command.expected_change != (known.change if known is not None else 0):
+            return
+        if command.active == (known is not None and known.active):
+            return
+        self.evacuation_by_data_centre[command.data_centre] = Evacuation(
+            command.data_centre, self.evacuation_change + 1, command.active
+        )
+
     def _window_reported(self, command: WindowReported) -> None:
         for number in [number for number in self.window_by_number if number <= command.window]:
             del self.window_by_number[number]
--- a/packages/ibisspring-directory/src/ibisspring_directory/status.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/status.py
@@ -77,6 +77,7 @@
             version_by_model=dict(state.version_by_model),
             duties=self._duty_statuses(),
             closed_window=state.closed_window,
+            evacuated=state.evacuated,
         )
 
     def _daemons(self, now: float) -> tuple[DaemonStatus, ...]:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -34,6 +34,9 @@
 MIN_ATTEMPT_S = 0.02
 # Seconds after which a caller may repeat a request that no endpoint ran (`Refusal.retry_after_s`).
 RETRY_AFTER_S = 0.25
+# The same where all endpoints are in evacuated data centres: an evacuation lasts for seconds or
+# longer, so an earlier repetition would be refused as well.
+EVACUATED_RETRY_AFTER_S = 1.0
 # HTTP status with which an endpoint says that it ran the request and failed. Responses with other
 # error statuses are not counted as failures of the endpoint, since their cause may lie elsewhere.
 ENDPOINT_FAILURE_STATUS = 500
@@ -105,6 +108,7 @@
         self._wire = kernel.find("endpoint_wire")
         self._counters = kernel.find("counters")
         self._usage = kernel.find("usage_counts")
+        self._gate = kernel.find("send_gate")
 
     async def stop(self) -> None:
         """Cancel the attempts whose requests have already been answered."""
@@ -176,6 +180,10 @@
         chosen = self._router.choose(candidates, boot_now(), repeatable=not at_most_once)
         return record_by_id[chosen] if chosen is not None else None
 
+    def has_evacuated(self, service: str) -> bool:
+        """Whether a service has endpoints in data centres that are evacuated."""
+        return self._view.has_evacuated(service)
+
     def _candidate(self, record: EndpointRecord) -> Candidate:
         return Candidate(
             endpoint=record.endpoint,
@@ -250,6 +258,9 @@
             self._router.record_success(record.endpoint, took_s)
             return
         self._counters.retried(answer.reason)
+        if answer.reason is Reason.EVACUATED:
+            # The endpoint itself did not fail, so it is not ejected.
+            return
         eliot.log_message(
             "forward:try_failed",
             request=request.request_id,
@@ -263,6 +274,9 @@
     async def _send_attempt(
         self, request: CallerRequest, record: EndpointRecord, endpoint_deadline_at_s: float
     ) -> EndpointResponse | FailedAttempt:
+        refusal = self._gate.request_refusal(record.data_centre)
+        if refusal is not None:
+            return FailedAttempt(refusal, False)
         headers = self._wire.call_headers(request, record, endpoint_deadline_at_s - boot_now())
         request_context = self._connections.request(
             request.method, record.address, request.target, headers, request.body
@@ -378,10 +392,11 @@
             return False
         if self._deadline_at_s - boot_now() < MIN_ATTEMPT_S:
             return False
-        record = self._forwarder.choose_endpoint(
-            choose_service(self._route), self.tried_endpoints, at_most_once
-        )
+        service = choose_service(self._route)
+        record = self._forwarder.choose_endpoint(service, self.tried_endpoints, at_most_once)
         if record is None:
+            if not self.tried_endpoints and self._forwarder.has_evacuated(service):
+                self._last_reason = Reason.EVACUATED
             return False
         self.tried_endpoints.append(record.endpoint)
         attempt = self._forwarder.attempt(
@@ -395,9 +410,12 @@
             return self._error_answer
         if self._last_reason is Reason.TIMEOUT:
             return Refusal(Reason.TIMEOUT, not self.may_have_run, None)
-        return Refusal(
-            self._last_reason, not self.may_have_run, None if self.may_have_run else RETRY_AFTER_S
+        if self.may_have_run:
+            return Refusal(self._last_reason, False, None)
+        retry_after_s = (
+            EVACUATED_RETRY_AFTER_S if self._last_reason is Reason.EVACUATED else RETRY_AFTER_S
         )
+        return Refusal(self._last_reason, True, retry_after_s)
 
 
 def _outcome_of(answer: EndpointResponse | FailedAttempt | Refusal) -> str:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
@@ -10,6 +10,7 @@
 from ibisspring_gateway.result_reads import ResultReads
 from ibisspring_gateway.reward_calls import RewardCalls
 from ibisspring_gateway.runner import Runner
+from ibisspring_gateway.send_gate import SendGate
 from ibisspring_gateway.usage import UsageCounts
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
         DirectoryView.from_config(settings),
         UsageCounts.from_config(settings),
         Connections(),
+        SendGate.from_config(settings),
         Forwarder.from_config(settings),
         RewardCalls(),
         Runner.from_config(settings),
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -10,9 +10,10 @@
 import eliot
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.errors import Refusal
+from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.jobs import PART, Outcome, ReportWork, TakeWork, Work
+from ibisspring_decisions.paced_sends import MAX_PACED_DELAY_S
 from ibisspring_gateway.item_run import RunProgress, run_item
 from ibisspring_gateway.reward_calls import ScoringFailure
 
@@ -43,6 +44,8 @@
 # Time limit of the last report of outcomes when the daemon stops. The report uses part of the time
 # between SIGTERM and the kill of the process.
 LAST_REPORT_TIMEOUT_S = 0.8
+# Kind of the outcome of an item that was not sent to its endpoint.
+TURNED_AWAY = "turned_away"
 
 
 class Runner:
@@ -86,6 +89,7 @@
         self._wire = kernel.find("endpoint_wire")
         self._counters = kernel.find("counters")
         self._reward_calls = kernel.find("reward_calls")
+        self._gate = kernel.find("send_gate")
         self.leader = LeaderClient(kernel.find("peer_client"), self.job_addresses)
         self._tasks = [
             asyncio.create_task(self._request_work(), name="runner:take"),
@@ -145,7 +149,8 @@
         while True:
             self._sequence += 1
             streams = len(self._task_by_number) - len(self._scoring_numbers)
-            free = 0 if self._draining else MAX_STREAMS - streams
+            accepts = not self._draining and self._gate.may_run_items()
+            free = MAX_STREAMS - streams if accepts else 0
             call = TakeWork(
                 runner=self._settings.peer_address,
                 data_centre=self._settings.data_centre,
@@ -157,19 +162,22 @@
                 hold_s=WORK_HOLD_S,
                 events=tuple(self._event_count(number) for number in self._task_by_number),
             )
+            called_at_s = boot_now()
             answer = await self.leader.call(call, FIND_LEADER_TIMEOUT_S, CALL_TIMEOUT_S)
             if not isinstance(answer, Work):
                 detail = answer.detail if isinstance(answer, Refusal) else repr(answer)
                 eliot.log_message("runner:no_work_from", detail=detail)
                 await asyncio.sleep(WORK_HOLD_S)
                 continue
-            self._apply_work(answer)
+            # The leader assigned the items at the earliest when it had received the call and held
+            # it for the stated time.
+            self._apply_work(answer, called_at_s + answer.held_s + MAX_PACED_DELAY_S)
 
     def _event_count(self, number: int) -> int:
         progress = self._progress_by_number.get(number)
         return len(progress.data) if progress is not None else 0
 
-    def _apply_work(self, work: Work) -> None:
+    def _apply_work(self, work: Work, begin_by_s: float) -> None:
         if work.epoch != self._epoch:
             # A new dispatcher resumes the items from the events stored in the jobs log, and ignores
             # the outcomes of runs that belong to an earlier epoch.
@@ -192,14 +200,17 @@
                 task.cancel()
         for assignment in work.assignments:
             task = asyncio.create_task(
-                self._run_assignment(assignment), name=f"run:{assignment.item.item}"
+                self._run_assignment(assignment, begin_by_s), name=f"run:{assignment.item.item}"
             )
             self._task_by_number[assignment.number] = task
 
-    async def _run_assignment(self, assignment: Assignment) -> None:
+    async def _run_assignment(self, assignment: Assignment, begin_by_s: float) -> None:
         epoch = self._epoch
         number = assignment.number
-        if assignment.endpoint:
+        refusal = self._gate.item_refusal(assignment, begin_by_s) if assignment.endpoint else None
+        if refusal is not None:
+            outcome = self._turn_away(assignment, refusal)
+        elif assignment.endpoint:
             outcome = await self._generate_text(assignment)
         else:
             outcome = Outcome(number, "done")
@@ -214,6 +225,21 @@
                 return
         self._queue_outcome(outcome)
 
+    def _turn_away(self, assignment: Assignment, refusal: Reason) -> Outcome:
+        """Report an item that is not sent, so that the dispatcher assigns it again."""
+        self._counters.add(f"runner.not_sent.{refusal.value}")
+        eliot.log_message(
+            "runner:not_sent",
+            job=assignment.job,
+            item=assignment.item.item,
+            number=assignment.number,
+            endpoint=assignment.endpoint,
+            data_centre=assignment.data_centre,
+            reason=refusal.value,
+            view_age_s=round(self._view.age_s(), 3),
+        )
+        return Outcome(assignment.number, TURNED_AWAY)
+
     def _is_assigned(self, number: int, epoch: int) -> bool:
         """
         Whether the dispatcher still expects an outcome for this number.
--- /dev/null
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/send_gate.py
@@ -0,0 +1,89 @@
+"""
+The service `send_gate`: the last check before a request is sent to an endpoint.
+
+An endpoint is chosen by a view that may be outdated when the request is sent: an item's assignment
+comes from the jobs' leader, a retry follows a failed attempt, and an entry may have been frozen in
+between. Everything that sends a request to an endpoint therefore asks this service immediately
+before the first byte.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisspring_core.clock import boot_now
+from ibisspring_core.connections import CONNECT_TIMEOUT_S
+from ibisspring_core.errors import Reason
+
+if TYPE_CHECKING:
+    from ibisspring_core.kernel import Kernel
+    from ibisspring_core.messages.jobs import Assignment
+    from ibisspring_core.settings.vm import VmSettings
+
+# Seconds of the setting `evacuate_s` that are reserved for the time from the check until the
+# request has arrived, beyond the time limit of a new connection.
+ARRIVAL_RESERVE_S = 0.5
+
+
+class SendGate:
+    """
+    Decides by this entry's own view whether a request may be sent to an endpoint now.
+
+    An evacuation is answered to its operator without waiting for entries that are out of touch with
+    the directory. Such an entry stops sending items once its view is so old that an evacuation may
+    have been answered `evacuate_s` seconds ago. Callers' requests are still forwarded, since the
+    loss of control must not interrupt them.
+    """
+
+    name = "send_gate"
+
+    def __init__(self, evacuate_s: float) -> None:
+        self._max_view_age_s = float("inf")
+        if evacuate_s > 0:
+            self._max_view_age_s = evacuate_s - CONNECT_TIMEOUT_S - ARRIVAL_RESERVE_S
+
+    @classmethod
+    def from_config(cls, settings: VmSettings) -> SendGate:
+        """
+        Build the gate of an entry.
+
+        :param settings: validated settings of the entry; `evacuate_s` limits the age of its view.
+        """
+        return cls(settings.evacuate_s)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Look up the directory view."""
+        self._view = kernel.find("directory_view")
+
+    async def stop(self) -> None:
+        """No-op: nothing runs in the background."""
+
+    def may_run_items(self) -> bool:
+        """Whether this entry's view is recent enough for items to be sent."""
+        return self._view.age_s() <= self._max_view_age_s
+
+    def request_refusal(self, data_centre: str) -> Reason | None:
+        """
+        Check a request of a caller or of the system itself.
+
+        :param data_centre: data centre of the endpoint.
+        :return: why the request must not be sent; None if it may be sent.
+        """
+        return Reason.EVACUATED if data_centre in self._view.view.evacuated else None
+
+    def item_refusal(self, assignment: Assignment, begin_by_s: float) -> Reason | None:
+        """
+        Check the run of an item.
+
+        :param begin_by_s: boot-clock time after which a paced assignment must not begin, because
+            the dispatcher no longer counts it.
+        :return: why the run must not be sent; None if it may be sent.
+        """
+        if not self.may_run_items():
+            return Reason.LEASE_LAPSED
+        if assignment.paced and boot_now() > begin_by_s:
+            return Reason.STALE
+        return self.request_refusal(assignment.data_centre)
+
+
+__all__ = ["SendGate"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -48,16 +48,19 @@
     Assigns items during one epoch: the consensus term of one leader of the jobs' log.
 
     :param run_by_number: the runs that have not ended, by the number of their assignment.
+    :param now: start of the epoch, in seconds since boot.
     """
 
-    def __init__(self, state: JobsState, context: DispatchContext, epoch: int) -> None:
+    def __init__(
+        self, state: JobsState, context: DispatchContext, epoch: int, now: float = 0.0
+    ) -> None:
         self.epoch = epoch
         self.runners = Runners()
         self.run_by_number: dict[int, Run] = {}
         self._state = state
         self._context = context
         self._last_number = 0
-        self.engines = Engines(context)
+        self.engines = Engines(context, now)
         self.items = Items(state)
 
     def register_call(self, call: TakeWork, now: float) -> Runner:
@@ -260,6 +263,8 @@
             resume_after=resume_after,
             deadline_s=max(1.0, left_s),
             max_attempts=job.max_attempts,
+            data_centre=record.data_centre if record is not None else "",
+            paced=record is not None and self._context.paced_limit(job.service) is not None,
         )
         run = Run(
             self._last_number,
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -12,6 +12,7 @@
 
 from ibisspring_core.kept_connections import IdleConnections
 from ibisspring_decisions.dispatch import EngineCapacity
+from ibisspring_decisions.paced_sends import PacedSends
 from ibisspring_jobs.paces import EnginePaces
 
 if TYPE_CHECKING:
@@ -40,9 +41,10 @@
     :param paces: for each engine, the seconds that it takes per event of a stream.
     """
 
-    def __init__(self, context: DispatchContext) -> None:
+    def __init__(self, context: DispatchContext, now: float) -> None:
         self.paces = EnginePaces()
         self._context = context
+        self._paced = PacedSends(now)
         self._idle_by_runner = IdleConnections()
         self._idle = IdleConnections()
         self._groups_by_engine: dict[str, set[tuple[str, str]]] = {}
@@ -118,7 +120,7 @@
             capacities.append(
                 EngineCapacity(
                     engine=engine,
-                    free_slots=_slot_count(record, terms) - len(engine_runs),
+                    free_slots=self._free_slots(record, terms, len(engine_runs), now),
                     free_memory_tokens=memory - sum(run.tokens for run in engine_runs),
                     running=len(engine_runs),
                     slowness=self.paces.slowness(engine),
@@ -128,6 +130,16 @@
             )
         return capacities
 
+    def _free_slots(
+        self, record: EndpointRecord, terms: ServiceTerms | None, running: int, now: float
+    ) -> int:
+        free_slots = _slot_count(record, terms) - running
+        limit = self._context.paced_limit(record.service)
+        if limit is None or free_slots <= 0:
+            return free_slots
+        is_cold = self._context.is_cold(record.endpoint)
+        return min(free_slots, self._paced.free(record.endpoint, limit, is_cold, now))
+
     def has_idle_connection(self, runner: str, engine: str, now: float) -> bool:
         """
         Whether a runner has an idle connection to an engine.
@@ -143,6 +155,7 @@
         :param runner: address of the runner.
         :param group: job id and group of the run's item; the items of a group share their prompt.
         """
+        self._paced.record(engine, now)
         self._idle_by_runner.use((runner, engine), now)
         self._idle.use((engine,), now)
         self._groups_by_engine.setdefault(engine, set()).add(group)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
@@ -15,7 +15,7 @@
 from ibisspring_consensus import events
 from ibisspring_consensus.messages import Members, ReplicaId
 from ibisspring_consensus.own_member import own_member
-from ibisspring_consensus.repair import ReplacementCandidate, next_membership_change
+from ibisspring_consensus.repair import Placement, ReplacementCandidate, next_membership_change
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -39,7 +39,9 @@
 
     def __init__(self, settings: VmSettings) -> None:
         self._settings = settings
-        self._target_voters = 2 * settings.losses + 1
+        self._target_voters = settings.voters
+        # Includes stores that are silent now; their data centres are lost from the view.
+        self._data_centre_by_address: dict[str, str] = {}
 
     @classmethod
     def from_config(cls, settings: VmSettings) -> JobMembership:
@@ -105,8 +107,15 @@
             ReplacementCandidate(ReplicaId(store.address, store.disk_id), store.data_centre)
             for store in view.stores
         ]
+        for store in view.stores:
+            self._data_centre_by_address[store.address] = store.data_centre
+        placement = Placement(
+            self._target_voters,
+            self._settings.most_voters_per_data_centre,
+            self._data_centre_by_address,
+        )
         change = next_membership_change(
-            self._consensus.core.state, candidates, view.retiring, self._target_voters
+            self._consensus.core.state, candidates, view.retiring, placement
         )
         if change is not None:
             eliot.log_message("membership:change", log="jobs", change=str(change))
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -35,6 +35,7 @@
     Work,
     WorkReported,
 )
+from ibisspring_decisions.paced_sends import requests_per_window
 from ibisspring_jobs.commands import (
     COMMANDS,
     AcceptJob,
@@ -151,9 +152,14 @@
         if self._dispatcher is None or self._dispatcher.epoch != term:
             view = self._view
             context = DispatchContext(
-                view.serving, self._service_terms, view.wall_s, self._is_loading
+                view.serving,
+                self._service_terms,
+                view.wall_s,
+                self._is_loading,
+                self._paced_limit,
+                view.is_cold,
             )
-            self._dispatcher = Dispatcher(self._state, context, term)
+            self._dispatcher = Dispatcher(self._state, context, term, boot_now())
             eliot.log_message("jobs:leads", term=term, daemon=self._settings.daemon)
         return self._dispatcher
 
@@ -164,6 +170,15 @@
         index = self._view.index
         return index.service_by_name.get(service) if index is not None else None
 
+    def _paced_limit(self, service: str) -> int | None:
+        terms = self._service_terms(service)
+        if terms is None:
+            return None
+        settings = self._settings
+        return requests_per_window(
+            terms.cold_requests_per_s, settings.cold_overshoot, settings.cold_slack
+        )
+
     def _on_job_changed(self, job: str) -> None:
         self._job_changed.set()
         self._job_changed = asyncio.Event()
@@ -320,7 +335,8 @@
             # when the runner receives it, the runner stops these runs and calls again.
             dispatcher.register_call(replace(call, running=(), free=0), boot_now())
             return Work(dispatcher.epoch)
-        runner = dispatcher.register_call(call, boot_now())
+        called_at = boot_now()
+        runner = dispatcher.register_call(call, called_at)
         runner.waiting = True
         runner.wake.clear()
         dispatcher.assign_waiting_items(boot_now())
@@ -339,6 +355,7 @@
             tuple(runner.outbox),
             tuple(runner.cancelled),
             tuple(runner.moved),
+            runner.answered_at - called_at,
         )
         runner.outbox.clear()
         runner.cancelled.clear()
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
@@ -22,6 +22,9 @@
         service is unknown.
     :param is_loading: whether an endpoint (its id is the first argument) is loading weights of a
         model (the second argument). Meanwhile it starts no requests for that model.
+    :param paced_limit: returns the most requests that an endpoint of a service may get in any
+        second; None for no limit.
+    :param is_cold: whether an endpoint (its id is the argument) says that it is cold.
     :param wall_s: returns the wall-clock time that most daemons agree on, in seconds since 1970.
     """
 
@@ -29,6 +32,8 @@
     terms: Callable[[str], ServiceTerms | None]
     wall_s: Callable[[], float]
     is_loading: Callable[[str, str], bool] = lambda endpoint, model: False
+    paced_limit: Callable[[str], int | None] = lambda service: None
+    is_cold: Callable[[str], bool] = lambda endpoint: False
 
 
 __all__ = ["DispatchContext"]
--- a/tests/fakes/platform_engine.py
+++ b/tests/fakes/platform_engine.py
@@ -20,6 +20,8 @@
 
     :param controls: IP:port of the control daemons, which get the heartbeats.
     :param models: weight version by model.
+    :param zone: data centre that the heartbeats state.
+    :param cold_left_ms: milliseconds for which the heartbeats say that the engine is cold.
     :param events: number of events of each run.
     :param event_s: seconds between the events of a run.
     :param answer_s: seconds until a call is answered.
@@ -41,6 +43,8 @@
     controls: list[str]
     models: dict[str, int] = field(default_factory=dict)
     slots: int = 4
+    zone: str = "derby"
+    cold_left_ms: int = 0
     events: int = 5
     event_s: float = EVENT_INTERVAL_S
     answer_s: float = 0.0
@@ -96,11 +100,11 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "derby",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "models": models,
             "sequence": self.sequence,
             "born": self.born,
--- a/tests/unit/consensus/test_repair.py
+++ b/tests/unit/consensus/test_repair.py
@@ -18,6 +18,7 @@
 )
 from ibisspring_consensus.repair import (
     REPLACE_AFTER_SILENCE_S,
+    Placement,
     ReplacementCandidate,
     next_membership_change,
 )
@@ -59,7 +60,9 @@
     # log.
     state = leader_state(MEMBERS_OF_THREE, silent=("b",))
 
-    assert next_membership_change(state, [SPARE], (), 3) == Replace(SPARE.replica, VOTERS[1])
+    assert next_membership_change(state, [SPARE], (), Placement(3)) == Replace(
+        SPARE.replica, VOTERS[1]
+    )
 
 
 def test_a_replacement_comes_from_the_data_centre_with_the_fewest_voters() -> None:
@@ -75,13 +78,19 @@
     other_data_centre_spare = ReplacementCandidate(ReplicaId("q", "d"), "walsall")
 
     assert next_membership_change(
-        state, [*responsive_voters, same_data_centre_spare, other_data_centre_spare], (), 3
+        state,
+        [*responsive_voters, same_data_centre_spare, other_data_centre_spare],
+        (),
+        Placement(3),
     ) == Replace(other_data_centre_spare.replica, VOTERS[2])
     assert next_membership_change(
-        state, [*responsive_voters, same_data_centre_spare, other_data_centre_spare], (), 5
+        state,
+        [*responsive_voters, same_data_centre_spare, other_data_centre_spare],
+        (),
+        Placement(5),
     ) == Replace(other_data_centre_spare.replica, None)
     assert next_membership_change(
-        state, [*responsive_voters, same_data_centre_spare], (), 3
+        state, [*responsive_voters, same_data_centre_spare], (), Placement(3)
     ) == Replace(same_data_centre_spare.replica, VOTERS[2])
 
 
@@ -90,25 +99,29 @@
     # more voter would stop the log.
     state = leader_state(MEMBERS_OF_THREE, silent=("b",))
 
-    assert next_membership_change(state, [], (), 3) is None
+    assert next_membership_change(state, [], (), Placement(3)) is None
 
 
 def test_responsive_voter_stays() -> None:
-    assert next_membership_change(leader_state(MEMBERS_OF_THREE), [SPARE], (), 3) is None
+    assert next_membership_change(leader_state(MEMBERS_OF_THREE), [SPARE], (), Placement(3)) is None
 
 
 def test_leaving_voter_is_replaced_although_it_responds() -> None:
     state = leader_state(MEMBERS_OF_THREE)
 
-    assert next_membership_change(state, [SPARE], ("c",), 3) == Replace(SPARE.replica, VOTERS[2])
-    assert next_membership_change(state, [SPARE], ("c", "s"), 3) is None
-    assert next_membership_change(state, [SPARE], ("a",), 3) == Replace(SPARE.replica, VOTERS[0])
+    assert next_membership_change(state, [SPARE], ("c",), Placement(3)) == Replace(
+        SPARE.replica, VOTERS[2]
+    )
+    assert next_membership_change(state, [SPARE], ("c", "s"), Placement(3)) is None
+    assert next_membership_change(state, [SPARE], ("a",), Placement(3)) == Replace(
+        SPARE.replica, VOTERS[0]
+    )
 
 
 def test_voters_are_added_up_to_the_wanted_number() -> None:
     state = leader_state(MEMBERS_OF_THREE)
 
-    assert next_membership_change(state, [SPARE], (), 5) == Replace(SPARE.replica, None)
+    assert next_membership_change(state, [SPARE], (), Placement(5)) == Replace(SPARE.replica, None)
 
 
 @pytest.mark.parametrize(
@@ -120,11 +133,76 @@
     ids=["a learner", "a change"],
 )
 def test_one_change_at_a_time(members) -> None:
-    assert next_membership_change(leader_state(members, silent=("b",)), [SPARE], (), 3) is None
+    assert (
+        next_membership_change(leader_state(members, silent=("b",)), [SPARE], (), Placement(3))
+        is None
+    )
 
 
 def test_new_leader_waits_before_it_replaces_silent_voters() -> None:
     state = leader_state(MEMBERS_OF_THREE, silent=("b",))
     state.leader_since = NOW - 1.0
 
-    assert next_membership_change(state, [SPARE], (), 3) is None
+    assert next_membership_change(state, [SPARE], (), Placement(3)) is None
+
+
+FIVE_VOTERS = tuple(ReplicaId(name, "d") for name in "abcde")
+DATA_CENTRE_BY_VOTER = {"a": "derby", "b": "derby", "c": "stoke", "d": "stoke", "e": "walsall"}
+TWO_PER_DATA_CENTRE = Placement(5, 2, DATA_CENTRE_BY_VOTER)
+
+
+def responding(*daemons: str) -> list[ReplacementCandidate]:
+    return [
+        ReplacementCandidate(ReplicaId(name, "d"), DATA_CENTRE_BY_VOTER[name]) for name in daemons
+    ]
+
+
+def spares(*data_centres: str) -> list[ReplacementCandidate]:
+    return [
+        ReplacementCandidate(ReplicaId(f"s-{data_centre}", "d"), data_centre)
+        for data_centre in data_centres
+    ]
+
+
+def test_voters_of_a_lost_data_centre_are_not_gathered_in_the_others() -> None:
+    # A data centre with two of five voters loses its power for some seconds. If both voters were
+    # replaced by stores of the other two data centres, one of these would hold three voters, and
+    # its loss would stop the log although the first data centre is back.
+    state = leader_state(Members(FIVE_VOTERS, cluster="x"), silent=("c", "d"))
+    alive = responding("a", "b", "e")
+
+    change = next_membership_change(
+        state, [*alive, *spares("derby", "walsall")], (), TWO_PER_DATA_CENTRE
+    )
+    assert change == Replace(ReplicaId("s-walsall", "d"), FIVE_VOTERS[2])
+
+    members = Members((*FIVE_VOTERS[:2], *FIVE_VOTERS[3:], change.new), cluster="x")
+    state = leader_state(members, silent=("d",))
+    new_voter = ReplacementCandidate(change.new, "walsall")
+    others = [ReplacementCandidate(ReplicaId("t", "d"), "walsall"), *spares("derby")]
+    assert (
+        next_membership_change(state, [*alive, new_voter, *others], (), TWO_PER_DATA_CENTRE) is None
+    )
+
+
+def test_a_voter_of_a_crowded_data_centre_moves_to_another_one() -> None:
+    # The seeds of a system stand in one data centre. Its loss would stop the log, so one of these
+    # voters is replaced as soon as another data centre has a replica to offer.
+    data_centres = {"a": "derby", "b": "derby", "c": "derby", "d": "stoke", "e": "walsall"}
+    placement = Placement(5, 2, data_centres)
+    state = leader_state(Members(FIVE_VOTERS, cluster="x"))
+
+    assert next_membership_change(state, spares("derby"), (), placement) is None
+    assert next_membership_change(state, spares("stoke"), (), placement) == Replace(
+        ReplicaId("s-stoke", "d"), FIVE_VOTERS[1]
+    )
+
+
+def test_without_a_limit_voters_may_gather_in_one_data_centre() -> None:
+    state = leader_state(Members(FIVE_VOTERS, cluster="x"), silent=("e",))
+
+    change = next_membership_change(
+        state, [*responding("a", "b", "c", "d"), *spares("derby")], (), Placement(5)
+    )
+
+    assert change == Replace(ReplicaId("s-derby", "d"), FIVE_VOTERS[4])
--- a/tests/unit/decisions/test_fleet_size.py
+++ b/tests/unit/decisions/test_fleet_size.py
@@ -61,3 +61,10 @@
     assert wanted_count(5, 72, 12) == 5
     assert wanted_count(5, 0, 12) == 5
     assert wanted_count(3, 500, 0) == 3
+
+
+def test_evacuated_endpoints_are_replaced_only_by_what_waits() -> None:
+    # A third of the fleet is evacuated and returns at the end. Replacements would be paid for the
+    # rest of the day; items that wait for a slot still get endpoints elsewhere.
+    assert wanted_count(24 - 8, 60, 6) == 16
+    assert wanted_count(24 - 8, 160, 6) == 20
--- a/tests/unit/directory/test_service.py
+++ b/tests/unit/directory/test_service.py
@@ -31,7 +31,8 @@
 from ibisspring_core.routes import RouteTable
 from ibisspring_core.settings.vm import CONTROL, VmSettings
 from ibisspring_core.timer import TimerService
-from ibisspring_directory import service
+from ibisspring_directory import retirements, service
+from ibisspring_directory.retirements import STORE_RESTART_S
 from ibisspring_directory.service import Directory
 from ibisspring_directory.sessions import SESSION_ACTIVE_S
 from ibisspring_directory.state import DirectoryState
@@ -301,6 +302,11 @@
     assert await directory.renew(renew("1")) == NotLeader("10.0.0.2:1")
 
 
+def set_boot_clock(monkeypatch, now: float) -> None:
+    for module in (service, retirements):
+        monkeypatch.setattr(module, "boot_now", lambda: now)
+
+
 async def renew_stores(directory: Directory, *names: str) -> None:
     for name in names:
         member = dataclasses.replace(REPLICA_HOLDER, address=f"10.0.1.{name}:1", daemon=name)
@@ -312,15 +318,15 @@
     # as lost, the operator would receive the final answer that there are too few stores.
     started_s = boot_now()
     await renew_stores(directory, "1", "2", "3", "4")
-    monkeypatch.setattr(service, "boot_now", lambda: started_s + SESSION_ACTIVE_S + 0.5)
+    set_boot_clock(monkeypatch, started_s + SESSION_ACTIVE_S + 0.5)
     await renew_stores(directory, "1", "2", "3")
 
-    refusal = await directory.retire(Retire("1", begin=True))
+    refusal = await directory.retirements.retire(Retire("1", begin=True))
     assert isinstance(refusal, Refusal)
     assert refusal.not_run
 
     await renew_stores(directory, "4")
-    assert await directory.retire(Retire("1", begin=True)) == Retiring("active")
+    assert await directory.retirements.retire(Retire("1", begin=True)) == Retiring("active")
 
 
 async def test_a_store_without_renewals_past_the_restart_limit_counts_as_lost(
@@ -330,10 +336,10 @@
     # If the lost store were still expected, the operator would retry and wait for it in vain.
     started_s = boot_now()
     await renew_stores(directory, "1", "2", "3", "4")
-    monkeypatch.setattr(service, "boot_now", lambda: started_s + service.STORE_RESTART_S + 0.5)
+    set_boot_clock(monkeypatch, started_s + STORE_RESTART_S + 0.5)
     await renew_stores(directory, "1", "2", "3")
 
-    assert await directory.retire(Retire("1", begin=True)) == Retiring("too_few")
+    assert await directory.retirements.retire(Retire("1", begin=True)) == Retiring("too_few")
 
 
 async def test_a_retirement_leaves_enough_stores_for_the_configured_losses() -> None:
@@ -343,7 +349,7 @@
         directory.led_since -= SESSION_ACTIVE_S
         await renew_stores(directory, "1", "2", "3", "4", "5")
 
-        assert await directory.retire(Retire("1", begin=True)) == Retiring("too_few")
+        assert await directory.retirements.retire(Retire("1", begin=True)) == Retiring("too_few")
 
 
 async def test_a_new_leader_does_not_report_too_few_stores_before_all_can_have_renewed(
@@ -354,7 +360,7 @@
     # receive the final answer that there are too few stores.
     await renew_stores(directory, "1", "2", "3")
 
-    assert isinstance(await directory.retire(Retire("1", begin=True)), Refusal)
+    assert isinstance(await directory.retirements.retire(Retire("1", begin=True)), Refusal)
 
 
 async def test_a_store_not_renewed_since_a_leader_change_is_unknown_only_after_a_limit(
@@ -364,9 +370,9 @@
     # new leader did not wait for the store's renewal, the operator would receive the answer that no
     # such store exists.
     started_s = boot_now()
-    monkeypatch.setattr(service, "boot_now", lambda: started_s + SESSION_ACTIVE_S + 0.5)
+    set_boot_clock(monkeypatch, started_s + SESSION_ACTIVE_S + 0.5)
     await renew_stores(directory, "1", "2", "3")
-    assert isinstance(await directory.retire(Retire("4", begin=True)), Refusal)
+    assert isinstance(await directory.retirements.retire(Retire("4", begin=True)), Refusal)
 
-    monkeypatch.setattr(service, "boot_now", lambda: started_s + service.STORE_RESTART_S + 0.5)
-    assert await directory.retire(Retire("4", begin=True)) == Retiring("unknown")
+    set_boot_clock(monkeypatch, started_s + STORE_RESTART_S + 0.5)
+    assert await directory.retirements.retire(Retire("4", begin=True)) == Retiring("unknown")
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -6,6 +6,10 @@
 file `encoded_messages.json` contains one encoded sample of each type, written by an earlier
 release; `python -m unit.encoded.test_encoded_messages` adds samples of the types that the file
 lacks.
+
+A type may get a field with a default: an older daemon ignores it, a newer one uses the default in
+its place. `ADDED_FIELDS` lists each such field, and the bytes of all other fields stay the same.
+The extended type gets one more sample, whose name ends with the number of its form.
 """
 
 from __future__ import annotations
@@ -85,19 +89,56 @@
 }
 
 
-def sample(kind: inspect.Type, name: str) -> Any:
-    """Return plain data that converts to a type; a field holds its own name or a fixed value."""
+# Fields that were added after the first sample of their type, by name of the type.
+ADDED_FIELDS: dict[str, dict[str, Any]] = {
+    "Assignment": {"data_centre": "", "paced": False},
+    "BootFile": {"zones": {}},
+    "Bounds": {"evacuate_ms": 0.0, "cold_overshoot": 1.0, "cold_slack": 0.0},
+    "ClientAccount": {"regions": ()},
+    "DirectoryStatus": {"evacuated": ()},
+    "EndpointRecord": {"cold_s": 0.0},
+    "Heartbeat": {"cold_left_ms": 0.0},
+    "Renew": {"evacuation_change": 0},
+    "Route": {"regions": ()},
+    "ServiceTerms": {"cold_requests_per_s": 0.0},
+    "Snapshot": {"evacuations": ()},
+    "Tolerance": {"zones": 0},
+    "View": {"evacuated": (), "evacuation_change": 0},
+    "WireRoute": {"allowed_regions": []},
+    "WireService": {"cold_per_s": 0.0},
+    "WireTenant": {"allowed_regions": []},
+    "Work": {"held_s": 0.0},
+}
+FORM_MARK = "~"
+
+
+def added_fields(kind: inspect.DataclassType | inspect.StructType) -> dict[str, Any]:
+    return ADDED_FIELDS.get(kind.cls.__name__, {})
+
+
+def sample(kind: inspect.Type, name: str, with_added: bool) -> Any:
+    """
+    Return plain data that converts to a type; a field holds its own name or a fixed value.
+
+    :param with_added: whether the data has the fields of `ADDED_FIELDS`.
+    """
     if isinstance(kind, inspect.DataclassType | inspect.StructType):
-        return {field.encode_name: sample(field.type, field.encode_name) for field in kind.fields}
+        added = {} if with_added else added_fields(kind)
+        return {
+            field.encode_name: sample(field.type, field.encode_name, with_added)
+            for field in kind.fields
+            if field.name not in added
+        }
     if isinstance(kind, inspect.UnionType):
-        return sample(next(t for t in kind.types if not isinstance(t, inspect.NoneType)), name)
+        first = next(t for t in kind.types if not isinstance(t, inspect.NoneType))
+        return sample(first, name, with_added)
     if isinstance(kind, inspect.DictType):
-        return {sample(kind.key_type, "key"): sample(kind.value_type, name)}
+        return {sample(kind.key_type, "key", with_added): sample(kind.value_type, name, with_added)}
     collections = inspect.VarTupleType | inspect.ListType | inspect.SetType | inspect.FrozenSetType
     if isinstance(kind, collections):
-        return [sample(kind.item_type, name)]
+        return [sample(kind.item_type, name, with_added)]
     if isinstance(kind, inspect.TupleType):
-        return [sample(item, name) for item in kind.item_types]
+        return [sample(item, name, with_added) for item in kind.item_types]
     if isinstance(kind, inspect.EnumType):
         return next(iter(kind.cls)).value
     if isinstance(kind, inspect.LiteralType):
@@ -114,22 +155,92 @@
     return value_by_type[type(kind)]
 
 
-def sample_of(message_type: Any) -> Any:
-    plain = sample(inspect.type_info(message_type), "")
+def plain_of(message_type: Any, with_added: bool = True) -> Any:
+    return sample(inspect.type_info(message_type), "", with_added)
+
+
+def sample_of(message_type: Any, with_added: bool = True) -> Any:
+    """Return a sample of a type; without the added fields these have their defaults."""
+    plain = plain_of(message_type, with_added)
     return msgspec.msgpack.decode(msgspec.msgpack.encode(plain), type=message_type)
 
 
+def without_added(kind: inspect.Type, plain: Any) -> Any:
+    """Remove the fields of `ADDED_FIELDS` from the plain data of a type, at any depth."""
+    if isinstance(kind, inspect.DataclassType | inspect.StructType):
+        added = added_fields(kind)
+        return {
+            field.encode_name: without_added(field.type, plain[field.encode_name])
+            for field in kind.fields
+            if field.name not in added
+        }
+    if isinstance(kind, inspect.UnionType):
+        first = next(t for t in kind.types if not isinstance(t, inspect.NoneType))
+        return without_added(first, plain)
+    if isinstance(kind, inspect.DictType):
+        return {key: without_added(kind.value_type, value) for key, value in plain.items()}
+    if isinstance(kind, inspect.VarTupleType | inspect.ListType):
+        return [without_added(kind.item_type, item) for item in plain]
+    if isinstance(kind, inspect.TupleType):
+        return [
+            without_added(item, value) for item, value in zip(kind.item_types, plain, strict=True)
+        ]
+    return plain
+
+
+def type_named(name: str) -> Any:
+    group, _, kind = name.partition(".")
+    if group == "stored":
+        return TYPE_BY_NAME[kind]
+    if group == "json":
+        return JSON_TYPE_BY_NAME[kind]
+    return CODEC_BY_NAME[group].type_by_kind[kind]
+
+
+def type_names() -> list[str]:
+    names = [
+        f"{group}.{kind}" for group, codec in CODEC_BY_NAME.items() for kind in codec.type_by_kind
+    ]
+    names += [f"stored.{name}" for name in TYPE_BY_NAME]
+    return names + [f"json.{name}" for name in JSON_TYPE_BY_NAME]
+
+
 @functools.cache
-def encoded_samples() -> dict[str, bytes]:
-    data_by_name = {}
-    for name, codec in CODEC_BY_NAME.items():
-        for kind, message_type in codec.type_by_kind.items():
-            data_by_name[f"{name}.{kind}"] = codec.encode(sample_of(message_type))
-    for name, message_type in TYPE_BY_NAME.items():
-        data_by_name[f"stored.{name}"] = encode(sample_of(message_type))
-    for name, message_type in JSON_TYPE_BY_NAME.items():
-        data_by_name[f"json.{name}"] = msgspec.json.encode(sample_of(message_type))
-    return data_by_name
+def encoded_sample(name: str) -> bytes:
+    """Return the sample of a type with all its fields, encoded as a daemon sends or stores it."""
+    message = sample_of(type_named(name))
+    group = name.partition(".")[0]
+    if group == "stored":
+        return encode(message)
+    if group == "json":
+        return msgspec.json.encode(message)
+    return CODEC_BY_NAME[group].encode(message)
+
+
+def encoded_without_added(name: str) -> bytes:
+    """Return `encoded_sample` after the removal of the added fields from its decoded data."""
+    kind = inspect.type_info(type_named(name))
+    group = name.partition(".")[0]
+    data = encoded_sample(name)
+    if group == "stored":
+        return msgspec.msgpack.encode(without_added(kind, msgspec.msgpack.decode(data)))
+    if group == "json":
+        return msgspec.json.encode(without_added(kind, msgspec.json.decode(data)))
+    class_name, plain = msgspec.msgpack.decode(data)
+    return msgspec.msgpack.encode((class_name, without_added(kind, plain)))
+
+
+def decoded(name: str, data: bytes) -> Any:
+    group = name.partition(".")[0]
+    if group == "stored":
+        return decode(data, type_named(name))
+    if group == "json":
+        return msgspec.json.decode(data, type=type_named(name))
+    return CODEC_BY_NAME[group].decode(data)
+
+
+def is_extended(name: str) -> bool:
+    return plain_of(type_named(name)) != plain_of(type_named(name), with_added=False)
 
 
 @functools.cache
@@ -140,32 +251,75 @@
     return {name: bytes.fromhex(data) for name, data in data_by_name.items()}
 
 
-@pytest.mark.parametrize("name", sorted(of_earlier_release()))
+FIRST_FORMS = sorted(name for name in of_earlier_release() if FORM_MARK not in name)
+EXTENDED_FORMS = sorted(name for name in of_earlier_release() if FORM_MARK in name)
+
+
+@pytest.mark.parametrize("name", FIRST_FORMS)
 def test_bytes_are_those_of_the_earlier_release(name: str) -> None:
-    assert encoded_samples()[name] == of_earlier_release()[name]
+    assert encoded_without_added(name) == of_earlier_release()[name]
+    assert is_extended(name) or encoded_sample(name) == of_earlier_release()[name]
 
 
-@pytest.mark.parametrize("name", sorted(of_earlier_release()))
+@pytest.mark.parametrize("name", FIRST_FORMS)
 def test_bytes_of_the_earlier_release_are_decoded(name: str) -> None:
+    expected = sample_of(type_named(name), with_added=False)
+
+    assert decoded(name, of_earlier_release()[name]) == expected
+
+
+@pytest.mark.parametrize("name", EXTENDED_FORMS)
+def test_bytes_of_an_extended_type_stay_the_same(name: str) -> None:
+    type_name = name.partition(FORM_MARK)[0]
     data = of_earlier_release()[name]
-    group, _, kind = name.partition(".")
 
-    if group == "stored":
-        assert decode(data, TYPE_BY_NAME[kind]) == sample_of(TYPE_BY_NAME[kind])
-        return
-    if group == "json":
-        json_type = JSON_TYPE_BY_NAME[kind]
-        assert msgspec.json.decode(data, type=json_type) == sample_of(json_type)
-        return
-    codec = CODEC_BY_NAME[group]
-    assert codec.decode(data) == sample_of(codec.type_by_kind[kind])
+    assert encoded_sample(type_name) == data
+    assert decoded(type_name, data) == sample_of(type_named(type_name))
+
+
+def _class_kinds(kind: Any) -> list[Any]:
+    found = [kind] if isinstance(kind, inspect.DataclassType | inspect.StructType) else []
+    fields = [field.type for field in found[0].fields] if found else []
+    inner = [
+        *fields,
+        *getattr(kind, "types", ()),
+        *getattr(kind, "item_types", ()),
+        *(getattr(kind, name) for name in ("item_type", "value_type") if hasattr(kind, name)),
+    ]
+    for part in inner:
+        found += _class_kinds(part)
+    return found
+
+
+def test_added_fields_have_the_stated_defaults() -> None:
+    seen = set()
+    for name in type_names():
+        for kind in _class_kinds(inspect.type_info(type_named(name))):
+            added = added_fields(kind)
+            for field in kind.fields:
+                if field.name not in added:
+                    continue
+                default = field.default
+                if field.default_factory is not inspect.NODEFAULT:
+                    default = field.default_factory()
+                assert default == added[field.name], (kind.cls, field.name)
+                seen.add((kind.cls.__name__, field.name))
+
+    assert seen == {(name, field) for name, fields in ADDED_FIELDS.items() for field in fields}
 
 
 def test_every_type_has_a_sample_of_an_earlier_release() -> None:
-    assert set(encoded_samples()) == set(of_earlier_release())
+    assert set(type_names()) == set(FIRST_FORMS)
+    extended = {name.partition(FORM_MARK)[0] for name in EXTENDED_FORMS}
+    assert extended == {name for name in type_names() if is_extended(name)}
 
 
 if __name__ == "__main__":
-    added = {**encoded_samples(), **of_earlier_release()}
+    added = {}
+    for type_name in type_names():
+        added[type_name] = encoded_without_added(type_name)
+        if is_extended(type_name):
+            added[f"{type_name}{FORM_MARK}2"] = encoded_sample(type_name)
+    added.update(of_earlier_release())
     lines = {name: added[name].hex() for name in sorted(added)}
     ENCODED.write_text(json.dumps(lines, indent=1) + "\n", encoding="utf-8")
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -11,9 +11,11 @@
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.kernel import Kernel
+from ibisspring_core.messages.directory import View
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_core.routes import RepeatRule, Route, Share
 from ibisspring_gateway.forward import EndpointResponse, Forwarder
+from ibisspring_gateway.send_gate import SendGate
 from ibisspring_gateway.wire import CallerRequest, ResponseKind
 
 REQUEST = CallerRequest("r1", "POST", "/lookup/7", (("Host", "a"),), b"body", "forge", 2.0)
@@ -84,17 +86,24 @@
     """Run a forwarder to scripted endpoints, and the services `users` that call it."""
     records = records_of(endpoints)
     counted_accounts: list[str] = []
-    view = SimpleNamespace(name="directory_view", serving=lambda service: records, index=index)
+    view = SimpleNamespace(
+        name="directory_view",
+        view=View(1, 1),
+        serving=lambda service: records,
+        has_evacuated=lambda service: bool(view.view.evacuated),
+        index=index,
+    )
     usage = SimpleNamespace(
         name="usage_counts", count_request=lambda account, elapsed: counted_accounts.append(account)
     )
     kernel = Kernel()
     connections = Connections()
     forwarder = Forwarder("derby")
+    gate = SendGate(evacuate_s=0.0)
     services = (view, usage, Counters.from_config(None), wire or _Wire(), connections, forwarder)
-    for service in (*services, *users):
+    for service in (*services, gate, *users):
         kernel.register(service)
-    for service in (connections, forwarder, *users):
+    for service in (connections, gate, forwarder, *users):
         await service.start(kernel)
     forwarder.counted_accounts = counted_accounts
     forwarder.view = view
--- /dev/null
+++ b/tests/unit/gateway/test_send_gate.py
@@ -0,0 +1,130 @@
+"""The last check before a request is sent: evacuated data centres, old views, late assignments."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+from unit.gateway.test_forward import LOOKUP_ROUTE, REQUEST, forwarder_to, response_bytes
+
+from fakes.scripted_endpoint import scripted
+from ibisspring_core.clock import boot_now
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.messages.directory import View
+from ibisspring_core.messages.jobs import Assignment, JobItem
+from ibisspring_gateway import send_gate
+from ibisspring_gateway.send_gate import SendGate
+
+PACKAGES = Path(__file__).resolve().parents[3] / "packages"
+ITEM = JobItem("i1", "/score/1", (), b"", 10)
+ASSIGNMENT = Assignment(
+    number=1,
+    job="j1",
+    item=ITEM,
+    client_account="forge",
+    host="a",
+    service="scorer",
+    endpoint="e1",
+    incarnation=1,
+    address="10.0.0.1:80",
+    expected_version=None,
+    resume_after=0,
+    deadline_s=5.0,
+    data_centre="derby",
+    paced=True,
+)
+
+
+def gate_with(evacuated=(), view_age_s: float = 0.0, evacuate_s: float = 5.0) -> SendGate:
+    gate = SendGate(evacuate_s)
+    gate._view = SimpleNamespace(view=View(1, 1, evacuated=evacuated), age_s=lambda: view_age_s)
+    return gate
+
+
+def test_item_assigned_just_before_an_evacuation_is_not_sent() -> None:
+    # The jobs' leader assigned the item when the data centre was in use. The entry has learned of
+    # the evacuation since.
+    gate = gate_with(evacuated=("derby",))
+
+    assert gate.item_refusal(ASSIGNMENT, boot_now() + 1.0) is Reason.EVACUATED
+    assert gate_with().item_refusal(ASSIGNMENT, boot_now() + 1.0) is None
+
+
+def test_entry_out_of_touch_sends_no_items_before_an_evacuation_could_bind_it() -> None:
+    # The entry is cut off from control but reaches the jobs' leader and the engines. The operator's
+    # call was answered without it. The last item must have arrived before the time that the answer
+    # allows, although the entry cannot know of the evacuation.
+    limit_s = 5.0 - send_gate.CONNECT_TIMEOUT_S - send_gate.ARRIVAL_RESERVE_S
+
+    assert gate_with(view_age_s=limit_s - 0.1).may_run_items()
+    assert not gate_with(view_age_s=limit_s + 0.1).may_run_items()
+    late = gate_with(view_age_s=limit_s + 0.1)
+    assert late.item_refusal(ASSIGNMENT, boot_now() + 1.0) is Reason.LEASE_LAPSED
+    assert late.request_refusal("derby") is None
+
+
+def test_entries_without_evacuations_in_their_settings_run_items_by_an_old_view() -> None:
+    assert gate_with(view_age_s=1e6, evacuate_s=0.0).may_run_items()
+
+
+def test_paced_assignment_that_arrives_late_is_not_sent() -> None:
+    # An entry is frozen with an assignment in its socket buffer. The dispatcher no longer counts
+    # the assignment for the second in which the entry wakes, and has assigned others since.
+    assert gate_with().item_refusal(ASSIGNMENT, boot_now() - 0.01) is Reason.STALE
+
+
+async def test_request_is_refused_with_its_own_reason_if_all_endpoints_are_evacuated() -> None:
+    async with (
+        scripted(lambda head: [response_bytes()]) as endpoint,
+        forwarder_to(endpoint) as forwarder,
+    ):
+        forwarder.view.view = View(1, 1, evacuated=("derby",))
+        forwarder.view.serving = lambda service: ()
+
+        refused = await forwarder.forward(REQUEST, LOOKUP_ROUTE)
+
+    assert isinstance(refused, Refusal)
+    assert (refused.reason, refused.not_run) == (Reason.EVACUATED, True)
+    assert refused.retry_after_s >= 1.0
+
+
+async def test_request_whose_endpoint_is_evacuated_after_the_choice_is_not_sent() -> None:
+    async with (
+        scripted(lambda head: [response_bytes()]) as endpoint,
+        forwarder_to(endpoint) as forwarder,
+    ):
+        forwarder.view.view = View(1, 1, evacuated=("derby",))
+
+        refused = await forwarder.forward(REQUEST, LOOKUP_ROUTE)
+
+        assert endpoint.request_heads == []
+    assert (refused.reason, refused.not_run) == (Reason.EVACUATED, True)
+
+
+@pytest.mark.parametrize(
+    ("module", "check"),
+    [
+        ("ibisspring-gateway/src/ibisspring_gateway/forward.py", "self._gate.request_refusal("),
+        ("ibisspring-gateway/src/ibisspring_gateway/runner.py", "self._gate.item_refusal("),
+    ],
+)
+def test_each_module_that_sends_asks_the_gate(module: str, check: str) -> None:
+    assert (PACKAGES / module).read_text(encoding="utf-8").count(check) == 1
+
+
+def test_no_other_place_sends_requests_to_endpoints() -> None:
+    # Callers' requests, retries, hedged attempts and reward calls are sent by the forwarder, items
+    # and resumed items by `run_item`, which only the runner calls. A new place has to ask the gate
+    # too, and is added here.
+    sending = re.compile(r"connections\.request\(|\brun_item\(")
+    found = {}
+    for package in ("ibisspring-gateway", "ibisspring-jobs", "ibisspring-directory"):
+        for path in (PACKAGES / package).rglob("*.py"):
+            calls = sending.findall(path.read_text(encoding="utf-8"))
+            if calls:
+                found[path.name] = len(calls)
+
+    # `item_run.py` holds the definition of `run_item` and its one request.
+    assert found == {"forward.py": 1, "item_run.py": 2, "runner.py": 1}
--- a/tests/unit/jobs/test_dispatcher.py
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -9,6 +9,7 @@
 from ibisspring_core.messages.jobs import PART, JobItem, Outcome, TakeWork
 from ibisspring_core.routes import ServiceTerms
 from ibisspring_decisions.dispatch import WaitingItem
+from ibisspring_decisions.paced_sends import WINDOW_S
 from ibisspring_jobs import items as items_module
 from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, KeepTexts, RecordResults
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
@@ -41,11 +42,15 @@
         self.state = JobsState()
         terms = ServiceTerms("scorer", 100, 2, 100_000)
         self.loading: set[tuple[str, str]] = set()
+        self.paced_limit: int | None = None
+        self.cold: set[str] = set()
         context = DispatchContext(
             lambda service: self.engines,
             lambda service: terms,
             lambda: self.wall_s,
             lambda endpoint, model: (endpoint, model) in self.loading,
+            lambda service: self.paced_limit,
+            lambda endpoint: endpoint in self.cold,
         )
         self.dispatcher = Dispatcher(self.state, context, epoch=7)
         self.state.subscribe(self.dispatcher.cancel_finished_runs)
@@ -385,3 +390,31 @@
     harness.poll()
 
     assert not harness.report_part(99, 0, "a")
+
+
+def test_engine_gets_no_more_runs_in_a_second_than_it_bears_when_cold() -> None:
+    # An engine has just started. Its short items end at once, and each free slot would be filled
+    # again until the engine gets more requests in a second than it survives.
+    harness = DispatcherHarness(ENGINE, items=job_of(items=12).items)
+    harness.paced_limit = 3
+    started = []
+    for tick in range(11):
+        now = 10.0 + tick * 0.1
+        for assignment in harness.poll(now=now):
+            assert assignment.paced
+            started.append(now)
+            harness.end_run(assignment.number, "done", now, output="t", events=1, versions=(4,))
+
+    assert len(started) == 3
+    assert len(harness.poll(now=10.0 + WINDOW_S)) == 2
+
+
+def test_new_leader_sends_nothing_to_cold_engines_in_its_first_window() -> None:
+    # The jobs' leader fails after it has assigned as much to a cold engine as the engine bears. Its
+    # successor knows nothing of these items.
+    harness = DispatcherHarness(ENGINE)
+    harness.paced_limit = 3
+    harness.cold.add(ENGINE.endpoint)
+
+    assert harness.poll(now=WINDOW_S / 2) == ()
+    assert len(harness.poll(now=WINDOW_S)) == 2
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -70,6 +70,9 @@
     def wall_s(self) -> float:
         return 1000.0
 
+    def is_cold(self, endpoint: str) -> bool:
+        return False
+
 
 @pytest.fixture
 async def jobs():
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -117,3 +117,29 @@
     }
 
     assert class_by_served["control_plane"] != class_by_served["storage"]
+
+
+def test_tolerated_zones_and_bounds_of_places_are_translated(read) -> None:
+    boot = {
+        **BOOT,
+        "zones": {"derby": "midlands", "stoke": "midlands", "york": "north"},
+        "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
+        "bounds": {"evacuate_ms": 5000, "cold_overshoot": 1.5, "cold_slack": 5},
+    }
+
+    settings = read(boot)
+
+    assert (settings.losses, settings.data_centre_losses, settings.voters) == (2, 1, 5)
+    assert settings.most_voters_per_data_centre == 2
+    assert settings.region_by_data_centre["york"] == "north"
+    assert (settings.evacuate_s, settings.cold_overshoot, settings.cold_slack) == (5.0, 1.5, 5)
+
+
+def test_loss_of_a_data_centre_alone_needs_three_voters_in_three_of_them(read) -> None:
+    zones = {"derby": "midlands", "stoke": "midlands", "york": "north"}
+
+    settings = read({**BOOT, "zones": zones, "fault_tolerance": {"machines": 0, "zones": 1}})
+    assert (settings.voters, settings.most_voters_per_data_centre) == (3, 1)
+
+    settings = read({**BOOT, "zones": zones, "fault_tolerance": {"machines": 2}})
+    assert (settings.voters, settings.most_voters_per_data_centre) == (5, None)
