Keep requests, items and their bodies in the regions that route and account allow

Today's deployments have one region, so this is shown by integration tests with two.

Change: `allowed_regions` of routes and tenants is read at the edge, checked against the regions of the settings (a finding with its place), and both bind. An endpoint elsewhere is not chosen; the send gate checks again before the first byte, reward calls included. Items and their bodies go only to runners in the job's regions; a job is refused with `outside_regions` where a store outside them holds the log.

--- a/packages/ibisspring-core/src/ibisspring_core/errors.py
+++ b/packages/ibisspring-core/src/ibisspring_core/errors.py
@@ -16,6 +16,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     NO_ENDPOINT = "no_endpoint"
     EVACUATED = "evacuated"
+    OUTSIDE_REGIONS = "outside_regions"
     RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     CANNOT_FINISH = "cannot_finish"
--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -76,6 +76,7 @@
     :param wanted_groups: number of complete groups that the trainer waits for.
     :param single_version: whether a single weight version must generate a complete result.
     :param submitted_s: wall-clock time of the submission, in seconds since 1970.
+    :param regions: regions in which its items may run; None for all.
     """
 
     job: str
@@ -92,6 +93,7 @@
     wanted_groups: int = 0
     single_version: bool = False
     submitted_s: float = 0.0
+    regions: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True)
@@ -249,6 +251,7 @@
     :param data_centre: data centre of the endpoint.
     :param paced: whether the endpoint bears only a limited number of requests per second, so that
         the run must begin within MAX_PACED_DELAY_S seconds of its assignment or not at all.
+    :param regions: regions in which the item and its reward call may run; None for all.
     """
 
     number: int
@@ -266,6 +269,7 @@
     max_attempts: int = 1
     data_centre: str = ""
     paced: bool = False
+    regions: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-core/src/ibisspring_core/routes/__init__.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ibisspring_core.routes.check import check_table
-from ibisspring_core.routes.index import RouteIndex
+from ibisspring_core.routes.index import RouteIndex, allowed_regions
 from ibisspring_core.routes.model import (
     ClientAccount,
     JobTerms,
@@ -25,5 +25,6 @@
     "ScalingTerms",
     "ServiceTerms",
     "Share",
+    "allowed_regions",
     "check_table",
 ]
--- a/packages/ibisspring-core/src/ibisspring_core/routes/check.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/check.py
@@ -10,11 +10,14 @@
     from ibisspring_core.routes.model import Route, RouteTable
 
 
-def check_table(table: RouteTable) -> tuple[Finding, ...]:
+def check_table(
+    table: RouteTable, known_regions: frozenset[str] = frozenset()
+) -> tuple[Finding, ...]:
     """
     Check a route table for faults that its field types do not exclude.
 
     :param table: the table, for example as an operator sent it.
+    :param known_regions: regions of the system; empty if unknown, so that none is checked.
     :return: all findings, each with the route or account as its place; empty for a valid table.
     """
     findings: list[Finding] = []
@@ -28,11 +31,15 @@
         place = f"routes[{number}]"
         for message in _route_faults(route, services):
             report(place, message)
+        for message in _region_faults(route.regions, known_regions):
+            report(place, message)
         if (route.host, route.prefix) in seen:
             report(place, f"{route.host}{route.prefix} is routed twice")
         seen.add((route.host, route.prefix))
     account_by_key: dict[str, str] = {}
     for number, account in enumerate(table.accounts):
+        for message in _region_faults(account.regions, known_regions):
+            report(f"accounts[{number}]", message)
         for key in account.keys:
             # A key may be listed twice for one account. A key of two accounts would not identify
             # the caller's account.
@@ -41,6 +48,17 @@
     return tuple(findings)
 
 
+def _region_faults(regions: tuple[str, ...], known_regions: frozenset[str]) -> list[str]:
+    if not known_regions:
+        return []
+    known = ", ".join(sorted(known_regions))
+    return [
+        f"region {region!r} is unknown; known are {known}"
+        for region in regions
+        if region not in known_regions
+    ]
+
+
 def _route_faults(route: Route, services: set[str]) -> list[str]:
     faults = []
     for share in route.shares:
--- a/packages/ibisspring-core/src/ibisspring_core/routes/index.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/index.py
@@ -56,8 +56,29 @@
         return self._account_by_digest.get(_digest(key))
 
 
+def allowed_regions(route: Route, account: ClientAccount | None) -> tuple[str, ...] | None:
+    """
+    Compute the regions in which an account's request on a route may run.
+
+    :param account: the account whose key came with the request; None on a public route.
+    :return: the regions, sorted; None for all. Where both the route and the account name regions,
+        only those that both name, which may be none.
+    """
+    account_regions = account.regions if account is not None else ()
+    return common_regions(route.regions or None, account_regions or None)
+
+
+def common_regions(
+    first: tuple[str, ...] | None, second: tuple[str, ...] | None
+) -> tuple[str, ...] | None:
+    """Return the regions that both limits allow, sorted; None stands for all regions."""
+    if first is None or second is None:
+        return first if second is None else second
+    return tuple(sorted(set(first) & set(second)))
+
+
 def _digest(key: str) -> bytes:
     return hashlib.sha256(key.encode()).digest()
 
 
-__all__ = ["RouteIndex"]
+__all__ = ["RouteIndex", "allowed_regions", "common_regions"]
--- a/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
@@ -74,6 +74,15 @@
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
 
+    def is_in_regions(self, data_centre: str, regions: tuple[str, ...] | None) -> bool:
+        """
+        Whether a data centre lies in one of the given regions.
+
+        :param regions: names of regions; None for all.
+        :return: False for a data centre whose region is unknown, unless all regions are given.
+        """
+        return regions is None or self.region_by_data_centre.get(data_centre) in regions
+
     @property
     def voters(self) -> int:
         """
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -34,9 +34,9 @@
 MIN_ATTEMPT_S = 0.02
 # Seconds after which a caller may repeat a request that no endpoint ran (`Refusal.retry_after_s`).
 RETRY_AFTER_S = 0.25
-# The same where all endpoints are in evacuated data centres: an evacuation lasts for seconds or
-# longer, so an earlier repetition would be refused as well.
-EVACUATED_RETRY_AFTER_S = 1.0
+# The same where all endpoints are in evacuated data centres or outside the allowed regions: this
+# lasts for seconds or longer, so an earlier repetition would be refused as well.
+LASTING_RETRY_AFTER_S = 1.0
 # HTTP status with which an endpoint says that it ran the request and failed. Responses with other
 # error statuses are not counted as failures of the endpoint, since their cause may lie elsewhere.
 ENDPOINT_FAILURE_STATUS = 500
@@ -162,11 +162,16 @@
         return SendResult(answer, exchange.may_have_run, exchange.endpoint_failures)
 
     def choose_endpoint(
-        self, service: str, tried_endpoints: list[str], at_most_once: bool
+        self,
+        service: str,
+        tried_endpoints: list[str],
+        at_most_once: bool,
+        regions: tuple[str, ...] | None,
     ) -> EndpointRecord | None:
         """
         Choose an endpoint of a service for the next attempt of a request.
 
+        :param regions: regions in which the request may run; None for all.
         :param tried_endpoints: ids of the endpoints of earlier attempts, which are excluded.
         :param at_most_once: the request must not run twice.
         :return: the endpoint; None where the service has no endpoint that was not tried.
@@ -175,14 +180,21 @@
             record.endpoint: record
             for record in self._view.serving(service)
             if record.endpoint not in tried_endpoints
+            and self._gate.is_in_regions(record.data_centre, regions)
         }
         candidates = tuple(self._candidate(record) for record in record_by_id.values())
         chosen = self._router.choose(candidates, boot_now(), repeatable=not at_most_once)
         return record_by_id[chosen] if chosen is not None else None
 
-    def has_evacuated(self, service: str) -> bool:
-        """Whether a service has endpoints in data centres that are evacuated."""
-        return self._view.has_evacuated(service)
+    def reason_without_endpoint(self, service: str, regions: tuple[str, ...] | None) -> Reason:
+        """
+        Return why no endpoint of a service can be chosen for a request that was sent nowhere yet.
+
+        :param regions: regions in which the request may run; None for all.
+        """
+        if regions is not None and self._view.serving(service):
+            return Reason.OUTSIDE_REGIONS
+        return Reason.EVACUATED if self._view.has_evacuated(service) else Reason.NO_ENDPOINT
 
     def _candidate(self, record: EndpointRecord) -> Candidate:
         return Candidate(
@@ -258,7 +270,7 @@
             self._router.record_success(record.endpoint, took_s)
             return
         self._counters.retried(answer.reason)
-        if answer.reason is Reason.EVACUATED:
+        if answer.reason in (Reason.EVACUATED, Reason.OUTSIDE_REGIONS):
             # The endpoint itself did not fail, so it is not ejected.
             return
         eliot.log_message(
@@ -274,7 +286,7 @@
     async def _send_attempt(
         self, request: CallerRequest, record: EndpointRecord, endpoint_deadline_at_s: float
     ) -> EndpointResponse | FailedAttempt:
-        refusal = self._gate.request_refusal(record.data_centre)
+        refusal = self._gate.request_refusal(record.data_centre, request.regions)
         if refusal is not None:
             return FailedAttempt(refusal, False)
         headers = self._wire.call_headers(request, record, endpoint_deadline_at_s - boot_now())
@@ -393,10 +405,13 @@
         if self._deadline_at_s - boot_now() < MIN_ATTEMPT_S:
             return False
         service = choose_service(self._route)
-        record = self._forwarder.choose_endpoint(service, self.tried_endpoints, at_most_once)
+        regions = self._request.regions
+        record = self._forwarder.choose_endpoint(
+            service, self.tried_endpoints, at_most_once, regions
+        )
         if record is None:
-            if not self.tried_endpoints and self._forwarder.has_evacuated(service):
-                self._last_reason = Reason.EVACUATED
+            if not self.tried_endpoints:
+                self._last_reason = self._forwarder.reason_without_endpoint(service, regions)
             return False
         self.tried_endpoints.append(record.endpoint)
         attempt = self._forwarder.attempt(
@@ -412,10 +427,8 @@
             return Refusal(Reason.TIMEOUT, not self.may_have_run, None)
         if self.may_have_run:
             return Refusal(self._last_reason, False, None)
-        retry_after_s = (
-            EVACUATED_RETRY_AFTER_S if self._last_reason is Reason.EVACUATED else RETRY_AFTER_S
-        )
-        return Refusal(self._last_reason, True, retry_after_s)
+        lasting = self._last_reason in (Reason.EVACUATED, Reason.OUTSIDE_REGIONS)
+        return Refusal(self._last_reason, True, LASTING_RETRY_AFTER_S if lasting else RETRY_AFTER_S)
 
 
 def _outcome_of(answer: EndpointResponse | FailedAttempt | Refusal) -> str:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
@@ -11,6 +11,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
+from ibisspring_core.routes.index import common_regions
 from ibisspring_core.routes.model import RepeatRule
 from ibisspring_decisions.call_window import CallWindow
 
@@ -70,7 +71,11 @@
         """No-op: each reward call runs in the task of its item's run, which the runner cancels."""
 
     async def score(
-        self, call: RewardCall, max_attempts: int, deadline_at_s: float
+        self,
+        call: RewardCall,
+        max_attempts: int,
+        deadline_at_s: float,
+        regions: tuple[str, ...] | None = None,
     ) -> str | ScoringFailure:
         """
         Send a reward call to endpoints of its route until one of them returns the text's score.
@@ -79,6 +84,7 @@
             `max_attempts` applies where it is larger.
         :param deadline_at_s: boot-clock time at which the item is abandoned; each request states
             the seconds that remain until then.
+        :param regions: regions in which the call may run; None for all.
         :return: the score that the endpoint returned, or the reason why there is none.
         """
         failures = 0
@@ -91,7 +97,7 @@
                 self._counters.add("reward_call.no_route")
                 await asyncio.sleep(MAX_RETRY_PAUSE_S)
                 continue
-            sent = await self._send(call, route, deadline_at_s)
+            sent = await self._send(call, route, deadline_at_s, regions)
             if not isinstance(sent.answer, Refusal) and sent.answer.status // 100 == 2:
                 score = self._wire.read_score(sent.answer.headers)
                 if score:
@@ -122,11 +128,18 @@
             ran=sent.may_have_run,
         )
 
-    async def _send(self, call: RewardCall, route: Route, deadline_at_s: float) -> SendResult:
+    async def _send(
+        self,
+        call: RewardCall,
+        route: Route,
+        deadline_at_s: float,
+        regions: tuple[str, ...] | None,
+    ) -> SendResult:
         window = await self._acquire_slot(route)
         rejected = False
         try:
             request = self._wire.reward_request(call, max(0.001, deadline_at_s - boot_now()))
+            request = replace(request, regions=common_regions(route.regions or None, regions))
             time_limit_s = max(MIN_TIME_LIMIT_S, TIME_LIMIT_TARGETS * route.target_s)
             # The route's repeat rule is meant for callers' requests; a reward call may always be
             # repeated.
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -12,14 +12,15 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.leader_client import LeaderClient
-from ibisspring_core.messages.jobs import PART, Outcome, ReportWork, TakeWork, Work
+from ibisspring_core.messages.jobs import PART, Outcome, ReportWork, SubmitJob, TakeWork, Work
 from ibisspring_decisions.paced_sends import MAX_PACED_DELAY_S
+from ibisspring_gateway.forward import LASTING_RETRY_AFTER_S
 from ibisspring_gateway.item_run import RunProgress, run_item
 from ibisspring_gateway.reward_calls import ScoringFailure
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.jobs import Assignment
+    from ibisspring_core.messages.jobs import Assignment, Job
     from ibisspring_core.settings.vm import VmSettings
 
 # Most event streams of engines that one entry reads at the same time; all engines together
@@ -133,6 +134,19 @@
         hint = (view.job_leader,) if view.job_leader else ()
         return tuple(dict.fromkeys((*hint, *replicas, *(founder.address for founder in founders))))
 
+    async def submit(self, job: Job) -> Any:
+        """
+        Submit a job to the leader of the jobs log.
+
+        :return: the leader's answer; a refusal where the log has replicas outside the job's
+            regions, since each replica stores the bodies of the job.
+        """
+        for store in self._view.view.stores:
+            if not store.empty and not self._gate.is_in_regions(store.data_centre, job.regions):
+                detail = f"jobs are stored in {store.data_centre} too"
+                return Refusal(Reason.OUTSIDE_REGIONS, True, LASTING_RETRY_AFTER_S, detail)
+        return await self.call_jobs_leader(SubmitJob(job))
+
     async def call_jobs_leader(self, message: Any, hold_s: float = 0.0) -> Any:
         """
         Forward a caller's request to the leader of the jobs log.
@@ -258,7 +272,10 @@
         item = assignment.item
         try:
             scored = await self._reward_calls.score(
-                item.reward, assignment.max_attempts, started_at_s + assignment.deadline_s
+                item.reward,
+                assignment.max_attempts,
+                started_at_s + assignment.deadline_s,
+                assignment.regions,
             )
         except asyncio.CancelledError:
             scored = ScoringFailure("broken", 0)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/send_gate.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/send_gate.py
@@ -3,8 +3,8 @@
 
 An endpoint is chosen by a view that may be outdated when the request is sent: an item's assignment
 comes from the jobs' leader, a retry follows a failed attempt, and an entry may have been frozen in
-between. Everything that sends a request to an endpoint therefore asks this service immediately
-before the first byte.
+between. A request may also be limited to some regions. Everything that sends a request to an
+endpoint therefore asks this service immediately before the first byte.
 """
 
 from __future__ import annotations
@@ -37,10 +37,11 @@
 
     name = "send_gate"
 
-    def __init__(self, evacuate_s: float) -> None:
+    def __init__(self, settings: VmSettings) -> None:
+        self._settings = settings
         self._max_view_age_s = float("inf")
-        if evacuate_s > 0:
-            self._max_view_age_s = evacuate_s - CONNECT_TIMEOUT_S - ARRIVAL_RESERVE_S
+        if settings.evacuate_s > 0:
+            self._max_view_age_s = settings.evacuate_s - CONNECT_TIMEOUT_S - ARRIVAL_RESERVE_S
 
     @classmethod
     def from_config(cls, settings: VmSettings) -> SendGate:
@@ -49,7 +50,7 @@
 
         :param settings: validated settings of the entry; `evacuate_s` limits the age of its view.
         """
-        return cls(settings.evacuate_s)
+        return cls(settings)
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the directory view."""
@@ -62,13 +63,22 @@
         """Whether this entry's view is recent enough for items to be sent."""
         return self._view.age_s() <= self._max_view_age_s
 
-    def request_refusal(self, data_centre: str) -> Reason | None:
+    def is_in_regions(self, data_centre: str, regions: tuple[str, ...] | None) -> bool:
+        """Whether a data centre lies in one of the given regions; None stands for all."""
+        return self._settings.is_in_regions(data_centre, regions)
+
+    def request_refusal(
+        self, data_centre: str, regions: tuple[str, ...] | None = None
+    ) -> Reason | None:
         """
         Check a request of a caller or of the system itself.
 
         :param data_centre: data centre of the endpoint.
+        :param regions: regions in which the request may run; None for all.
         :return: why the request must not be sent; None if it may be sent.
         """
+        if not self.is_in_regions(data_centre, regions):
+            return Reason.OUTSIDE_REGIONS
         return Reason.EVACUATED if data_centre in self._view.view.evacuated else None
 
     def item_refusal(self, assignment: Assignment, begin_by_s: float) -> Reason | None:
@@ -83,7 +93,7 @@
             return Reason.LEASE_LAPSED
         if assignment.paced and boot_now() > begin_by_s:
             return Reason.STALE
-        return self.request_refusal(assignment.data_centre)
+        return self.request_refusal(assignment.data_centre, assignment.regions)
 
 
 __all__ = ["SendGate"]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
@@ -24,6 +24,7 @@
     :param client_account: account whose key authenticated the request; empty on a public route.
     :param remaining_s: seconds until the caller's deadline, counted from the arrival of the
         request; None where the caller sent no deadline.
+    :param regions: regions in which the request may run; None for all.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     body: bytes
     client_account: str
     remaining_s: float | None
+    regions: tuple[str, ...] | None = None
 
 
 class ResponseKind(enum.Enum):
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -24,6 +24,8 @@
 from ibisspring_jobs.surroundings import DispatchContext
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.messages.jobs import TakeWork
     from ibisspring_jobs.runners import Runner
@@ -200,7 +202,7 @@
         must neither be generated again nor remain without a score.
         """
         for key in self.items.awaiting_score():
-            runner = self.runners.choose(key[1], "", now)
+            runner = self.runners.choose(key[1], "", now, allowed=self._may_hold(key))
             if runner is None:
                 return
             self._assign(key, None, runner, now)
@@ -214,16 +216,26 @@
         capacities = self.engines.free_capacities(service, records, runs, now)
         for placement in place_items(self.items.waiting(service, self.engines, now), capacities):
             record = record_by_engine[placement.engine]
-            runner = self._choose_runner(record, now)
+            runner = self._choose_runner(placement.key, record, now)
             if runner is None:
                 return
             self._assign(placement.key, record, runner, now)
 
-    def _choose_runner(self, record: EndpointRecord, now: float) -> Runner | None:
+    def _choose_runner(self, key: ItemKey, record: EndpointRecord, now: float) -> Runner | None:
         def connected(runner: str) -> bool:
             return self.engines.has_idle_connection(runner, record.endpoint, now)
 
-        return self.runners.choose(record.endpoint, record.data_centre, now, connected)
+        allowed = self._may_hold(key)
+        return self.runners.choose(record.endpoint, record.data_centre, now, connected, allowed)
+
+    def _may_hold(self, key: ItemKey) -> Callable[[Runner], bool]:
+        """Return whether a runner may receive an item's body: its VM is in the job's regions."""
+        regions = self._state.job_by_id[key[0]].job.regions
+
+        def allowed(runner: Runner) -> bool:
+            return self._context.is_in_regions(runner.data_centre, regions)
+
+        return allowed
 
     def release_connection(self, outcome: Outcome, now: float) -> None:
         """
@@ -265,6 +277,7 @@
             max_attempts=job.max_attempts,
             data_centre=record.data_centre if record is not None else "",
             paced=record is not None and self._context.paced_limit(job.service) is not None,
+            regions=job.regions,
         )
         run = Run(
             self._last_number,
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -55,7 +55,8 @@
         Return the ids of the engines that may run a job's items now.
 
         An engine is excluded while it is paused after a run that ended badly, while it loads
-        weights of the job's model, or while its weight version is below the job's minimum.
+        weights of the job's model, while its weight version is below the job's minimum, and if it
+        is outside the job's regions.
         """
         allowed = []
         for record in self._context.serving(job.service):
@@ -68,6 +69,7 @@
             if (
                 now < paused_until
                 or too_old
+                or not self._context.is_in_regions(record.data_centre, job.regions)
                 or self._context.is_loading(record.endpoint, job.model)
             ):
                 continue
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -137,6 +137,7 @@
         data_centre: str,
         now: float,
         connected: Callable[[str], bool] = lambda _: False,
+        allowed: Callable[[Runner], bool] = lambda _: True,
     ) -> Runner | None:
         """
         Choose the runner that sends an item to an endpoint.
@@ -149,13 +150,14 @@
         :param data_centre: data centre of the endpoint.
         :param connected: whether a runner, given by its address, has an idle connection to the
             endpoint.
+        :param allowed: whether a runner may receive the item.
         :return: an available runner with a free slot; None if there is none.
         """
         runners = self.runner_by_address.values()
         available = [
             candidate
             for candidate in runners
-            if candidate.is_available(now) and candidate.free_slots > 0
+            if candidate.is_available(now) and candidate.free_slots > 0 and allowed(candidate)
         ]
         mean_runs = sum(len(candidate.sequence_by_number) for candidate in runners) / max(
             1, len(runners)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -158,6 +158,7 @@
                 self._is_loading,
                 self._paced_limit,
                 view.is_cold,
+                self._settings.is_in_regions,
             )
             self._dispatcher = Dispatcher(self._state, context, term, boot_now())
             eliot.log_message("jobs:leads", term=term, daemon=self._settings.daemon)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
@@ -25,6 +25,8 @@
     :param paced_limit: returns the most requests that an endpoint of a service may get in any
         second; None for no limit.
     :param is_cold: whether an endpoint (its id is the argument) says that it is cold.
+    :param is_in_regions: whether a data centre (the first argument) lies in the given regions; None
+        stands for all.
     :param wall_s: returns the wall-clock time that most daemons agree on, in seconds since 1970.
     """
 
@@ -34,6 +36,7 @@
     is_loading: Callable[[str, str], bool] = lambda endpoint, model: False
     paced_limit: Callable[[str], int | None] = lambda service: None
     is_cold: Callable[[str], bool] = lambda endpoint: False
+    is_in_regions: Callable[[str, tuple[str, ...] | None], bool] = lambda data_centre, regions: True
 
 
 __all__ = ["DispatchContext"]
--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -21,6 +21,7 @@
 from integration.processes import REPOSITORY, Process, free_port, wait_until
 
 DATA_CENTRES = ("derby", "stoke", "walsall")
+REGION_BY_DATA_CENTRE = {"derby": "midlands", "stoke": "midlands", "walsall": "west"}
 NETWORK_BY_ROLE = {"control": 1, "store": 2, "entry": 3, "engine": 4}
 SERVED_BY_ROLE = {"control": "control_plane", "store": "storage", "entry": "edge"}
 HOST = "archive.example"
@@ -147,6 +148,7 @@
             "serves": [SERVED_BY_ROLE[role]],
             "ip": ip,
             "zone": DATA_CENTRES[number % len(DATA_CENTRES)],
+            "zones": REGION_BY_DATA_CENTRE,
             "listen": listen,
             "internal_ports": [self.ports["peer"], self.ports["peer"]],
             "seeds": self.seeds,
--- a/tests/unit/core/routes/test_routes.py
+++ b/tests/unit/core/routes/test_routes.py
@@ -10,6 +10,7 @@
     RouteTable,
     ServiceTerms,
     Share,
+    allowed_regions,
     check_table,
 )
 
@@ -73,3 +74,30 @@
     assert index.account("k3").name == "mill"
     assert index.account("k4") is None
     assert index.account("") is None
+
+
+def test_an_unknown_region_is_found_with_its_place() -> None:
+    # An operator mistypes a region. If it were accepted, no endpoint would be left for the route.
+    known = frozenset({"midlands", "north"})
+    table = dataclasses.replace(
+        with_route(regions=("midlands", "nroth")),
+        accounts=(ClientAccount("forge", ("k1",), regions=("south",)),),
+    )
+
+    findings = check_table(table, known)
+
+    assert [finding.place for finding in findings] == ["routes[0]", "accounts[0]"]
+    assert "'nroth' is unknown; known are midlands, north" in findings[0].message
+    assert check_table(with_route(regions=("north",)), known) == ()
+    assert check_table(table) == ()
+
+
+def test_regions_of_the_route_and_of_the_account_both_bind() -> None:
+    route = dataclasses.replace(LOOKUP, regions=("midlands", "north"))
+    account = ClientAccount("forge", ("k1",), regions=("north", "south"))
+
+    assert allowed_regions(LOOKUP, None) is None
+    assert allowed_regions(route, None) == ("midlands", "north")
+    assert allowed_regions(LOOKUP, account) == ("north", "south")
+    assert allowed_regions(route, account) == ("north",)
+    assert allowed_regions(dataclasses.replace(LOOKUP, regions=("east",)), account) == ()
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -91,12 +91,13 @@
 
 # Fields that were added after the first sample of their type, by name of the type.
 ADDED_FIELDS: dict[str, dict[str, Any]] = {
-    "Assignment": {"data_centre": "", "paced": False},
+    "Assignment": {"data_centre": "", "paced": False, "regions": None},
     "BootFile": {"zones": {}},
     "Bounds": {"evacuate_ms": 0.0, "cold_overshoot": 1.0, "cold_slack": 0.0},
     "ClientAccount": {"regions": ()},
     "DirectoryStatus": {"evacuated": ()},
     "EndpointRecord": {"cold_s": 0.0},
+    "Job": {"regions": None},
     "Heartbeat": {"cold_left_ms": 0.0},
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -14,6 +14,7 @@
 from ibisspring_core.messages.directory import View
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_core.routes import RepeatRule, Route, Share
+from ibisspring_core.settings.vm import ENTRY, VmSettings
 from ibisspring_gateway.forward import EndpointResponse, Forwarder
 from ibisspring_gateway.send_gate import SendGate
 from ibisspring_gateway.wire import CallerRequest, ResponseKind
@@ -81,6 +82,9 @@
     )
 
 
+REGIONS = {"derby": "midlands"}
+
+
 @asynccontextmanager
 async def forwarder_to(*endpoints, index=None, wire=None, users=()):
     """Run a forwarder to scripted endpoints, and the services `users` that call it."""
@@ -99,7 +103,9 @@
     kernel = Kernel()
     connections = Connections()
     forwarder = Forwarder("derby")
-    gate = SendGate(evacuate_s=0.0)
+    gate = SendGate(
+        VmSettings("n", ENTRY, "derby", "10.0.0.1:1", (), region_by_data_centre=REGIONS)
+    )
     services = (view, usage, Counters.from_config(None), wire or _Wire(), connections, forwarder)
     for service in (*services, gate, *users):
         kernel.register(service)
--- a/tests/unit/gateway/test_send_gate.py
+++ b/tests/unit/gateway/test_send_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import re
 from pathlib import Path
 from types import SimpleNamespace
@@ -14,6 +15,7 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.directory import View
 from ibisspring_core.messages.jobs import Assignment, JobItem
+from ibisspring_core.settings.vm import ENTRY, VmSettings
 from ibisspring_gateway import send_gate
 from ibisspring_gateway.send_gate import SendGate
 
@@ -37,8 +39,19 @@
 )
 
 
+SETTINGS = VmSettings(
+    "e1",
+    ENTRY,
+    "derby",
+    "10.0.0.1:1",
+    (),
+    region_by_data_centre={"derby": "midlands", "york": "north"},
+    evacuate_s=5.0,
+)
+
+
 def gate_with(evacuated=(), view_age_s: float = 0.0, evacuate_s: float = 5.0) -> SendGate:
-    gate = SendGate(evacuate_s)
+    gate = SendGate(dataclasses.replace(SETTINGS, evacuate_s=evacuate_s))
     gate._view = SimpleNamespace(view=View(1, 1, evacuated=evacuated), age_s=lambda: view_age_s)
     return gate
 
@@ -75,6 +88,33 @@
     assert gate_with().item_refusal(ASSIGNMENT, boot_now() - 0.01) is Reason.STALE
 
 
+def test_requests_and_items_stay_in_their_regions() -> None:
+    # A route names the region that its requests may run in. An endpoint elsewhere is not chosen,
+    # and a choice that was made by an older configuration is not carried out.
+    gate = gate_with()
+
+    assert gate.request_refusal("derby", ("midlands",)) is None
+    assert gate.request_refusal("york", ("midlands",)) is Reason.OUTSIDE_REGIONS
+    assert gate.request_refusal("york", None) is None
+    assert gate.request_refusal("derby", ()) is Reason.OUTSIDE_REGIONS
+    assert gate.request_refusal("nowhere", ("midlands",)) is Reason.OUTSIDE_REGIONS
+    item = dataclasses.replace(ASSIGNMENT, data_centre="york", regions=("midlands",))
+    assert gate.item_refusal(item, boot_now() + 1.0) is Reason.OUTSIDE_REGIONS
+
+
+async def test_request_without_an_endpoint_in_its_regions_is_refused_with_its_own_reason() -> None:
+    async with (
+        scripted(lambda head: [response_bytes()]) as endpoint,
+        forwarder_to(endpoint) as forwarder,
+    ):
+        at_home = dataclasses.replace(REQUEST, regions=("north",))
+
+        refused = await forwarder.forward(at_home, LOOKUP_ROUTE)
+
+        assert endpoint.request_heads == []
+    assert (refused.reason, refused.not_run) == (Reason.OUTSIDE_REGIONS, True)
+
+
 async def test_request_is_refused_with_its_own_reason_if_all_endpoints_are_evacuated() -> None:
     async with (
         scripted(lambda head: [response_bytes()]) as endpoint,
--- a/tests/unit/jobs/test_dispatcher.py
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -51,6 +51,7 @@
             lambda endpoint, model: (endpoint, model) in self.loading,
             lambda service: self.paced_limit,
             lambda endpoint: endpoint in self.cold,
+            lambda data_centre, regions: regions is None or data_centre in regions,
         )
         self.dispatcher = Dispatcher(self.state, context, epoch=7)
         self.state.subscribe(self.dispatcher.cancel_finished_runs)
@@ -418,3 +419,17 @@
 
     assert harness.poll(now=WINDOW_S / 2) == ()
     assert len(harness.poll(now=WINDOW_S)) == 2
+
+
+def test_items_and_their_bodies_stay_in_the_regions_of_their_job() -> None:
+    # A job names the regions that it may run in; in this test each data centre is a region. Neither
+    # an engine elsewhere may run its items, nor a runner elsewhere receive their bodies.
+    abroad = dataclasses.replace(ENGINE, endpoint="engine-2", data_centre="york")
+
+    harness = DispatcherHarness(ENGINE, abroad, regions=("york",))
+    assert harness.poll() == ()
+
+    harness = DispatcherHarness(ENGINE, abroad, regions=("derby",))
+    assigned = harness.poll()
+    assert {assignment.endpoint for assignment in assigned} == {ENGINE.endpoint}
+    assert {assignment.regions for assignment in assigned} == {("derby",)}
--- a/tests/unit/platform/test_batch_jobs.py
+++ b/tests/unit/platform/test_batch_jobs.py
@@ -4,7 +4,7 @@
 import json
 
 from ibisspring_core.messages.jobs import COMPLETED, ItemResult, Job, ResultsRead, RewardCall
-from ibisspring_core.routes import JobTerms, RepeatRule, Route, Share
+from ibisspring_core.routes import ClientAccount, JobTerms, RepeatRule, Route, Share
 from ibisspring_platform.batch_jobs import read_job, write_results
 from ibisspring_platform.engines import EngineAdapter
 
@@ -32,7 +32,9 @@
         {"id": f"i{n}", "path": "/notes/1", "body": "", "scorer": scorer}
         for n, scorer in enumerate(scorers)
     ]
-    return read_job("j", "forge", "scorer", ROUTE, json.dumps({"items": items}).encode())
+    return read_job(
+        "j", ClientAccount("forge", ()), "scorer", ROUTE, json.dumps({"items": items}).encode()
+    )
 
 
 def test_reward_call_of_an_item_is_optional() -> None:
--- a/tests/unit/platform/test_hostile_bodies.py
+++ b/tests/unit/platform/test_hostile_bodies.py
@@ -24,7 +24,7 @@
 from ibisspring_core.messages.directory import Depart
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.messages.jobs import Job
-from ibisspring_core.routes import RouteTable
+from ibisspring_core.routes import ClientAccount, RouteTable
 from ibisspring_entry.http.bodies import parse_body
 from ibisspring_entry.proxy.engine_wire import (
     EngineLine,
@@ -58,7 +58,7 @@
 
 
 def _read_job(data: bytes) -> object:
-    return read_job("j", "forge", "scorer", _job_route(), data)
+    return read_job("j", ClientAccount("forge", ()), "scorer", _job_route(), data)
 
 
 def _read_version(data: bytes) -> object:
