Grant entries shares of what a cold endpoint bears

Cause: the limit on a cold endpoint holds for all senders together, also for requests that entries forward. The jobs' leader counts only the items that it assigns.

An equal share for every entry was ruled out by arithmetic: 17 requests a second among 76 entries leave none a whole request.

A share counts from the entry's question, at the leader until one window after its end; a new leader and a restarted entry's new start wait as long. An entry whose view is old leaves endpoints alone that may have turned cold.

--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -59,6 +59,8 @@
         self.index: RouteIndex | None = None
         self.endpoints = EndpointTable(KEEP_ENDPOINTS_S)
         self._cold_until_by_endpoint: dict[str, float] = {}
+        self._cold_shares: dict[str, int] = {}
+        self._cold_shares_asked_at = float("-inf")
         self._task: asyncio.Task[None] | None = None
 
     @classmethod
@@ -154,6 +156,17 @@
         """Whether an endpoint's newest announcement says that it is still cold."""
         return boot_now() < self._cold_until_by_endpoint.get(endpoint, 0.0)
 
+    def cold_share(self, endpoint: str, lease_s: float) -> int:
+        """
+        Return how many requests per window this entry may send to a cold endpoint.
+
+        :param lease_s: seconds for which shares hold, counted from the renewal that brought them.
+        :return: the number; 0 if the entry has no share or its lease has expired.
+        """
+        if boot_now() >= self._cold_shares_asked_at + lease_s:
+            return 0
+        return self._cold_shares.get(endpoint, 0)
+
     def age_s(self) -> float:
         """Seconds since the leader last confirmed this view; infinite before the first time."""
         return boot_now() - self._renewed_at if self._renewed_at is not None else float("inf")
@@ -181,6 +194,7 @@
             wall_s=wall_now(),
             evacuation_change=self.view.evacuation_change,
         )
+        asked_at = boot_now()
         answer = await self._leader.call(
             self._complete_renewal(renew), RENEW_TIMEOUT_S, CALL_TIMEOUT_S
         )
@@ -189,6 +203,8 @@
             eliot.log_message("directory_view:no_leader", detail=answer.detail)
             return
         self._renewed_at = boot_now()
+        self._cold_shares = answer.cold_shares
+        self._cold_shares_asked_at = asked_at
         self._wall_offset_s = answer.wall_s - self._renewed_at
         if isinstance(answer, Unchanged):
             self.view = replace(self.view, closed_window=answer.closed_window)
--- a/packages/ibisspring-core/src/ibisspring_core/errors.py
+++ b/packages/ibisspring-core/src/ibisspring_core/errors.py
@@ -17,6 +17,7 @@
     NO_ENDPOINT = "no_endpoint"
     EVACUATED = "evacuated"
     OUTSIDE_REGIONS = "outside_regions"
+    COLD = "cold"
     RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     CANNOT_FINISH = "cannot_finish"
--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -142,6 +142,8 @@
     :param retiring: peer addresses of stores whose data moves to other stores.
     :param evacuated: data centres whose endpoints get no new requests.
     :param evacuation_change: number of the newest change of an evacuation; rises with each change.
+    :param cold_shares: by cold endpoint, requests per window that this entry may send to it for a
+        limited time from its renewal.
     """
 
     epoch: int
@@ -161,6 +163,7 @@
     retiring: tuple[str, ...] = ()
     evacuated: tuple[str, ...] = ()
     evacuation_change: int = 0
+    cold_shares: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -170,10 +173,12 @@
 
     :param wall_s: wall clock that most daemons agree on, in seconds since 1970.
     :param closed_window: newest usage window whose counts are final; -1 for none.
+    :param cold_shares: as in the view; replaces those of the last answer.
     """
 
     wall_s: float = 0.0
     closed_window: int = -1
+    cold_shares: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-core/src/ibisspring_core/routes/index.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/index.py
@@ -10,7 +10,12 @@
 
 
 class RouteIndex:
-    """Finds routes, services and accounts in one route table, with dictionaries built once."""
+    """
+    Finds routes, services and accounts in one route table, with dictionaries built once.
+
+    :param forwarded_services: names of the services that callers' requests are forwarded to, other
+        than as items of jobs.
+    """
 
     def __init__(self, table: RouteTable) -> None:
         self.table = table
@@ -22,6 +27,9 @@
             self._routes_by_host.setdefault(route.host, []).append(route)
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
+        self.forwarded_services = frozenset(
+            share.service for route in table.routes if route.job is None for share in route.shares
+        )
         # Accounts are found by the digest of a key, so that the time of a lookup reveals nothing
         # about the key's characters.
         self._account_by_digest: dict[bytes, ClientAccount] = {
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/paced_sends.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/paced_sends.py
@@ -40,6 +40,16 @@
     return max(1, math.floor(cold_requests_per_s * overshoot + slack))
 
 
+def forwarded_part(limit: int) -> int:
+    """
+    Return how many of an endpoint's requests per window are reserved for forwarded requests.
+
+    Applies to an endpoint that runs both items of jobs and requests that entries forward; the rest
+    is for the items.
+    """
+    return limit // 2
+
+
 class PacedSends:
     """
     The requests that one sender has sent to each endpoint within the last window.
@@ -81,4 +91,10 @@
         self._sent_at_by_endpoint.setdefault(endpoint, deque()).append(now)
 
 
-__all__ = ["MAX_PACED_DELAY_S", "PacedSends", "WINDOW_S", "requests_per_window"]
+__all__ = [
+    "MAX_PACED_DELAY_S",
+    "PacedSends",
+    "WINDOW_S",
+    "forwarded_part",
+    "requests_per_window",
+]
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -34,6 +34,7 @@
     View,
 )
 from ibisspring_core.settings.vm import CONTROL, ENTRY
+from ibisspring_directory.cold_engines import ColdEngines
 from ibisspring_directory.commands import COMMANDS, PutTable, PutVersion
 from ibisspring_directory.evacuations import Evacuations
 from ibisspring_directory.known_endpoints import KnownEndpoints
@@ -131,6 +132,7 @@
             led_since=lambda: self.led_since,
             wait_until_applied=self._wait_until_applied,
         )
+        self._cold_engines = ColdEngines(context)
         self.evacuations = Evacuations(context)
         self.retirements = Retirements(context)
         self.state.subscribe(self.mark_changed)
@@ -234,6 +236,7 @@
         self.usage_counts.clear()
         self.version_lags.clear()
         self.endpoints.start_term(self.led_since)
+        self._cold_engines.start_term(self.led_since)
         self.mark_changed()
         eliot.log_message("directory:leads", term=self._term, daemon=self.settings.daemon)
 
@@ -298,7 +301,11 @@
         if not self.holds_lease() or self._term != epoch:
             return self.not_leader()
         if renew.role == CONTROL or not has_update():
-            return Unchanged(self.agreed_wall_s(), self.state.closed_window)
+            return Unchanged(
+                self.agreed_wall_s(),
+                self.state.closed_window,
+                self._cold_engines.shares_for(renew, boot_now()),
+            )
         return self._build_view(renew)
 
     async def count_usage(self, message: CountUsage) -> UsageCounted:
@@ -337,6 +344,7 @@
             retiring=state.retiring,
             evacuated=state.evacuated,
             evacuation_change=state.evacuation_change,
+            cold_shares=self._cold_engines.shares_for(renew, now),
         )
 
     async def propose(self, command: Any) -> Committed | Refusal:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -37,6 +37,14 @@
 # The same where all endpoints are in evacuated data centres or outside the allowed regions: this
 # lasts for seconds or longer, so an earlier repetition would be refused as well.
 LASTING_RETRY_AFTER_S = 1.0
+# Reasons for which an endpoint gets no request, the shortest first. A caller is told the reason
+# that ends first.
+REASONS_BY_DURATION = (
+    Reason.COLD,
+    Reason.LEASE_LAPSED,
+    Reason.EVACUATED,
+    Reason.OUTSIDE_REGIONS,
+)
 # HTTP status with which an endpoint says that it ran the request and failed. Responses with other
 # error statuses are not counted as failures of the endpoint, since their cause may lie elsewhere.
 ENDPOINT_FAILURE_STATUS = 500
@@ -180,7 +188,7 @@
             record.endpoint: record
             for record in self._view.serving(service)
             if record.endpoint not in tried_endpoints
-            and self._gate.is_in_regions(record.data_centre, regions)
+            and self._gate.refusal(record, regions) is None
         }
         candidates = tuple(self._candidate(record) for record in record_by_id.values())
         chosen = self._router.choose(candidates, boot_now(), repeatable=not at_most_once)
@@ -192,9 +200,13 @@
 
         :param regions: regions in which the request may run; None for all.
         """
-        if regions is not None and self._view.serving(service):
-            return Reason.OUTSIDE_REGIONS
-        return Reason.EVACUATED if self._view.has_evacuated(service) else Reason.NO_ENDPOINT
+        reasons = {self._gate.refusal(record, regions) for record in self._view.serving(service)}
+        without_endpoint = Reason.NO_ENDPOINT
+        if self._view.has_evacuated(service):
+            without_endpoint = Reason.EVACUATED
+        return next(
+            (reason for reason in REASONS_BY_DURATION if reason in reasons), without_endpoint
+        )
 
     def _candidate(self, record: EndpointRecord) -> Candidate:
         return Candidate(
@@ -270,7 +282,7 @@
             self._router.record_success(record.endpoint, took_s)
             return
         self._counters.retried(answer.reason)
-        if answer.reason in (Reason.EVACUATED, Reason.OUTSIDE_REGIONS):
+        if answer.reason in REASONS_BY_DURATION:
             # The endpoint itself did not fail, so it is not ejected.
             return
         eliot.log_message(
@@ -286,7 +298,7 @@
     async def _send_attempt(
         self, request: CallerRequest, record: EndpointRecord, endpoint_deadline_at_s: float
     ) -> EndpointResponse | FailedAttempt:
-        refusal = self._gate.request_refusal(record.data_centre, request.regions)
+        refusal = self._gate.request_refusal(record, request.regions)
         if refusal is not None:
             return FailedAttempt(refusal, False)
         headers = self._wire.call_headers(request, record, endpoint_deadline_at_s - boot_now())
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -35,7 +35,7 @@
     Work,
     WorkReported,
 )
-from ibisspring_decisions.paced_sends import requests_per_window
+from ibisspring_decisions.paced_sends import forwarded_part, requests_per_window
 from ibisspring_jobs.commands import (
     COMMANDS,
     AcceptJob,
@@ -176,9 +176,12 @@
         if terms is None:
             return None
         settings = self._settings
-        return requests_per_window(
+        limit = requests_per_window(
             terms.cold_requests_per_s, settings.cold_overshoot, settings.cold_slack
         )
+        if limit is None or service not in self._view.index.forwarded_services:
+            return limit
+        return max(1, limit - forwarded_part(limit))
 
     def _on_job_changed(self, job: str) -> None:
         self._job_changed.set()
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -96,6 +96,8 @@
         serving=lambda service: records,
         has_evacuated=lambda service: bool(view.view.evacuated),
         index=index,
+        age_s=lambda: 0.0,
+        is_cold=lambda endpoint: False,
     )
     usage = SimpleNamespace(
         name="usage_counts", count_request=lambda account, elapsed: counted_accounts.append(account)
--- a/tests/unit/gateway/test_send_gate.py
+++ b/tests/unit/gateway/test_send_gate.py
@@ -5,7 +5,7 @@
 import dataclasses
 import re
 from pathlib import Path
-from types import SimpleNamespace
+from types import MappingProxyType, SimpleNamespace
 
 import pytest
 from unit.gateway.test_forward import LOOKUP_ROUTE, REQUEST, forwarder_to, response_bytes
@@ -14,7 +14,9 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.directory import View
+from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.messages.jobs import Assignment, JobItem
+from ibisspring_core.routes import RouteIndex, RouteTable, ServiceTerms
 from ibisspring_core.settings.vm import ENTRY, VmSettings
 from ibisspring_gateway import send_gate
 from ibisspring_gateway.send_gate import SendGate
@@ -50,12 +52,26 @@
 )
 
 
-def gate_with(evacuated=(), view_age_s: float = 0.0, evacuate_s: float = 5.0) -> SendGate:
+def gate_with(
+    evacuated=(), view_age_s: float = 0.0, evacuate_s: float = 5.0, cold_shares=MappingProxyType({})
+) -> SendGate:
     gate = SendGate(dataclasses.replace(SETTINGS, evacuate_s=evacuate_s))
-    gate._view = SimpleNamespace(view=View(1, 1, evacuated=evacuated), age_s=lambda: view_age_s)
+    gate._view = SimpleNamespace(
+        view=View(1, 1, evacuated=evacuated),
+        age_s=lambda: view_age_s,
+        index=RouteIndex(
+            RouteTable(1, services=(ServiceTerms("scorer", 9, cold_requests_per_s=4),))
+        ),
+        is_cold=lambda endpoint: endpoint in cold_shares,
+        cold_share=lambda endpoint, lease_s: cold_shares[endpoint],
+    )
     return gate
 
 
+def endpoint_in(data_centre: str, service: str = "archive") -> EndpointRecord:
+    return EndpointRecord("e1", 1, 1, service, "plain", "standard", data_centre, "10.0.0.1:80")
+
+
 def test_item_assigned_just_before_an_evacuation_is_not_sent() -> None:
     # The jobs' leader assigned the item when the data centre was in use. The entry has learned of
     # the evacuation since.
@@ -75,7 +91,7 @@
     assert not gate_with(view_age_s=limit_s + 0.1).may_run_items()
     late = gate_with(view_age_s=limit_s + 0.1)
     assert late.item_refusal(ASSIGNMENT, boot_now() + 1.0) is Reason.LEASE_LAPSED
-    assert late.request_refusal("derby") is None
+    assert late.request_refusal(endpoint_in("derby")) is None
 
 
 def test_entries_without_evacuations_in_their_settings_run_items_by_an_old_view() -> None:
@@ -93,11 +109,11 @@
     # and a choice that was made by an older configuration is not carried out.
     gate = gate_with()
 
-    assert gate.request_refusal("derby", ("midlands",)) is None
-    assert gate.request_refusal("york", ("midlands",)) is Reason.OUTSIDE_REGIONS
-    assert gate.request_refusal("york", None) is None
-    assert gate.request_refusal("derby", ()) is Reason.OUTSIDE_REGIONS
-    assert gate.request_refusal("nowhere", ("midlands",)) is Reason.OUTSIDE_REGIONS
+    assert gate.request_refusal(endpoint_in("derby"), ("midlands",)) is None
+    assert gate.request_refusal(endpoint_in("york"), ("midlands",)) is Reason.OUTSIDE_REGIONS
+    assert gate.request_refusal(endpoint_in("york"), None) is None
+    assert gate.request_refusal(endpoint_in("derby"), ()) is Reason.OUTSIDE_REGIONS
+    assert gate.request_refusal(endpoint_in("nowhere"), ("midlands",)) is Reason.OUTSIDE_REGIONS
     item = dataclasses.replace(ASSIGNMENT, data_centre="york", regions=("midlands",))
     assert gate.item_refusal(item, boot_now() + 1.0) is Reason.OUTSIDE_REGIONS
 
@@ -135,7 +151,9 @@
         scripted(lambda head: [response_bytes()]) as endpoint,
         forwarder_to(endpoint) as forwarder,
     ):
-        forwarder.view.view = View(1, 1, evacuated=("derby",))
+        # The endpoint is chosen by a view that does not have the evacuation yet.
+        forwarder._gate.refusal = lambda record, regions: None
+        forwarder._gate.request_refusal = lambda record, regions: Reason.EVACUATED
 
         refused = await forwarder.forward(REQUEST, LOOKUP_ROUTE)
 
@@ -168,3 +186,24 @@
 
     # `item_run.py` holds the definition of `run_item` and its one request.
     assert found == {"forward.py": 1, "item_run.py": 2, "runner.py": 1}
+
+
+def test_an_entry_sends_a_cold_endpoint_no_more_than_its_share() -> None:
+    # All endpoints of a service have just started. Each of many entries forwards requests to them;
+    # only the few that the directory's leader gave a share may send any.
+    record = endpoint_in("derby", "scorer")
+    gate = gate_with(cold_shares={"e1": 2})
+
+    refusals = [gate.request_refusal(record) for _ in range(3)]
+
+    assert refusals == [None, None, Reason.COLD]
+    assert gate.refusal(record, None) is Reason.COLD
+    assert gate_with(cold_shares={"e1": 0}).request_refusal(record) is Reason.COLD
+    assert gate_with().request_refusal(record) is None
+
+
+def test_an_entry_out_of_touch_leaves_endpoints_alone_that_may_have_turned_cold() -> None:
+    gate = gate_with(view_age_s=10.0)
+
+    assert gate.request_refusal(endpoint_in("derby", "scorer")) is Reason.LEASE_LAPSED
+    assert gate.request_refusal(endpoint_in("derby", "archive")) is None
