--- a/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
@@ -35,6 +35,14 @@
     Reason.TIMEOUT.value: "no answer came in the time that the route or the caller allows: the "
     "endpoints tried were slow or silent",
     Reason.MISMATCHED_ANSWER.value: "the answer on this connection belongs to another request",
+    Reason.EVACUATED.value: "all endpoints of the service are in the data centres that the line "
+    "names, which operators evacuate: see directory:evacuation and `ibisspring evacuate list`",
+    Reason.OUTSIDE_REGIONS.value: "no endpoint lies in the regions that the route and the client "
+    "account allow",
+    Reason.COLD.value: "the endpoints have just started, and this entry had sent them as many "
+    "requests as its share of what they bear allows",
+    Reason.LEASE_LAPSED.value: "this entry had no recent answer from control: look at its "
+    "directory_view:no_leader",
     Reason.NO_LEADER.value: "no control daemon was leader, or the leader was unreachable",
     # Outcomes of the run of a job's item on an engine; see `Outcome.kind`.
     "broken": "the engine's stream broke or stalled; the item continues on another engine",
--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -220,6 +220,12 @@
         if view.table is not None and view.table.version > self.table_version:
             self.index = RouteIndex(view.table)
             eliot.log_message("directory_view:table", version=view.table.version)
+        if view.evacuation_change != self.view.evacuation_change:
+            eliot.log_message(
+                "directory_view:evacuated",
+                data_centres=list(view.evacuated),
+                change=view.evacuation_change,
+            )
         self._apply_endpoints(view)
         self.view = replace(view, table=None)
         for callback in self._on_change:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -150,6 +150,7 @@
                 reason=answer.reason.value,
                 not_run=answer.not_run,
                 tries=list(exchange.tried_endpoints),
+                evacuated=list(self._view.view.evacuated),
             )
         return answer
 
--- a/tests/integration/test_platform_explained.py
+++ b/tests/integration/test_platform_explained.py
@@ -99,3 +99,38 @@
     assert fields_of(of_item, "jobs:accepted", direct=False)[0]["job"] == "lot1"
     broken = {one["endpoint"] for one in fields_of(of_job, "runner:ended") if one["reason"]}
     assert broken == {faulty.engine}
+
+
+async def test_a_refusal_is_explained_by_the_evacuation_of_its_data_centre(system) -> None:
+    # An operator evacuates the data centre of all archive endpoints, and callers are refused.
+    assert (await system.control("POST", "/v1/Evacuate.Start/derby"))[0] == 200
+
+    status, _ = await system.call("POST", f"{LOOKUP}4711", "refused-1")
+    explanation = await explain(system, "refused-1", '"forward:refused"')
+
+    assert status == 503
+    (refused,) = fields_of(explanation, "forward:refused")
+    assert (refused["reason"], refused["evacuated"], refused["tries"]) == (
+        "evacuated",
+        ["derby"],
+        [],
+    )
+    started = fields_of(explanation, "directory:evacuation", direct=False)
+    assert {(one["data_centre"], one["active"]) for one in started} == {("derby", True)}
+    assert any(one.startswith("evacuated: ") for one in explanation["meanings"])
+
+
+async def test_an_item_that_was_not_sent_is_explained_by_the_evacuation(system) -> None:
+    # The jobs' leader does not know of the evacuation yet and assigns an item to an evacuated
+    # engine: its entry reports why the item was not sent. Here every engine is evacuated while the
+    # job waits, so the item runs only after the end of the evacuation.
+    assert (await system.control("POST", "/v1/Evacuate.Start/derby"))[0] == 200
+    await system.submit("lot1", job(2))
+    assert not any(run.startswith("i") for engine in system.engines for run in engine.runs)
+
+    assert (await system.control("POST", "/v1/Evacuate.Stop/derby"))[0] == 200
+    await system.wait_all_results("lot1", 2)
+    explanation = await explain(system, "lot1", '"jobs:accepted"')
+
+    changes = fields_of(explanation, "directory:evacuation", direct=False)
+    assert [one["active"] for one in changes] == [True, False]
