--- a/packages/ibisspring-cli/src/ibisspring_cli/evacuate.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/evacuate.py
@@ -21,7 +21,7 @@
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.leader_client import LeaderClient
-from ibisspring_core.messages.directory import (
+from ibisspring_core.messages.evacuations import (
     Evacuate,
     Evacuated,
     Evacuation,
--- a/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
@@ -4,7 +4,7 @@
 
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import NotLeader
-from ibisspring_core.messages import directory, jobs, status
+from ibisspring_core.messages import directory, evacuations, job_reads, jobs, status
 from ibisspring_core.messages.codec import KindCodec
 
 PEER_MESSAGES = KindCodec.from_types(
@@ -14,11 +14,11 @@
     directory.Announced,
     directory.CountUsage,
     directory.Depart,
-    directory.Evacuate,
-    directory.Evacuated,
-    directory.EvacuationsRead,
+    evacuations.Evacuate,
+    evacuations.Evacuated,
+    evacuations.EvacuationsRead,
     directory.NameVersion,
-    directory.ReadEvacuations,
+    evacuations.ReadEvacuations,
     directory.ReadTable,
     directory.Renew,
     directory.ReplaceTable,
@@ -30,16 +30,16 @@
     directory.UsageCounted,
     directory.VersionNamed,
     directory.View,
-    jobs.BodyRead,
+    job_reads.BodyRead,
     jobs.EndJob,
     jobs.JobAccepted,
     jobs.JobEnded,
-    jobs.ReadBody,
-    jobs.ReadListed,
-    jobs.ReadResults,
+    job_reads.ReadBody,
+    job_reads.ReadListed,
+    job_reads.ReadResults,
     jobs.ReportWork,
-    jobs.ResultsListed,
-    jobs.ResultsRead,
+    job_reads.ResultsListed,
+    job_reads.ResultsRead,
     jobs.SubmitJob,
     jobs.TakeWork,
     jobs.UnknownJob,
--- a/packages/ibisspring-directory/src/ibisspring_directory/evacuations.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/evacuations.py
@@ -13,12 +13,12 @@
 import eliot
 
 from ibisspring_core.errors import Reason, Refusal
-from ibisspring_core.messages.directory import Evacuated, Evacuation, EvacuationsRead
+from ibisspring_core.messages.evacuations import Evacuated, Evacuation, EvacuationsRead
 from ibisspring_directory.commands import SetEvacuation
 from ibisspring_directory.sessions import SESSION_ACTIVE_S
 
 if TYPE_CHECKING:
-    from ibisspring_core.messages.directory import Evacuate, ReadEvacuations
+    from ibisspring_core.messages.evacuations import Evacuate, ReadEvacuations
     from ibisspring_directory.leader_context import LeaderContext
 
 # Change number of a data centre that was never evacuated.
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -13,33 +13,29 @@
 import eliot
 
 from ibisspring_core.clock import boot_now, wall_now
-from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.leader_client import NotLeader
 from ibisspring_core.messages.directory import (
     Announce,
     CountUsage,
     Depart,
-    Evacuate,
     NameVersion,
-    ReadEvacuations,
     ReadTable,
     Renew,
     ReplaceTable,
     Retire,
-    TableRead,
-    TableReplaced,
     Unchanged,
     UsageCounted,
-    VersionNamed,
     View,
 )
+from ibisspring_core.messages.evacuations import Evacuate, ReadEvacuations
 from ibisspring_core.settings.vm import CONTROL, ENTRY
 from ibisspring_directory.cold_engines import ColdEngines
-from ibisspring_directory.commands import COMMANDS, PutTable, PutVersion
+from ibisspring_directory.commands import COMMANDS
 from ibisspring_directory.evacuations import Evacuations
 from ibisspring_directory.known_endpoints import KnownEndpoints
 from ibisspring_directory.leader_context import LeaderContext
 from ibisspring_directory.retirements import Retirements
+from ibisspring_directory.route_tables import RouteTables
 from ibisspring_directory.sessions import SESSION_ACTIVE_S, Sessions
 from ibisspring_directory.usage import WindowCounts
 from ibisspring_directory.version_lags import VersionLags
@@ -49,6 +45,7 @@
     from collections.abc import Callable
 
     from ibisspring_consensus.proposals import Committed
+    from ibisspring_core.errors import Refusal
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings.vm import VmSettings
     from ibisspring_directory.sessions import Session
@@ -133,6 +130,7 @@
             wait_until_applied=self._wait_until_applied,
         )
         self._cold_engines = ColdEngines(context)
+        self.tables = RouteTables(context)
         self.evacuations = Evacuations(context)
         self.retirements = Retirements(context)
         self.state.subscribe(self.mark_changed)
@@ -141,9 +139,9 @@
         on_leader = {
             Announce: self.endpoints.announce,
             Depart: self.endpoints.depart,
-            ReplaceTable: self.replace_table,
-            ReadTable: self.read_table,
-            NameVersion: self.name_version,
+            ReplaceTable: self.tables.replace,
+            ReadTable: self.tables.read,
+            NameVersion: self.tables.name_version,
             Retire: self.retirements.retire,
             Evacuate: self.evacuations.evacuate,
             ReadEvacuations: self.evacuations.read,
@@ -351,29 +349,6 @@
         """Commit a command to the directory's log; a Refusal where it may not be committed."""
         return await self.consensus.propose(COMMANDS.encode(command))
 
-    async def replace_table(self, message: ReplaceTable) -> Any:
-        """
-        Commit a route table, and answer once all active entries use it.
-
-        The answer is sent after MAX_CHANGE_WAIT_S seconds even if some entries do not use it yet.
-        """
-        version = message.table.version
-        if version > self.state.table_version:
-            committed = await self.propose(PutTable(message.table, message.document))
-            if isinstance(committed, Refusal):
-                return committed
-            eliot.log_message("directory:table", version=version, routes=len(message.table.routes))
-        in_force = self.state.table_version
-
-        def is_applied(now: float) -> bool:
-            return not self.sessions.with_older_table(in_force, now)
-
-        if not await self._wait_until_applied(is_applied):
-            self._counters.add("directory.table_not_everywhere")
-        if not self.holds_lease():
-            return Refusal(Reason.MAY_HAVE_RUN, False, None, "the leader changed")
-        return TableReplaced(self.state.table_version)
-
     async def _wait_until_applied(self, is_applied: Callable[[float], bool]) -> bool:
         """
         Wait until all active daemons hold a change, as their renewals show.
@@ -398,22 +373,6 @@
             await self.full_revision.wait(0.05, is_confirmed)
         return True
 
-    async def read_table(self, message: ReadTable) -> Any:
-        """Read the newest route table, after a quorum confirmed that none newer is committed."""
-        confirmed = await self.consensus.confirm_read()
-        if isinstance(confirmed, Refusal):
-            return confirmed
-        return TableRead(self.state.table_version, self.state.document)
-
-    async def name_version(self, message: NameVersion) -> Any:
-        """Commit the weight version that a trainer published, unless a newer one is known."""
-        if message.version > self.state.version_by_model.get(message.model, 0):
-            committed = await self.propose(PutVersion(message.model, message.version))
-            if isinstance(committed, Refusal):
-                return committed
-            eliot.log_message("directory:version", model=message.model, version=message.version)
-        return VersionNamed()
-
 
 def _gets_full_view(renew: Renew) -> bool:
     """
--- a/packages/ibisspring-directory/src/ibisspring_directory/state.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/state.py
@@ -12,8 +12,9 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.messages.codec import decode, encode
-from ibisspring_core.messages.directory import Evacuation, Group
+from ibisspring_core.messages.directory import Group
 from ibisspring_core.messages.endpoints import EndpointRecord
+from ibisspring_core.messages.evacuations import Evacuation
 from ibisspring_core.routes.model import RouteTable
 from ibisspring_directory.commands import (
     COMMANDS,
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/result_reads.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/result_reads.py
@@ -10,7 +10,12 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.messages.jobs import ReadListed, ReadResults, ResultsListed, ResultsRead
+from ibisspring_core.messages.job_reads import (
+    ReadListed,
+    ReadResults,
+    ResultsListed,
+    ResultsRead,
+)
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
@@ -19,7 +19,7 @@
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.jobs import RewardCall
     from ibisspring_core.routes.model import Route
-    from ibisspring_gateway.forward import SendResult
+    from ibisspring_gateway.attempts import SendResult
 
 # Time limit of one send, including its hedged attempt at a second endpoint, as a multiple of the
 # route's target time. An endpoint that dropped the call costs this much time; a healthy endpoint
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -14,7 +14,7 @@
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.jobs import PART, Outcome, ReportWork, SubmitJob, TakeWork, Work
 from ibisspring_decisions.paced_sends import MAX_PACED_DELAY_S
-from ibisspring_gateway.forward import LASTING_RETRY_AFTER_S
+from ibisspring_gateway.exchange import LASTING_RETRY_AFTER_S
 from ibisspring_gateway.item_run import RunProgress, run_item
 from ibisspring_gateway.reward_calls import ScoringFailure
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -15,9 +15,9 @@
 
 from ibisspring_core.messages.jobs import PART, Assignment, ItemResult, Outcome, TextPart
 from ibisspring_decisions.dispatch import place_items
-from ibisspring_decisions.stragglers import MIN_REMAINING_EVENTS, MovableRun, choose_moves
 from ibisspring_jobs.engines import Engines
 from ibisspring_jobs.items import ItemKey, Items, memory_tokens_of
+from ibisspring_jobs.moves import runs_to_move
 from ibisspring_jobs.progress import ItemProgress, abandoned_result
 from ibisspring_jobs.runners import Runners
 from ibisspring_jobs.runs import Run
@@ -37,12 +37,6 @@
 # Seconds between the time limit of a job and the abandonment of its items. Without them, a leader
 # whose clock is slightly ahead would abandon the items too early.
 GIVE_UP_SLACK_S = 1.0
-# Seconds that a run must have lasted before it may move to another engine. Its first events show
-# nothing about the speed of the engine, and an item that has just moved is not moved again.
-MIN_RUN_BEFORE_MOVE_S = 0.4
-# Number of tokens in one stream event of current engines. By it the number of events that a run
-# still has to produce is estimated from the item's expected number of tokens.
-TOKENS_PER_EVENT = 60
 
 
 class Dispatcher:
@@ -84,58 +78,10 @@
         return runner
 
     def move_stragglers(self, now: float) -> None:
-        """
-        Move runs from engines that are much slower than the median to engines with free slots.
-
-        A moved run is stopped by its runner, and its item continues at the other engine after the
-        last event that the run produced.
-        """
-        slow = self.engines.paces.slow()
-        if not slow:
-            return
-        runs_on_slow = [
-            run for run in self.run_by_number.values() if run.endpoint in slow and not run.scoring
-        ]
-        job_by_id = {run.job: self._state.job_by_id[run.job].job for run in runs_on_slow}
-        allowed_by_job = {
-            job_id: self.engines.allowed(job, now) for job_id, job in job_by_id.items()
-        }
-        for service in {job.service for job in job_by_id.values()}:
-            waiting = sum(1 for _ in self.items.waiting(service, self.engines, now))
-            records = self._context.serving(service)
-            capacities = self.engines.free_capacities(
-                service, records, self.run_by_number.values(), now
-            )
-            free_by_engine = {
-                capacity.engine: max(0, capacity.free_slots) for capacity in capacities
-            }
-            movable = [
-                MovableRun(
-                    run.number,
-                    run.endpoint,
-                    self._remaining_events(run),
-                    allowed_by_job[run.job],
-                )
-                for run in runs_on_slow
-                if run.endpoint in free_by_engine
-                and not run.moved
-                and now - run.started_at > MIN_RUN_BEFORE_MOVE_S
-            ]
-            for number in choose_moves(movable, slow, free_by_engine, waiting):
-                self._request_move(self.run_by_number[number])
-
-    def _remaining_events(self, run: Run) -> float:
-        """
-        Estimate the events that a run still has to produce.
-
-        :return: the expected number of events of the text minus those produced so far, and at least
-            MIN_REMAINING_EVENTS; 0.0 if the item's result is listed or the job has ended.
-        """
-        item = self.items.item_of(run)
-        if item is None:
-            return 0.0
-        produced = run.resume_after + run.events
-        return max(item.expected_tokens / TOKENS_PER_EVENT - produced, MIN_REMAINING_EVENTS)
+        """Move runs from engines much slower than the median to engines with free slots."""
+        runs = tuple(self.run_by_number.values())
+        for run in runs_to_move(self._state, self._context, self.engines, self.items, runs, now):
+            self._request_move(run)
 
     def _request_move(self, run: Run) -> None:
         run.moved = True
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -16,19 +16,18 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import NotLeader
+from ibisspring_core.messages.job_reads import (
+    ReadBody,
+    ReadListed,
+    ReadResults,
+)
 from ibisspring_core.messages.jobs import (
     COMPLETED,
     PART,
-    BodyRead,
     EndJob,
     JobAccepted,
     JobEnded,
-    ReadBody,
-    ReadListed,
-    ReadResults,
     ReportWork,
-    ResultsListed,
-    ResultsRead,
     SubmitJob,
     TakeWork,
     UnknownJob,
@@ -46,13 +45,13 @@
     RecordResults,
 )
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
+from ibisspring_jobs.job_reads import JobReads
 from ibisspring_jobs.peaks import Peaks
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.jobs import ItemResult, Job, TextPart
     from ibisspring_core.settings.vm import VmSettings
-    from ibisspring_jobs.state import JobRecord
 
 # Seconds between two checks by the jobs' leader. In each, it abandons items past their job's time
 # limit, assigns waiting items, and moves runs away from slow engines.
@@ -67,7 +66,6 @@
     def __init__(self, settings: VmSettings) -> None:
         self._settings = settings
         self._dispatcher: Dispatcher | None = None
-        self._job_changed = asyncio.Event()
         self._peaks = Peaks()
 
     @classmethod
@@ -89,20 +87,21 @@
         self._state = kernel.find("jobs_state")
         self._view = kernel.find("directory_view")
         self._counters = kernel.find("counters")
+        self.reads = JobReads(self._state, self._consensus, self.has_leader_lease)
         self._state.subscribe(self._on_job_changed)
         self._view.subscribe(self._match)
         server = kernel.find("peer_server")
         handler_by_type = {
             SubmitJob: self.submit,
-            ReadResults: self.read_results,
-            ReadBody: self.read_body,
+            ReadResults: self.reads.read_results,
+            ReadBody: self.reads.read_body,
             EndJob: self.end_job,
             TakeWork: self.take_work,
             ReportWork: self.report_work,
         }
         for message_type, handler in handler_by_type.items():
             server.register_handler(message_type, self._leader_only(handler))
-        server.register_handler(ReadListed, self.read_listed)
+        server.register_handler(ReadListed, self.reads.read_listed)
         self._ticks = kernel.find("timer").subscribe("jobs", TICK_S, self._tick)
 
     async def stop(self) -> None:
@@ -184,8 +183,7 @@
         return max(1, limit - forwarded_part(limit))
 
     def _on_job_changed(self, job: str) -> None:
-        self._job_changed.set()
-        self._job_changed = asyncio.Event()
+        self.reads.job_changed()
         if self._dispatcher is not None:
             self._dispatcher.cancel_finished_runs(job)
         self._match()
@@ -239,85 +237,13 @@
             return UnknownJob()
         return JobAccepted()
 
-    async def _find_job(self, message: Any) -> JobRecord | Any:
-        """
-        Find the job that a message names.
-
-        Before a job is reported as unknown, a majority of the stores must confirm that this store
-        is still the leader, because a former leader may lack jobs that its successor accepted.
-
-        :return: the job; UnknownJob if it does not exist or belongs to another client account;
-            NotLeader if the confirmation failed.
-        """
-        job_record = self._state.job_by_id.get(message.job)
-        if job_record is None:
-            confirmed = await self._consensus.confirm_read()
-            if isinstance(confirmed, Refusal):
-                return NotLeader(self._consensus.leader_hint)
-            job_record = self._state.job_by_id.get(message.job)
-        if job_record is None or job_record.job.client_account != message.client_account:
-            return UnknownJob()
-        return job_record
-
-    async def read_results(self, message: ReadResults) -> Any:
-        """
-        Return a job's results from a position on, as far as `max_bytes` allows.
-
-        If no result has this position yet, wait up to `hold_s` seconds for one. If the results
-        exceed `inline_bytes`, return only the range of their positions; any store can then be asked
-        for the results with `ReadListed`.
-        """
-        job_record = await self._find_job(message)
-        if isinstance(job_record, (NotLeader, UnknownJob)):
-            return job_record
-        end_s = boot_now() + message.hold_s
-        while len(job_record.results) <= message.after < job_record.total and not job_record.ended:
-            left_s = end_s - boot_now()
-            changed = self._job_changed
-            if left_s <= 0:
-                break
-            try:
-                async with asyncio.timeout(left_s):
-                    await changed.wait()
-            except TimeoutError:
-                break
-        if not self.has_leader_lease():
-            return NotLeader(self._consensus.leader_hint)
-        results = _results_within(job_record.results, message.after, message.max_bytes)
-        size = sum(len(result.output) for result in results)
-        if message.inline_bytes is not None and size > message.inline_bytes:
-            return ResultsListed(job_record.total, message.after + len(results))
-        return ResultsRead(job_record.total, results)
-
-    async def read_listed(self, message: ReadListed) -> ResultsRead:
-        """
-        Return the results in a range of positions that the leader sent to the caller.
-
-        This store need not be the leader. Results that it has not yet applied from the log are
-        missing from the answer.
-        """
-        job_record = self._state.job_by_id.get(message.job)
-        if job_record is None or job_record.job.client_account != message.client_account:
-            return ResultsRead(0, ())
-        return ResultsRead(
-            job_record.total, tuple(job_record.results[message.after : message.listed])
-        )
-
-    async def read_body(self, message: ReadBody) -> Any:
-        """Return the request body of an item without a listed result; None for any other item."""
-        job_record = await self._find_job(message)
-        if isinstance(job_record, (NotLeader, UnknownJob)):
-            return job_record
-        item = job_record.item_by_id.get(message.item)
-        return BodyRead(item.body if item is not None else None)
-
     async def end_job(self, message: EndJob) -> Any:
         """
         End a job, and answer once its end is committed.
 
         The job's runs are cancelled before the answer.
         """
-        job_record = await self._find_job(message)
+        job_record = await self.reads.find_job(message)
         if isinstance(job_record, (NotLeader, UnknownJob)):
             return job_record
         if not job_record.ended:
@@ -431,17 +357,4 @@
         return not any(isinstance(answer, Refusal) for answer in answers)
 
 
-def _results_within(
-    results: list[ItemResult], after: int, max_bytes: int
-) -> tuple[ItemResult, ...]:
-    selected: list[ItemResult] = []
-    size = 0
-    for result in results[after:]:
-        size += len(result.output)
-        if selected and size > max_bytes:
-            break
-        selected.append(result)
-    return tuple(selected)
-
-
 __all__ = ["Jobs"]
--- a/tests/unit/directory/test_evacuations.py
+++ b/tests/unit/directory/test_evacuations.py
@@ -9,13 +9,8 @@
 from unit.directory.test_service import SETTINGS, renew, started
 
 from ibisspring_core.errors import Reason, Refusal
-from ibisspring_core.messages.directory import (
-    Evacuate,
-    Evacuated,
-    Evacuation,
-    ReadEvacuations,
-    View,
-)
+from ibisspring_core.messages.directory import View
+from ibisspring_core.messages.evacuations import Evacuate, Evacuated, Evacuation, ReadEvacuations
 from ibisspring_directory.sessions import SESSION_ACTIVE_S
 
 WITH_REGIONS = dataclasses.replace(
--- a/tests/unit/directory/test_service.py
+++ b/tests/unit/directory/test_service.py
@@ -211,7 +211,7 @@
     directory.led_since = boot_now() - 2 * SESSION_ACTIVE_S
     await directory.renew(renew("1"))
     order = ReplaceTable(RouteTable(4), b"document")
-    answer = asyncio.create_task(directory.replace_table(order))
+    answer = asyncio.create_task(directory.tables.replace(order))
     await asyncio.sleep(0)
     view = await directory.renew(renew("1"))
     assert view.table == RouteTable(4)
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -15,7 +15,8 @@
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_core.routes import RepeatRule, Route, Share
 from ibisspring_core.settings.vm import ENTRY, VmSettings
-from ibisspring_gateway.forward import EndpointResponse, Forwarder
+from ibisspring_gateway.attempts import EndpointResponse
+from ibisspring_gateway.forward import Forwarder
 from ibisspring_gateway.send_gate import SendGate
 from ibisspring_gateway.wire import CallerRequest, ResponseKind
 
--- a/tests/unit/gateway/test_result_reads.py
+++ b/tests/unit/gateway/test_result_reads.py
@@ -8,14 +8,16 @@
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.directory import Member, View
-from ibisspring_core.messages.jobs import (
-    COMPLETED,
-    ItemResult,
+from ibisspring_core.messages.job_reads import (
     ReadListed,
     ReadResults,
     ResultsListed,
     ResultsRead,
 )
+from ibisspring_core.messages.jobs import (
+    COMPLETED,
+    ItemResult,
+)
 from ibisspring_gateway.result_reads import INLINE_BYTES, ResultReads
 
 ALL_RESULTS = tuple(ItemResult(f"i{number}", COMPLETED, "x" * 2000) for number in range(40))
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -12,14 +12,16 @@
 from ibisspring_consensus.proposals import Committed
 from ibisspring_core.counters import Counters
 from ibisspring_core.kernel import Kernel
-from ibisspring_core.messages.jobs import (
-    PART,
-    Outcome,
+from ibisspring_core.messages.job_reads import (
     ReadListed,
     ReadResults,
-    ReportWork,
     ResultsListed,
     ResultsRead,
+)
+from ibisspring_core.messages.jobs import (
+    PART,
+    Outcome,
+    ReportWork,
     SubmitJob,
     TakeWork,
 )
@@ -104,7 +106,9 @@
     done = Outcome(number, "done", last, 1, (5,), after=1)
     await jobs.report_work(ReportWork("e1", 7, (done,)))
 
-    read = await jobs.read_results(ReadResults(job_of().job, job_of().client_account, 0, 0.0, 9999))
+    read = await jobs.reads.read_results(
+        ReadResults(job_of().job, job_of().client_account, 0, 0.0, 9999)
+    )
     assert read.results[0].output == f"{first}\n{last}"
     assert read.results[0].versions == (4, 5)
     commands = b"".join(log.commands)
@@ -131,9 +135,11 @@
     await jobs.report_work(ReportWork("e1", 7, (Outcome(number, "done", text, 1, (4,)),)))
     name, account = job_of().job, job_of().client_account
 
-    listed = await jobs.read_results(ReadResults(name, account, 0, 0.0, 9999, inline_bytes=4000))
+    listed = await jobs.reads.read_results(
+        ReadResults(name, account, 0, 0.0, 9999, inline_bytes=4000)
+    )
     assert listed == ResultsListed(len(job_of().items), 1)
-    read = await jobs.read_listed(ReadListed(name, account, 0, listed.listed))
+    read = await jobs.reads.read_listed(ReadListed(name, account, 0, listed.listed))
     assert [result.output for result in read.results] == [text]
-    assert await jobs.read_listed(ReadListed(name, "other", 0, 1)) == ResultsRead(0, ())
-    assert await jobs.read_listed(ReadListed("unknown", account, 0, 1)) == ResultsRead(0, ())
+    assert await jobs.reads.read_listed(ReadListed(name, "other", 0, 1)) == ResultsRead(0, ())
+    assert await jobs.reads.read_listed(ReadListed("unknown", account, 0, 1)) == ResultsRead(0, ())
--- a/tests/unit/platform/test_batch_jobs.py
+++ b/tests/unit/platform/test_batch_jobs.py
@@ -3,7 +3,13 @@
 import base64
 import json
 
-from ibisspring_core.messages.jobs import COMPLETED, ItemResult, Job, ResultsRead, RewardCall
+from ibisspring_core.messages.job_reads import ResultsRead
+from ibisspring_core.messages.jobs import (
+    COMPLETED,
+    ItemResult,
+    Job,
+    RewardCall,
+)
 from ibisspring_core.routes import ClientAccount, JobTerms, RepeatRule, Route, Share
 from ibisspring_platform.batch_jobs import read_job, write_results
 from ibisspring_platform.engines import EngineAdapter
