--- a/tests/unit/directory/test_state.py
+++ b/tests/unit/directory/test_state.py
@@ -12,6 +12,7 @@
     PutTable,
     PutVersion,
     RetireStore,
+    SetEvacuation,
     WindowReported,
 )
 from ibisspring_directory.state import DirectoryState
@@ -104,3 +105,22 @@
     assert restored.state_by_departed == {("e1", 5): "leaving"}
     assert restored.retiring == ("10.0.0.1:1",)
     assert restored.table_version == 7
+
+
+def test_evacuations_are_in_the_snapshot_and_go_on_with_their_numbers() -> None:
+    # A control daemon starts from a snapshot. If the evacuations were missing there, or the numbers
+    # of their changes began anew, a late call could undo a newer one.
+    state = apply_all(
+        SetEvacuation("derby", True, 0),
+        SetEvacuation("stoke", True, 0),
+        SetEvacuation("derby", False, 1),
+    )
+    restored = DirectoryState()
+    restored.restore(state.snapshot())
+
+    assert restored.evacuated == ("stoke",)
+    assert restored.evacuation_change == 3
+    restored.apply(4, COMMANDS.encode(SetEvacuation("derby", True, 1)))
+    assert restored.evacuated == ("stoke",)
+    restored.apply(5, COMMANDS.encode(SetEvacuation("derby", True, 3)))
+    assert restored.evacuated == ("derby", "stoke")
