Continue runs under a new leader of the jobs' log

Load: the leader of the jobs' log is lost (its VM, its disk, or all stores at once) while all slots of the engines are in use.

Change: a runner reads its streams on while there is no leader and offers the runs to the next one, which adopts those that continue the stored text of an item that has no result and runs nowhere else. The runner compares a digest of the stored events with its own, so that texts of two runs are never joined. A new leader assigns nothing for 0.3 s after the first call of a runner of an earlier epoch, and at most 0.8 s while announced runs have not been offered; runners that have just started are served at once.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 COMPLETED = "completed"
 PART = "part"
@@ -190,6 +196,49 @@
     regions: tuple[str, ...] | None = None
 
 
+@dataclass(frozen=True)
+class HeldRun:
+    """
+    A run of an earlier epoch that its runner continues, for the new leader to adopt.
+
+    :param key: the runner's own number of the run.
+    :param job: id of the run's job.
+    :param item: id of its item.
+    :param endpoint: id of the endpoint that it runs at.
+    :param resume_after: number of events of the item's text that earlier runs produced.
+    :param events: number of events that this run has produced.
+    """
+
+    key: int
+    job: str
+    item: str
+    endpoint: str
+    resume_after: int
+    events: int
+
+
+@dataclass(frozen=True)
+class AdoptedRun:
+    """
+    A run of an earlier epoch that is an assignment of the new one.
+
+    :param key: the runner's own number of the run.
+    :param number: number of the assignment in the new epoch.
+    :param stored_events: number of the run's events that the log contains.
+    :param digest: `text_digest` of these events; the run goes on only if it made the same text.
+    """
+
+    key: int
+    number: int
+    stored_events: int
+    digest: int
+
+
+def text_digest(data: Iterable[str]) -> int:
+    """Compute a digest of a text, given as the data of its events or as joined parts of them."""
+    return xxhash.xxh64_intdigest("\n".join(data).encode())
+
+
 @dataclass(frozen=True)
 class TakeWork:
     """
@@ -205,6 +254,7 @@
     :param hold_s: seconds that the leader waits for new assignments before it answers.
     :param events: number of events generated so far by each assignment of `running`, in the same
         order.
+    :param held: runs of earlier epochs that the runner continues until the leader has decided.
     """
 
     runner: str
@@ -216,6 +266,7 @@
     free: int
     hold_s: float
     events: tuple[int, ...] = ()
+    held: tuple[HeldRun, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -231,6 +282,7 @@
         another endpoint.
     :param held_s: seconds that the leader held the call before this answer. The rest of the time
         that the call took is the longest time for which an assignment can have been on its way.
+    :param adopted: those of the call's held runs that go on; the runner stops the others.
     """
 
     epoch: int
@@ -238,6 +290,7 @@
     cancelled: tuple[int, ...] = ()
     moved: tuple[int, ...] = ()
     held_s: float = 0.0
+    adopted: tuple[AdoptedRun, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -321,8 +374,10 @@
     "ABANDONED",
     "COMPLETED",
     "PART",
+    "AdoptedRun",
     "Assignment",
     "EndJob",
+    "HeldRun",
     "ItemResult",
     "Job",
     "JobAccepted",
@@ -337,4 +392,5 @@
     "UnknownJob",
     "Work",
     "WorkReported",
+    "text_digest",
 ]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -14,13 +14,14 @@
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.jobs import PART, Outcome, ReportWork, SubmitJob, TakeWork, Work
 from ibisspring_decisions.paced_sends import MAX_PACED_DELAY_S
+from ibisspring_gateway.active_runs import ActiveRun, ActiveRuns
 from ibisspring_gateway.exchange import LASTING_RETRY_AFTER_S
-from ibisspring_gateway.item_run import RunProgress, run_item
+from ibisspring_gateway.item_run import run_item
 from ibisspring_gateway.reward_calls import ScoringFailure
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.jobs import Assignment, Job
+    from ibisspring_core.messages.jobs import AdoptedRun, Assignment, HeldRun, Job
     from ibisspring_core.settings.vm import VmSettings
 
 # Most event streams of engines that one entry reads at the same time; all engines together
@@ -67,9 +68,7 @@
         self._epoch = 0
         self._sequence = 0
         self._draining = False
-        self._task_by_number: dict[int, asyncio.Task[None]] = {}
-        self._progress_by_number: dict[int, RunProgress] = {}
-        self._scoring_numbers: set[int] = set()
+        self._runs = ActiveRuns()
         self._pending_outcomes: list[Outcome] = []
         self._report_due = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -105,10 +104,10 @@
         self._parts_timer.cancel()
         for task in self._tasks:
             task.cancel()
-        runs = tuple(self._task_by_number.values())
-        for task in runs:
+        tasks = [run.task for run in self._runs.all() if run.task is not None]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*runs, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self._pending_outcomes:
             message = ReportWork(
                 self._settings.peer_address, self._epoch, tuple(self._pending_outcomes)
@@ -122,7 +121,7 @@
     @property
     def running(self) -> int:
         """Number of assignments that are not cancelled and whose final outcome is not reported."""
-        return len(self._task_by_number)
+        return len(self._runs)
 
     def job_addresses(self) -> tuple[str, ...]:
         """Return peer addresses of possible leaders of the jobs log, the most likely one first."""
@@ -162,19 +161,20 @@
     async def _request_work(self) -> None:
         while True:
             self._sequence += 1
-            streams = len(self._task_by_number) - len(self._scoring_numbers)
             accepts = not self._draining and self._gate.may_run_items()
-            free = MAX_STREAMS - streams if accepts else 0
+            runs = self._runs.by_number
+            offered = self._runs.offers()
             call = TakeWork(
                 runner=self._settings.peer_address,
                 data_centre=self._settings.data_centre,
                 incarnation=self._incarnation,
                 epoch=self._epoch,
                 sequence=self._sequence,
-                running=tuple(self._task_by_number),
-                free=free,
+                running=tuple(runs),
+                free=MAX_STREAMS - self._runs.streams() if accepts else 0,
                 hold_s=WORK_HOLD_S,
-                events=tuple(self._event_count(number) for number in self._task_by_number),
+                events=tuple(len(run.progress.data) for run in runs.values()),
+                held=offered,
             )
             called_at_s = boot_now()
             answer = await self.leader.call(call, FIND_LEADER_TIMEOUT_S, CALL_TIMEOUT_S)
@@ -183,64 +183,66 @@
                 eliot.log_message("runner:no_work_from", detail=detail)
                 await asyncio.sleep(WORK_HOLD_S)
                 continue
+            if answer.epoch == self._epoch:
+                self._resume_runs(offered, answer.adopted)
             # The leader assigned the items at the earliest when it had received the call and held
             # it for the stated time.
             self._apply_work(answer, called_at_s + answer.held_s + MAX_PACED_DELAY_S)
 
-    def _event_count(self, number: int) -> int:
-        progress = self._progress_by_number.get(number)
-        return len(progress.data) if progress is not None else 0
+    def _resume_runs(self, offered: tuple[HeldRun, ...], adopted: tuple[AdoptedRun, ...]) -> None:
+        for rejected in self._runs.resume(offered, adopted, self._finish):
+            # The dispatcher assigns the item again, after its stored text.
+            self._queue_outcome(Outcome(rejected.number, "broken"))
+        if offered:
+            eliot.log_message("runner:resumed", offered=len(offered), adopted=len(adopted))
 
     def _apply_work(self, work: Work, begin_by_s: float) -> None:
         if work.epoch != self._epoch:
-            # A new dispatcher resumes the items from the events stored in the jobs log, and ignores
-            # the outcomes of runs that belong to an earlier epoch.
-            for task in self._task_by_number.values():
-                task.cancel()
-            self._task_by_number.clear()
-            self._progress_by_number.clear()
-            self._scoring_numbers.clear()
+            # Outcomes that are not confirmed are rebuilt from the held runs, if the new leader
+            # adopts these.
+            self._runs.hold_all()
             self._pending_outcomes.clear()
             self._epoch = work.epoch
         for number in work.cancelled:
-            task = self._task_by_number.pop(number, None)
-            self._scoring_numbers.discard(number)
-            if task is not None:
-                task.cancel()
+            run = self._runs.by_number.pop(number, None)
+            if run is not None:
+                run.cancel()
         for number in work.moved:
-            task = self._task_by_number.get(number)
+            run = self._runs.by_number.get(number)
             # An item that is being scored has its complete text: it needs no other engine.
-            if task is not None and number not in self._scoring_numbers:
-                task.cancel()
+            if run is not None and not run.scoring:
+                run.cancel()
         for assignment in work.assignments:
-            task = asyncio.create_task(
-                self._run_assignment(assignment, begin_by_s), name=f"run:{assignment.item.item}"
-            )
-            self._task_by_number[assignment.number] = task
+            run = ActiveRun(assignment, assignment.number)
+            self._runs.add(run)
+            run.start(self._run_assignment(run, begin_by_s))
 
-    async def _run_assignment(self, assignment: Assignment, begin_by_s: float) -> None:
-        epoch = self._epoch
-        number = assignment.number
+    async def _run_assignment(self, run: ActiveRun, begin_by_s: float) -> None:
+        assignment = run.assignment
         refusal = self._gate.item_refusal(assignment, begin_by_s) if assignment.endpoint else None
         if refusal is not None:
-            outcome = self._turn_away(assignment, refusal)
+            self._log_not_sent(assignment, refusal)
+            run.kind = TURNED_AWAY
         elif assignment.endpoint:
-            outcome = await self._generate_text(assignment)
+            run.kind = await self._generate_text(run)
         else:
-            outcome = Outcome(number, "done")
-        if not self._is_assigned(number, epoch):
-            return
-        if outcome.kind == "done" and assignment.item.reward is not None:
-            if assignment.endpoint:
+            run.kind = "done"
+        if self._runs.is_current(run):
+            await self._finish(run)
+
+    async def _finish(self, run: ActiveRun) -> None:
+        """Report the end of a run's generation; make the item's reward call if it has one."""
+        outcome = run.progress.outcome(run.number, run.kind)
+        if outcome.kind == "done" and run.assignment.item.reward is not None:
+            if run.assignment.endpoint:
                 self._queue_outcome(replace(outcome, kind=PART, whole=True))
-            self._scoring_numbers.add(number)
-            outcome = await self._score(assignment, outcome.after + outcome.events)
-            if not self._is_assigned(number, epoch):
+            run.scoring = True
+            outcome = await self._score(run, outcome.after + outcome.events)
+            if not self._runs.is_current(run):
                 return
         self._queue_outcome(outcome)
 
-    def _turn_away(self, assignment: Assignment, refusal: Reason) -> Outcome:
-        """Report an item that is not sent, so that the dispatcher assigns it again."""
+    def _log_not_sent(self, assignment: Assignment, refusal: Reason) -> None:
         self._counters.add(f"runner.not_sent.{refusal.value}")
         eliot.log_message(
             "runner:not_sent",
@@ -252,22 +254,14 @@
             reason=refusal.value,
             view_age_s=round(self._view.age_s(), 3),
         )
-        return Outcome(assignment.number, TURNED_AWAY)
-
-    def _is_assigned(self, number: int, epoch: int) -> bool:
-        """
-        Whether the dispatcher still expects an outcome for this number.
-
-        The epoch is compared too, since each epoch uses the same numbers.
-        """
-        return epoch == self._epoch and number in self._task_by_number
 
     def _queue_outcome(self, outcome: Outcome) -> None:
         self._pending_outcomes.append(outcome)
         self._report_due.set()
 
-    async def _score(self, assignment: Assignment, after: int) -> Outcome:
+    async def _score(self, run: ActiveRun, after: int) -> Outcome:
         """Make an item's reward call; if the call is cancelled, another runner repeats it."""
+        assignment = run.assignment
         started_at_s = boot_now()
         item = assignment.item
         try:
@@ -280,9 +274,9 @@
         except asyncio.CancelledError:
             scored = ScoringFailure("broken", 0)
         if isinstance(scored, ScoringFailure):
-            outcome = Outcome(assignment.number, scored.kind, after=after, whole=True)
+            outcome = Outcome(run.number, scored.kind, after=after, whole=True)
         else:
-            outcome = Outcome(assignment.number, "done", after=after, score=scored)
+            outcome = Outcome(run.number, "done", after=after, score=scored)
         took_s = boot_now() - started_at_s
         self._counters.add(f"reward_call.{outcome.kind}")
         self._counters.observe("reward_call_seconds", took_s, outcome.kind)
@@ -290,7 +284,7 @@
             "runner:scored",
             job=assignment.job,
             item=item.item,
-            number=assignment.number,
+            number=run.number,
             call=item.reward.request,
             kind=outcome.kind,
             reason="" if outcome.kind == "done" else outcome.kind,
@@ -300,14 +294,14 @@
         )
         return outcome
 
-    async def _generate_text(self, assignment: Assignment) -> Outcome:
+    async def _generate_text(self, run: ActiveRun) -> str:
+        """Read the text of a run from its engine; return how the run ended."""
+        assignment = run.assignment
+        progress = run.progress
         started_at_s = boot_now()
-        progress = RunProgress()
-        self._progress_by_number[assignment.number] = progress
         outcome = await run_item(assignment, self._connections, self._wire, progress)
-        # If the epoch changed during this run, its number may now belong to a newer run.
-        if self._progress_by_number.get(assignment.number) is progress:
-            del self._progress_by_number[assignment.number]
+        # `_finish` builds the outcome again, since a new leader may first have to adopt the run.
+        progress.reported_events = outcome.after
         took_s = boot_now() - started_at_s
         self._counters.add(f"runner.{outcome.kind}")
         self._counters.observe("run_seconds", took_s, outcome.kind)
@@ -328,13 +322,13 @@
             first_s=outcome.first_s,
             took_s=round(took_s, 3),
         )
-        return outcome
+        return outcome.kind
 
     async def _report_parts(self, now: float) -> None:
         """Queue the new events of the current runs for the next report."""
-        for number, progress in self._progress_by_number.items():
-            if len(progress.data) > progress.reported_events and number in self._task_by_number:
-                self._queue_outcome(progress.outcome(number, PART))
+        for number, run in self._runs.by_number.items():
+            if not run.kind and len(run.progress.data) > run.progress.reported_events:
+                self._queue_outcome(run.progress.outcome(number, PART))
 
     async def _report_outcomes(self) -> None:
         while True:
@@ -354,8 +348,7 @@
                 del self._pending_outcomes[: len(outcomes)]
                 for outcome in outcomes:
                     if outcome.kind != PART:
-                        self._task_by_number.pop(outcome.number, None)
-                        self._scoring_numbers.discard(outcome.number)
+                        self._runs.by_number.pop(outcome.number, None)
 
 
 __all__ = ["Runner"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -13,8 +13,16 @@
 
 import eliot
 
-from ibisspring_core.messages.jobs import PART, Assignment, ItemResult, Outcome, TextPart
+from ibisspring_core.messages.jobs import (
+    PART,
+    AdoptedRun,
+    Assignment,
+    ItemResult,
+    Outcome,
+    TextPart,
+)
 from ibisspring_decisions.dispatch import place_items
+from ibisspring_jobs.adoption import AdoptionWindow, stored_part_of
 from ibisspring_jobs.engines import Engines
 from ibisspring_jobs.items import ItemKey, Items, memory_tokens_of
 from ibisspring_jobs.moves import runs_to_move
@@ -27,7 +35,7 @@
     from collections.abc import Callable
 
     from ibisspring_core.messages.endpoints import EndpointRecord
-    from ibisspring_core.messages.jobs import TakeWork
+    from ibisspring_core.messages.jobs import HeldRun, TakeWork
     from ibisspring_jobs.runners import Runner
     from ibisspring_jobs.state import JobRecord, JobsState
 
@@ -58,6 +66,51 @@
         self._last_number = 0
         self.engines = Engines(context, now)
         self.items = Items(state)
+        self.adoption = AdoptionWindow()
+
+    def adopt(self, runner: Runner, offered: tuple[HeldRun, ...], now: float) -> None:
+        """
+        Adopt the runs of earlier epochs that a runner offers, as far as they still have a use.
+
+        A run is not adopted if its item has a result, runs elsewhere, or has a stored text that the
+        run does not continue.
+        """
+        self.adoption.runner_offered(runner.address)
+        runner.adopted.clear()
+        for held in offered:
+            job_record = self._state.job_by_id.get(held.job)
+            key = (held.job, held.item)
+            if (
+                job_record is None
+                or held.item not in job_record.item_by_id
+                or self.items.is_busy(key)
+            ):
+                continue
+            stored = stored_part_of(held, job_record, self.items.progress_of(key))
+            if stored is None:
+                continue
+            self._last_number += 1
+            item = job_record.item_by_id[held.item]
+            run = Run(
+                self._last_number,
+                *key,
+                runner.address,
+                held.endpoint,
+                memory_tokens_of(item),
+                now,
+                held.resume_after,
+            )
+            self.run_by_number[run.number] = run
+            self.items.run_started(key, run.number)
+            self.engines.run_adopted(held.endpoint, (held.job, item.group))
+            runner.adopt(AdoptedRun(held.key, run.number, *stored))
+        if offered:
+            eliot.log_message(
+                "dispatch:adopted",
+                runner=runner.address,
+                offered=len(offered),
+                adopted=len(runner.adopted),
+            )
 
     def register_call(self, call: TakeWork, now: float) -> Runner:
         """
@@ -133,6 +186,8 @@
 
     def assign_waiting_items(self, now: float) -> None:
         """Assign waiting items to engines with free slots, each through an available runner."""
+        if self.adoption.is_open(now):
+            return
         if not any(runner.is_available(now) for runner in self.runners.runner_by_address.values()):
             return
         self._assign_unscored(now)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -162,6 +162,10 @@
         self._idle.use((engine,), now)
         self._groups_by_engine.setdefault(engine, set()).add(group)
 
+    def run_adopted(self, engine: str, group: tuple[str, str]) -> None:
+        """Record that an engine has read the prompt of a group; the request was sent before."""
+        self._groups_by_engine.setdefault(engine, set()).add(group)
+
     def connection_released(self, run: Run, outcome: Outcome, now: float) -> None:
         """
         Record that a run's connection is idle, if the engine keeps it open after the run's end.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -64,6 +64,10 @@
     def _known_progress(self, key: ItemKey) -> ItemProgress | None:
         return self._progress_by_job.get(key[0], {}).get(key[1])
 
+    def is_busy(self, key: ItemKey) -> bool:
+        """Whether an item runs, waits for its reward call, or has its result being committed."""
+        return key in self.committing or key in self.unscored or key in self._runs_by_key
+
     def run_started(self, key: ItemKey, number: int) -> None:
         """
         Record that a run of an item started.
@@ -163,7 +167,7 @@
     ) -> Iterator[WaitingItem]:
         for item in self._ordered(job_record):
             key = (job_record.job.job, item.item)
-            if key in self.committing or key in self.unscored or key in self._runs_by_key:
+            if self.is_busy(key):
                 continue
             progress = self._known_progress(key)
             if progress is not None and now < progress.not_before_s:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ibisspring_core.messages.jobs import Assignment, TakeWork
+    from ibisspring_core.messages.jobs import AdoptedRun, Assignment, TakeWork
 
 # Seconds without a call for work after which a runner's items are assigned to others. Runners call
 # at least every 0.5 s. With a shorter limit, the items of a slow runner that is still alive would
@@ -43,6 +43,7 @@
     :param outbox: assignments to be sent with the next answer.
     :param cancelled: numbers of the assignments to stop, to be sent with the next answer.
     :param moved: numbers of the assignments to stop and report, to be sent with the next answer.
+    :param adopted: runs of earlier epochs that go on, to be sent with the next answer.
     :param waiting: whether a call of the runner is open.
     :param answered_at: when the runner's last call was answered, in seconds since boot.
     :param free_slots: number of further items that the runner accepts.
@@ -58,6 +59,7 @@
     outbox: list[Assignment] = field(default_factory=list)
     cancelled: list[int] = field(default_factory=list)
     moved: list[int] = field(default_factory=list)
+    adopted: list[AdoptedRun] = field(default_factory=list)
     waiting: bool = False
     answered_at: float = float("-inf")
     free_slots: int = 0
@@ -81,6 +83,11 @@
         self.outbox.append(assignment)
         self.wake.set()
 
+    def adopt(self, run: AdoptedRun) -> None:
+        """Add an adopted run to the answer of the call that is being processed."""
+        self.sequence_by_number[run.number] = self.sequence
+        self.adopted.append(run)
+
 
 class Runners:
     """
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -262,15 +262,17 @@
         dispatcher = self.dispatcher()
         if call.epoch != dispatcher.epoch:
             # The runner's runs belong to an earlier epoch. The answer contains the current epoch;
-            # when the runner receives it, the runner stops these runs and calls again.
+            # when the runner receives it, the runner calls again and offers these runs.
+            dispatcher.adoption.runner_called(call, boot_now())
             dispatcher.register_call(replace(call, running=(), free=0), boot_now())
             return Work(dispatcher.epoch)
         called_at = boot_now()
         runner = dispatcher.register_call(call, called_at)
+        dispatcher.adopt(runner, call.held, called_at)
         runner.waiting = True
         runner.wake.clear()
         dispatcher.assign_waiting_items(boot_now())
-        if not (runner.outbox or runner.cancelled or runner.moved):
+        if not (runner.outbox or runner.cancelled or runner.moved or call.held):
             try:
                 async with asyncio.timeout(call.hold_s):
                     await runner.wake.wait()
@@ -286,10 +288,12 @@
             tuple(runner.cancelled),
             tuple(runner.moved),
             runner.answered_at - called_at,
+            tuple(runner.adopted),
         )
         runner.outbox.clear()
         runner.cancelled.clear()
         runner.moved.clear()
+        runner.adopted.clear()
         if not self.has_leader_lease():
             return NotLeader(self._consensus.leader_hint)
         return work
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -103,13 +103,14 @@
     "Route": {"regions": ()},
     "ServiceTerms": {"cold_requests_per_s": 0.0},
     "Snapshot": {"evacuations": ()},
+    "TakeWork": {"held": ()},
     "Tolerance": {"zones": 0},
     "Unchanged": {"cold_shares": {}},
     "View": {"evacuated": (), "evacuation_change": 0, "cold_shares": {}},
     "WireRoute": {"allowed_regions": []},
     "WireService": {"cold_per_s": 0.0},
     "WireTenant": {"allowed_regions": []},
-    "Work": {"held_s": 0.0},
+    "Work": {"held_s": 0.0, "adopted": ()},
 }
 FORM_MARK = "~"
 
--- a/tests/unit/gateway/test_runner.py
+++ b/tests/unit/gateway/test_runner.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
@@ -8,8 +9,9 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.counters import Counters
 from ibisspring_core.messages.directory import Group, Member, View
-from ibisspring_core.messages.jobs import Work
+from ibisspring_core.messages.jobs import AdoptedRun, Work, text_digest
 from ibisspring_core.settings.vm import ENTRY, VmSettings
+from ibisspring_gateway.active_runs import ActiveRun
 from ibisspring_gateway.runner import Runner
 
 SETTINGS = VmSettings("e1", ENTRY, "derby", "10.0.0.1:1", ("10.0.0.2:1",))
@@ -48,7 +50,7 @@
     runner._counters = Counters.from_config(None)
     runner._epoch = 7
     runner._apply_work(Work(7, (ASSIGNMENT,)), begin_by_s)
-    await runner._task_by_number[ASSIGNMENT.number]
+    await runner._runs.by_number[ASSIGNMENT.number].task
     (outcome,) = runner._pending_outcomes
     return outcome.kind
 
@@ -60,3 +62,76 @@
     assert await outcome_of(evacuated, boot_now() + 1.0) == "turned_away"
     assert await outcome_of(gate_with(), boot_now() - 1.0) == "turned_away"
     assert await outcome_of(gate_with(view_age_s=10.0), boot_now() + 1.0) == "turned_away"
+
+
+def runner_with_run(*data: str, kind: str = "") -> tuple[Runner, ActiveRun]:
+    """Build a runner of epoch 7 with one run that has produced events and reported the first."""
+    runner = Runner.from_config(SETTINGS)
+    runner._counters = Counters.from_config(None)
+    runner._epoch = 7
+    run = ActiveRun(ASSIGNMENT, ASSIGNMENT.number, kind=kind)
+    run.progress.data.extend(data)
+    run.progress.versions.extend(4 for _ in data)
+    run.progress.reported_events = 1
+    runner._runs.add(run)
+    return runner, run
+
+
+def adopted_run(run: ActiveRun, *stored: str) -> AdoptedRun:
+    return AdoptedRun(run.key, 31, len(stored), text_digest(stored))
+
+
+async def test_a_run_goes_on_under_a_new_leader_after_the_last_stored_event() -> None:
+    # The jobs' leader is lost. It had stored two events, of which the runner knows only one to be
+    # stored. The next report must begin with the third event, under the new number.
+    runner, run = runner_with_run("a", "b", "c", "d")
+
+    runner._apply_work(Work(8), 0.0)
+    assert runner._runs.by_number == {}
+    (offered,) = runner._runs.offers()
+    assert (offered.item, offered.events) == (ASSIGNMENT.item.item, 4)
+    runner._resume_runs((offered,), (adopted_run(run, "a", "b"),))
+    await runner._report_parts(0.0)
+
+    (part,) = runner._pending_outcomes
+    assert (part.number, part.after, part.output) == (31, 2, "c\nd")
+
+
+async def test_a_text_that_was_completed_without_a_leader_is_reported_to_the_new_one() -> None:
+    runner, run = runner_with_run("a", "b", kind="done")
+
+    runner._apply_work(Work(8), 0.0)
+    runner._resume_runs(runner._runs.offers(), (adopted_run(run, "a"),))
+    await run.task
+
+    (done,) = runner._pending_outcomes
+    assert (done.number, done.kind, done.after, done.output) == (31, "done", 1, "b")
+
+
+async def test_a_run_with_another_text_than_the_stored_one_is_stopped() -> None:
+    # The former leader had given the item to two runners, and the log contains the text of the
+    # other one. Texts of two runs must not be joined.
+    runner, run = runner_with_run("a", "b", "c")
+    stopped = asyncio.create_task(asyncio.sleep(60.0))
+    run.task = stopped
+
+    runner._apply_work(Work(8), 0.0)
+    runner._resume_runs(runner._runs.offers(), (adopted_run(run, "a", "x"),))
+
+    (outcome,) = runner._pending_outcomes
+    assert (outcome.number, outcome.kind, outcome.events) == (31, "broken", 0)
+    assert len(runner._runs) == 0
+    await asyncio.wait([stopped])
+    assert stopped.cancelled()
+
+
+async def test_runs_that_a_new_leader_does_not_adopt_are_stopped() -> None:
+    runner, run = runner_with_run("a")
+    run.task = asyncio.create_task(asyncio.sleep(60.0))
+
+    runner._apply_work(Work(8), 0.0)
+    runner._resume_runs(runner._runs.offers(), ())
+
+    await asyncio.wait([run.task])
+    assert run.task.cancelled()
+    assert len(runner._runs) == 0
--- a/tests/unit/jobs/test_dispatcher.py
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -6,11 +6,19 @@
 from unit.jobs.test_state import job_of
 
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
-from ibisspring_core.messages.jobs import PART, JobItem, Outcome, TakeWork
+from ibisspring_core.messages.jobs import (
+    PART,
+    HeldRun,
+    JobItem,
+    Outcome,
+    TakeWork,
+    text_digest,
+)
 from ibisspring_core.routes import ServiceTerms
 from ibisspring_decisions.dispatch import WaitingItem
 from ibisspring_decisions.paced_sends import WINDOW_S
 from ibisspring_jobs import items as items_module
+from ibisspring_jobs.adoption import MAX_WAIT_S, MIN_WAIT_S
 from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, KeepTexts, RecordResults
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
 from ibisspring_jobs.state import JobsState
@@ -433,3 +441,89 @@
     assigned = harness.poll()
     assert {assignment.endpoint for assignment in assigned} == {ENGINE.endpoint}
     assert {assignment.regions for assignment in assigned} == {("derby",)}
+
+
+def held(item: str, resume_after: int = 0, events: int = 0, key: int = 1) -> HeldRun:
+    return HeldRun(key, "j", item, ENGINE.endpoint, resume_after, events)
+
+
+def offer(harness: DispatcherHarness, *runs: HeldRun, now: float = 0.0):
+    """Let a runner offer its runs to a new leader, and return those that are adopted."""
+    harness.sequence += 1
+    call = TakeWork("e1", "derby", "x", 8, harness.sequence, (), 10, 0.4, held=runs)
+    runner = harness.dispatcher.register_call(call, now)
+    harness.dispatcher.adopt(runner, runs, now)
+    return tuple(runner.adopted)
+
+
+def test_a_new_leader_continues_the_runs_that_a_runner_held(harness) -> None:
+    # The jobs' leader is lost while an engine generates a text, of which two events are stored. The
+    # runner went on reading: the item must neither run again, nor lose or repeat an event.
+    first, *_ = harness.poll()
+    assert harness.report_part(first.number, 0, "a\nb")
+    harness.change_leader()
+
+    (adopted,) = offer(harness, held(first.item.item, events=5))
+
+    assert (adopted.stored_events, adopted.digest) == (2, text_digest(("a", "b")))
+    assert first.item.item not in {assignment.item.item for assignment in harness.poll((1,))}
+    result = harness.end_run(
+        adopted.number, "done", output="c\nd\ne", events=3, versions=(4,), after=2
+    )
+    assert result.output == "a\nb\nc\nd\ne"
+
+
+def test_a_run_that_does_not_continue_the_stored_text_is_not_adopted(harness) -> None:
+    # The former leader had given the item to another runner, which stored more of the text.
+    first, *_ = harness.poll()
+    assert harness.report_part(first.number, 0, "a\nb")
+    harness.change_leader()
+    item = first.item.item
+
+    assert offer(harness, held(item, events=1)) == ()
+    assert offer(harness, held(item, resume_after=3, events=4)) == ()
+    assert offer(harness, held("no such item", events=4)) == ()
+
+
+def test_an_item_is_adopted_once(harness) -> None:
+    # Two runners hold runs of the same item, because the former leader had counted one as lost.
+    first, *_ = harness.poll()
+    harness.change_leader()
+
+    both = offer(
+        harness, held(first.item.item, events=3, key=1), held(first.item.item, events=2, key=2)
+    )
+
+    assert [run.key for run in both] == [1]
+
+
+def test_a_new_leader_assigns_no_items_before_runners_have_offered_their_runs(harness) -> None:
+    # Runners call a new leader one after the other. If it assigned all items to the first one, the
+    # runs that the others hold would be done twice.
+    first, second = harness.poll()
+    harness.change_leader()
+    old_call = TakeWork("e2", "derby", "x", 7, 1, (first.number, second.number), 10, 0.4)
+    harness.dispatcher.adoption.runner_called(old_call, 1.0)
+
+    assert harness.poll(now=1.0) == ()
+    assert harness.poll(now=1.0 + MIN_WAIT_S) == ()
+    harness.dispatcher.adoption.runner_offered("e2")
+    assert len(harness.poll(now=1.0 + MIN_WAIT_S)) == 2
+
+
+def test_a_new_leader_waits_only_so_long_for_a_runner_that_is_lost(harness) -> None:
+    harness.poll()
+    harness.change_leader()
+    old_call = TakeWork("e2", "derby", "x", 7, 1, (1, 2), 10, 0.4)
+    harness.dispatcher.adoption.runner_called(old_call, 1.0)
+
+    assert harness.poll(now=1.0 + MAX_WAIT_S - 0.01) == ()
+    assert len(harness.poll(now=1.0 + MAX_WAIT_S)) == 2
+
+
+def test_a_new_leader_assigns_at_once_to_runners_that_have_just_started(harness) -> None:
+    harness.poll()
+    harness.change_leader()
+    harness.dispatcher.adoption.runner_called(TakeWork("e2", "derby", "x", 0, 1, (), 10, 0.4), 1.0)
+
+    assert len(harness.poll(now=1.0)) == 2
