--- a/tests/integration/test_platform_faults.py
+++ b/tests/integration/test_platform_faults.py
@@ -53,6 +53,32 @@
     assert len({result["id"] for result in read["results"]}) == 30
 
 
+async def test_runs_go_on_while_no_store_leads(system) -> None:
+    # All stores lose power while every slot of the engines is in use, and are back two seconds
+    # later. The engines went on meanwhile: if their runs were not continued by the next leader,
+    # each item would run a second time and the step would end as much later.
+    for engine in system.engines:
+        engine.event_s = 0.1
+        engine.events = 50
+    await system.submit("lot1", job(8))
+    scorers = [engine for engine in system.engines if engine.service == "scorer"]
+    await wait_until(
+        lambda: sum(len(engine.running) for engine in scorers) == 8, "all items to be running"
+    )
+    stores = [name for name in system.process_by_name if name.startswith("store")]
+    for name in stores:
+        system.process_by_name[name].kill()
+    await asyncio.sleep(2.0)
+    for name in stores:
+        system.restart(name)
+
+    read = await system.wait_all_results("lot1", 8)
+
+    assert sorted(run for engine in scorers for run in engine.runs) == [f"i{n}" for n in range(8)]
+    for result in read["results"]:
+        assert result["output"] == "\n".join(f"{result['id']}-{n}" for n in range(1, 51))
+
+
 async def test_what_was_accepted_outlives_the_end_of_all_processes(system) -> None:
     # All VMs lose power right after a job and a configuration were accepted; both must survive.
     await system.submit("lot1", job(4))
