--- a/tests/integration/test_platform_start.py
+++ b/tests/integration/test_platform_start.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from integration.platform_system import PlatformSystem
+from integration.platform_system import LOOKUP, PlatformSystem, platform_system
 from integration.processes import Process, wait_until
 
 # A native library that a daemon imports early in its start.
@@ -55,3 +55,22 @@
         assert await process.terminate() == 0
     finally:
         system.stop()
+
+
+async def test_callers_wait_for_an_entry_while_the_whole_system_restarts(tmp_path) -> None:
+    # All processes ended. A caller whose connection is refused would repeat its request once, be
+    # refused by another entry that is starting as well, and have lost it.
+    async with platform_system(tmp_path) as system:
+        system.stop()
+        for name in system.process_by_name:
+            system.write_boot(name, bootstrap=False)
+        for process in system.process_by_name.values():
+            process.start()
+        entry = system.process_by_name["entry-1"]
+        await wait_until(lambda: is_importing(entry), "the imports")
+
+        status, _ = await system.call("POST", f"{LOOKUP}7", "a1")
+
+        # The entry answers itself once it has started: with the engine's answer, or with a refusal
+        # that says when to come back.
+        assert status in (200, 503)
