Keep an evacuation in force when a lagging leader's view lacks it

A leader that has just been elected may answer a renewal before it has applied its whole log. Route tables are guarded by their version; evacuations had no such guard, so an entry that had confirmed one would have sent requests there again until the next view.

--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -220,6 +220,15 @@
         if view.table is not None and view.table.version > self.table_version:
             self.index = RouteIndex(view.table)
             eliot.log_message("directory_view:table", version=view.table.version)
+        if view.evacuation_change < self.view.evacuation_change:
+            # A newly elected leader may not have applied its whole log yet. What this daemon has
+            # confirmed to the leader before must stay in force.
+            self._counters.add("directory_view.older_evacuations")
+            view = replace(
+                view,
+                evacuated=self.view.evacuated,
+                evacuation_change=self.view.evacuation_change,
+            )
         if view.evacuation_change != self.view.evacuation_change:
             eliot.log_message(
                 "directory_view:evacuated",
