Offer outcomes again that a new leader has ignored

Their report was repeated until a store answered: the new leader, which ignores outcomes of an earlier epoch and answered as if it had recorded them, so the runner dropped the runs. The answer says now whether the outcomes were recorded. Both tests fail without the change.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -367,7 +367,13 @@
 
 @dataclass(frozen=True)
 class WorkReported:
-    """Answer to `ReportWork`: outcomes are recorded, or ignored if of an earlier epoch."""
+    """
+    Answer to `ReportWork`.
+
+    :param accepted: whether the outcomes are recorded; False if they belong to an earlier epoch.
+    """
+
+    accepted: bool = True
 
 
 __all__ = [
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -344,7 +344,7 @@
             if isinstance(answer, Refusal):
                 self._report_due.set()
                 continue
-            if epoch == self._epoch:
+            if answer.accepted and epoch == self._epoch:
                 del self._pending_outcomes[: len(outcomes)]
                 for outcome in outcomes:
                     if outcome.kind != PART:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -302,7 +302,7 @@
         """Process the outcomes of runs, and answer once their texts and results are committed."""
         dispatcher = self.dispatcher()
         if message.epoch != dispatcher.epoch:
-            return WorkReported()
+            return WorkReported(accepted=False)
         results_by_job: dict[str, list[ItemResult]] = {}
         parts_by_job: dict[str, list[TextPart]] = {}
         now = boot_now()
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -110,6 +110,7 @@
     "WireRoute": {"allowed_regions": []},
     "WireService": {"cold_per_s": 0.0},
     "WireTenant": {"allowed_regions": []},
+    "WorkReported": {"accepted": True},
     "Work": {"held_s": 0.0, "adopted": ()},
 }
 FORM_MARK = "~"
--- a/tests/unit/gateway/test_runner.py
+++ b/tests/unit/gateway/test_runner.py
@@ -9,7 +9,7 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.counters import Counters
 from ibisspring_core.messages.directory import Group, Member, View
-from ibisspring_core.messages.jobs import AdoptedRun, Work, text_digest
+from ibisspring_core.messages.jobs import AdoptedRun, Work, WorkReported, text_digest
 from ibisspring_core.settings.vm import ENTRY, VmSettings
 from ibisspring_gateway.active_runs import ActiveRun
 from ibisspring_gateway.runner import Runner
@@ -135,3 +135,27 @@
     await asyncio.wait([run.task])
     assert run.task.cancelled()
     assert len(runner._runs) == 0
+
+
+async def test_outcomes_that_a_new_leader_ignored_are_offered_to_it_again() -> None:
+    # All stores are without power while a text is completed. Its report is repeated until a store
+    # answers, which is the new leader: it ignores outcomes of an earlier epoch. If the runner took
+    # this for a confirmation, the item would run a second time.
+    runner, run = runner_with_run("a", "b", kind="done")
+    answered = asyncio.Event()
+
+    class _NewLeader:
+        async def call(self, message, *timeouts):
+            answered.set()
+            return WorkReported(accepted=False)
+
+    runner.leader = _NewLeader()
+    runner._queue_outcome(run.progress.outcome(run.number, "done"))
+    reporting = asyncio.create_task(runner._report_outcomes())
+    async with asyncio.timeout(5.0):
+        await answered.wait()
+    await asyncio.sleep(0)
+
+    runner._apply_work(Work(8), 0.0)
+    reporting.cancel()
+    assert [held.key for held in runner._runs.offers()] == [run.key]
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -24,6 +24,7 @@
     ReportWork,
     SubmitJob,
     TakeWork,
+    WorkReported,
 )
 from ibisspring_core.settings.vm import STORE, VmSettings
 from ibisspring_core.timer import TimerService
@@ -143,3 +144,12 @@
     assert [result.output for result in read.results] == [text]
     assert await jobs.reads.read_listed(ReadListed(name, "other", 0, 1)) == ResultsRead(0, ())
     assert await jobs.reads.read_listed(ReadListed("unknown", account, 0, 1)) == ResultsRead(0, ())
+
+
+async def test_outcomes_of_an_earlier_epoch_are_not_confirmed(jobs) -> None:
+    service, _ = jobs
+    outcome = Outcome(1, "done", "text", 1, (4,))
+
+    assert await service.report_work(ReportWork("e1", 6, (outcome,))) == WorkReported(
+        accepted=False
+    )
