Name four functions and values by what they do

in_other_data_centres, record_disproofs, _order_endpoints, take_idle: readers stumbled over in_unwanted, add_disproofs, _order_missing (it orders by demand too) and use.

--- a/packages/ibisspring-control/src/ibisspring_control/endpoint_table.py
+++ b/packages/ibisspring-control/src/ibisspring_control/endpoint_table.py
@@ -52,7 +52,7 @@
         self.record_by_id[record.endpoint] = record
         self._received_s_by_id[record.endpoint] = now
 
-    def add_disproofs(self, data: Iterable[bytes]) -> None:
+    def record_disproofs(self, data: Iterable[bytes]) -> None:
         """
         Add disproofs: reports that an engine does not have the weight version that it announced.
 
--- a/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
+++ b/packages/ibisspring-control/src/ibisspring_control/entry_leases.py
@@ -124,7 +124,7 @@
         lease = self._record_renewal(request, received_s)
         for data in request.endpoints:
             self._endpoints.merge(data, received_s)
-        self._endpoints.add_disproofs(request.disproofs)
+        self._endpoints.record_disproofs(request.disproofs)
         self._changed.set()
         await self._hold(request, received_s)
         confirmed = await self._confirm_after_now()
--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -77,7 +77,7 @@
         :param body: request body; empty for none.
         :return: an asynchronous context manager that yields the response.
         """
-        self._kept.use((address,), boot_now())
+        self._kept.take_idle((address,), boot_now())
         return self._session.request(
             method,
             URL(f"http://{address}{target}", encoded=True),
--- a/packages/ibisspring-core/src/ibisspring_core/kept_connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/kept_connections.py
@@ -37,7 +37,7 @@
         if keep_s > MARGIN_S:
             self._expiries_by_key.setdefault(key, deque()).append(now + keep_s - MARGIN_S)
 
-    def use(self, key: tuple[str, ...], now: float) -> bool:
+    def take_idle(self, key: tuple[str, ...], now: float) -> bool:
         """
         Record that a request uses an idle connection: the one that became idle first.
 
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/capacity.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/capacity.py
@@ -246,14 +246,14 @@
         if now - since_s < SURPLUS_HOLD_S:
             return ()
         self._surplus_since_by_service[service] = now
-        in_unwanted = [
+        in_other_data_centres = [
             endpoint
             for endpoint in running
             if endpoint.place.data_centre not in wanted.data_centres
         ]
         cheap = _cheap_count([endpoint.place for endpoint in running])
         kind = CHEAP if cheap > _max_cheap(wanted) else STANDARD
-        chosen = _first_to_stop(in_unwanted or _of_kind(running, kind) or list(running))
+        chosen = _first_to_stop(in_other_data_centres or _of_kind(running, kind) or list(running))
         return (StopEndpoint(chosen.endpoint),)
 
     def _pause(self, place: CapacityPool, until_s: float) -> None:
--- a/packages/ibisspring-directory/src/ibisspring_directory/fleet.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/fleet.py
@@ -68,9 +68,9 @@
             return
         for terms in table.services:
             if terms.scaling is not None:
-                await self._order_missing(terms, now)
+                await self._order_endpoints(terms, now)
 
-    async def _order_missing(self, terms: ServiceTerms, now: float) -> None:
+    async def _order_endpoints(self, terms: ServiceTerms, now: float) -> None:
         evacuated = self._directory.state.evacuated
         serving = self._count_serving(terms.name)
         present = {name: count for name, count in serving.items() if name not in evacuated}
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -158,8 +158,8 @@
         :param group: job id and group of the run's item; the items of a group share their prompt.
         """
         self._paced.record(engine, now)
-        self._idle_by_runner.use((runner, engine), now)
-        self._idle.use((engine,), now)
+        self._idle_by_runner.take_idle((runner, engine), now)
+        self._idle.take_idle((engine,), now)
         self._groups_by_engine.setdefault(engine, set()).add(group)
 
     def run_adopted(self, engine: str, group: tuple[str, str]) -> None:
--- a/tests/unit/core/test_connections.py
+++ b/tests/unit/core/test_connections.py
@@ -33,7 +33,7 @@
 
     assert kept.count_idle(("e1", "engine"), 10.0 - MARGIN_S - 0.01) == 1
     assert kept.count_idle(("e1", "engine"), 10.0 - MARGIN_S) == 0
-    assert not kept.use(("e1", "engine"), 10.0)
+    assert not kept.take_idle(("e1", "engine"), 10.0)
 
 
 def test_each_request_uses_up_one_idle_connection() -> None:
@@ -43,7 +43,7 @@
     kept.add(("e2",), 1.0, 0.0)
 
     assert kept.count_idle(("e2",), 1.0) == 0
-    assert [kept.use(("e1",), 2.0) for _ in range(3)] == [True, True, False]
+    assert [kept.take_idle(("e1",), 2.0) for _ in range(3)] == [True, True, False]
 
 
 async def test_sequential_read_only_requests_share_one_connection() -> None:
