Compute the owners of cold endpoints once for each change of the entries

Each renewal hashed all entries for each cold endpoint: at 380 entries and 600 endpoints 570,000 checks a second of the leader, by arithmetic; nothing while no forwarded service has cold endpoints, as on all deployments today.

--- a/packages/ibisspring-directory/src/ibisspring_directory/cold_engines.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/cold_engines.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.endpoint_table import SERVING
 from ibisspring_core.routes import RouteIndex
 from ibisspring_core.settings.vm import ENTRY
-from ibisspring_decisions.cold_shares import ColdShares
+from ibisspring_decisions.cold_shares import ColdShares, owners_of
 from ibisspring_decisions.paced_sends import forwarded_part, requests_per_window
 
 if TYPE_CHECKING:
@@ -29,6 +29,8 @@
         self._shares = ColdShares(0.0)
         self._table: RouteTable | None = None
         self._limit_by_service: dict[str, int] = {}
+        self._owners_key: tuple[Any, ...] = ()
+        self._endpoints_by_owner: dict[str, list[str]] = {}
 
     def start_term(self, now: float) -> None:
         """Forget the shares of an earlier term; `now` is the start of the new one."""
@@ -46,13 +48,31 @@
         if renew.role != ENTRY or not limits:
             return {}
         active = self._context.sessions.active(now, ENTRY)
-        entries = [_start_of(session.renew) for session in active]
-        shares = {
-            endpoint: self._shares.grant(endpoint, _start_of(renew), entries, limit, now)
-            for endpoint, limit in limits.items()
-        }
+        entries = tuple(_start_of(session.renew) for session in active)
+        entry = _start_of(renew)
+        shares = {}
+        for endpoint in self._owned_by(entry, entries, limits):
+            shares[endpoint] = self._shares.grant(endpoint, entry, entries, limits[endpoint], now)
         return {endpoint: share for endpoint, share in shares.items() if share}
 
+    def _owned_by(
+        self, entry: str, entries: tuple[str, ...], limits: dict[str, int]
+    ) -> tuple[str, ...]:
+        """
+        Return the cold endpoints of which an entry is an owner.
+
+        The owners are computed once for each change of the entries or the cold endpoints: entries
+        renew several times a second.
+        """
+        key = (entries, tuple(sorted(limits.items())))
+        if key != self._owners_key:
+            self._owners_key = key
+            self._endpoints_by_owner = {}
+            for endpoint, limit in limits.items():
+                for owner in owners_of(endpoint, entries, limit):
+                    self._endpoints_by_owner.setdefault(owner, []).append(endpoint)
+        return tuple(self._endpoints_by_owner.get(entry, ()))
+
     def _limit_by_cold_endpoint(self, now: float) -> dict[str, int]:
         limit_by_service = self._limits()
         if not limit_by_service:
