Hash the entries of a cold endpoint once, not again with each grant

The owners are kept in ColdShares now, and both places ask it; they are dropped with the endpoint's coldness. By reading, not measured: no deployment of today forwards requests to a service with cold engines.

Also: the leader's check of loads built the list of evacuated data centres once for each endpoint, ten times a second; it is read once a tick. No behaviour changed; no test was changed.

--- a/packages/ibisspring-decisions/src/ibisspring_decisions/cold_shares.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/cold_shares.py
@@ -45,6 +45,19 @@
     def __init__(self, started_at: float) -> None:
         self._first_grant_at = started_at + SHARE_LEASE_S + WINDOW_S
         self._grants_by_endpoint: dict[str, dict[str, tuple[int, float]]] = {}
+        self._owners_by_endpoint: dict[str, tuple[tuple[str, ...], int, frozenset[str]]] = {}
+
+    def owners(self, endpoint: str, entries: Sequence[str], limit: int) -> frozenset[str]:
+        """
+        Return the owners of an endpoint, as `owners_of`.
+
+        They are computed once for each change of the entries: these renew several times a second.
+        """
+        known = self._owners_by_endpoint.get(endpoint)
+        if known is None or known[:2] != (tuple(entries), limit):
+            known = (tuple(entries), limit, owners_of(endpoint, entries, limit))
+            self._owners_by_endpoint[endpoint] = known
+        return known[2]
 
     def grant(
         self, endpoint: str, entry: str, entries: Sequence[str], limit: int, now: float
@@ -56,7 +69,7 @@
         :param limit: requests per window that all entries together may send to the endpoint.
         :return: requests per window that the entry may send; 0 for none.
         """
-        if now < self._first_grant_at or entry not in owners_of(endpoint, entries, limit):
+        if now < self._first_grant_at or entry not in self.owners(endpoint, entries, limit):
             return 0
         grants = self._grants_by_endpoint.setdefault(endpoint, {})
         for other, (_, until) in list(grants.items()):
@@ -71,10 +84,12 @@
         return share
 
     def forget_others(self, endpoints: frozenset[str], now: float) -> None:
-        """Delete the expired grants of endpoints that are not cold any more."""
+        """Delete the owners and the expired grants of endpoints that are not cold any more."""
         for endpoint, grants in list(self._grants_by_endpoint.items()):
             if endpoint not in endpoints and all(now >= until for _, until in grants.values()):
                 del self._grants_by_endpoint[endpoint]
+        for endpoint in self._owners_by_endpoint.keys() - endpoints:
+            del self._owners_by_endpoint[endpoint]
 
 
 def owner_count(entries: int, limit: int) -> int:
--- a/packages/ibisspring-directory/src/ibisspring_directory/cold_engines.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/cold_engines.py
@@ -7,7 +7,7 @@
 from ibisspring_core.endpoint_table import SERVING
 from ibisspring_core.routes import RouteIndex
 from ibisspring_core.settings.vm import ENTRY
-from ibisspring_decisions.cold_shares import ColdShares, owners_of
+from ibisspring_decisions.cold_shares import ColdShares
 from ibisspring_decisions.paced_sends import forwarded_part, requests_per_window
 
 if TYPE_CHECKING:
@@ -69,7 +69,7 @@
             self._owners_key = key
             self._endpoints_by_owner = {}
             for endpoint, limit in limits.items():
-                for owner in owners_of(endpoint, entries, limit):
+                for owner in self._shares.owners(endpoint, entries, limit):
                     self._endpoints_by_owner.setdefault(owner, []).append(endpoint)
         return tuple(self._endpoints_by_owner.get(entry, ()))
 
--- a/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/engine_loads.py
@@ -86,9 +86,10 @@
             return
         directory = self._directory
         record_by_engine = {}
+        evacuated = directory.state.evacuated
         for received in directory.endpoints.table.records():
             record = received.record
-            if record.data_centre in directory.state.evacuated:
+            if record.data_centre in evacuated:
                 # A load would take its place among the hosts of the model without serving it.
                 continue
             if record.state == SERVING and record.version_by_adapter:
