Split the handling of outcomes off the dispatcher

Change: the functions that apply a run's reported outcome move to outcomes.py without another statement; callers and tests name them by dispatcher.outcomes.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -72,7 +72,7 @@
     for repeat in range(REPEATS):
         if run_ends:
             number = next(iter(dispatcher.run_by_number))
-            dispatcher.process_outcome(Outcome(number, "broken"), repeat * DECISION_EVERY_S)
+            dispatcher.outcomes.process(Outcome(number, "broken"), repeat * DECISION_EVERY_S)
         started_s = time.perf_counter()
         dispatcher.assign_waiting_items((repeat + 1) * DECISION_EVERY_S - 0.01)
         times_s.append(time.perf_counter() - started_s)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -8,25 +8,18 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import eliot
 
-from ibisspring_core.messages.jobs import (
-    PART,
-    AdoptedRun,
-    Assignment,
-    ItemResult,
-    Outcome,
-    TextPart,
-)
+from ibisspring_core.messages.jobs import AdoptedRun, Assignment
 from ibisspring_decisions.dispatch import place_items
 from ibisspring_jobs.adoption import AdoptionWindow, stored_part_of
 from ibisspring_jobs.engines import Engines
 from ibisspring_jobs.items import ItemKey, Items, memory_tokens_of
 from ibisspring_jobs.moves import runs_to_move
-from ibisspring_jobs.progress import ItemProgress, abandoned_result
+from ibisspring_jobs.outcomes import Outcomes
+from ibisspring_jobs.progress import abandoned_result
 from ibisspring_jobs.runners import Runners
 from ibisspring_jobs.runs import Run
 from ibisspring_jobs.surroundings import DispatchContext
@@ -35,13 +28,10 @@
     from collections.abc import Callable
 
     from ibisspring_core.messages.endpoints import EndpointRecord
-    from ibisspring_core.messages.jobs import HeldRun, TakeWork
+    from ibisspring_core.messages.jobs import HeldRun, ItemResult, Outcome, TakeWork
     from ibisspring_jobs.runners import Runner
-    from ibisspring_jobs.state import JobRecord, JobsState
+    from ibisspring_jobs.state import JobsState
 
-# Seconds until an item may run again after a failed run. Without this delay, an engine that fails
-# every request immediately would use up the item's attempts.
-FAILED_RETRY_DELAY_S = 0.2
 # Seconds between the time limit of a job and the abandonment of its items. Without them, a leader
 # whose clock is slightly ahead would abandon the items too early.
 GIVE_UP_SLACK_S = 1.0
@@ -52,6 +42,7 @@
     Assigns items during one epoch: the consensus term of one leader of the jobs' log.
 
     :param run_by_number: the runs that have not ended, by the number of their assignment.
+    :param outcomes: applies the outcomes that runners report.
     :param now: start of the epoch, in seconds since boot.
     """
 
@@ -67,6 +58,9 @@
         self.engines = Engines(context, now)
         self.items = Items(state)
         self.adoption = AdoptionWindow()
+        self.outcomes = Outcomes(
+            state, self.items, self.engines, self.run_by_number, self._remove_run
+        )
 
     def adopt(self, runner: Runner, offered: tuple[HeldRun, ...], now: float) -> None:
         """
@@ -297,132 +291,6 @@
             self.engines.run_started(runner.address, record.endpoint, group, now)
         runner.assign(assignment)
 
-    def split_outcome(self, outcome: Outcome) -> tuple[Outcome, ...]:
-        """
-        Split the outcome of a completed run if earlier parts of the item's text are in the log.
-
-        Without the split, the result would contain the complete text, and these parts would be
-        replicated a second time.
-
-        :return: the last part of the text and the outcome without text; only the unchanged outcome
-            if no part is in the log.
-        """
-        run = self.run_by_number.get(outcome.number)
-        job_record = self._state.job_by_id.get(run.job) if run is not None else None
-        if outcome.kind != "done" or not outcome.events or job_record is None:
-            return (outcome,)
-        if (
-            run.item not in job_record.item_by_id
-            or not self.items.progress_of((run.job, run.item)).events
-        ):
-            return (outcome,)
-        last_part = replace(outcome, kind=PART, whole=True)
-        after = outcome.after + outcome.events
-        return last_part, replace(outcome, output="", events=0, versions=(), after=after)
-
-    def accept_part(self, outcome: Outcome) -> tuple[str, TextPart] | None:
-        """
-        Add the text that a run produced to the progress of its item.
-
-        The last text of a run that ended early is committed in the same way as that of a run in
-        progress. If this text were kept only in memory, the log would lack it, and a new leader
-        would resume the item at the gap.
-
-        :return: job id and the part to be committed to the log; None if the part does not continue
-            the known text, or if the job does not accept the part's weight versions.
-        """
-        run = self.run_by_number.get(outcome.number)
-        job_record = self._state.job_by_id.get(run.job) if run is not None else None
-        if job_record is None or run.item not in job_record.item_by_id:
-            return None
-        progress = self.items.progress_of((run.job, run.item))
-        if progress.events != run.resume_after + outcome.after:
-            return None
-        if progress.complete and not outcome.events:
-            return None
-        part = TextPart(
-            run.item,
-            progress.events,
-            outcome.output,
-            outcome.events,
-            outcome.versions,
-            outcome.whole,
-        )
-        progress.add(part)
-        run.scoring = progress.complete
-        if not progress.versions_allowed(job_record.job):
-            # The run continues, but its text is discarded when it ends; the item then runs again
-            # from the beginning.
-            return None
-        return run.job, part
-
-    def process_outcome(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
-        """
-        Process the outcome of a run that ended.
-
-        An item with a result is not assigned again while the result is being committed.
-
-        :return: job id and result if the item is completed or abandoned; None if the item runs
-            again, or if the outcome is ignored because another run has continued the text.
-        """
-        job_and_result = self._apply_outcome(outcome, now)
-        if job_and_result is not None:
-            self.items.committing.add((job_and_result[0], job_and_result[1].item))
-        return job_and_result
-
-    def _apply_outcome(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
-        run = self.run_by_number.get(outcome.number)
-        if run is None:
-            return None
-        self._remove_run(outcome.number)
-        job_record = self._state.job_by_id.get(run.job)
-        if job_record is None or run.item not in job_record.item_by_id:
-            return None
-        key = (run.job, run.item)
-        progress = self.items.progress_of(key)
-        if progress.events == run.resume_after + outcome.after:
-            progress.add(outcome)
-        elif outcome.kind == "done":
-            # Another run of the item has extended or reset the item's text meanwhile, so the text
-            # of this run does not continue it.
-            return None
-        if not progress.versions_allowed(job_record.job):
-            eliot.log_message("dispatch:versions", item=run.item, versions=progress.versions)
-            progress.reset()
-            return None
-        if outcome.kind == "done":
-            if job_record.item_by_id[run.item].reward is not None and not outcome.score:
-                # The item needs a score, which the outcome lacks. The item gets no result, and only
-                # its reward call is repeated.
-                progress.complete = True
-                self.items.unscored.add(key)
-                return None
-            return run.job, progress.completed_result(run.item, outcome.score)
-        return self._handle_failure(run, outcome, job_record, progress, now)
-
-    def _handle_failure(
-        self, run: Run, outcome: Outcome, job_record: JobRecord, progress: ItemProgress, now: float
-    ) -> tuple[str, ItemResult] | None:
-        eliot.log_message(
-            "dispatch:run_failed",
-            item=run.item,
-            kind=outcome.kind,
-            endpoint=run.endpoint,
-            events=progress.events,
-            whole=progress.complete,
-        )
-        if outcome.kind in ("impossible", "unscored"):
-            return run.job, abandoned_result(run.item)
-        if run.moved or run.scoring:
-            return None
-        self.engines.pause(run.endpoint, job_record.job.model, outcome.kind, now)
-        if outcome.kind == "failed":
-            progress.failures += 1
-            progress.not_before_s = now + FAILED_RETRY_DELAY_S
-            if progress.failures >= job_record.job.max_attempts:
-                return run.job, abandoned_result(run.item)
-        return None
-
     def _drop_lost_run(self, number: int, cause: str) -> None:
         run = self.run_by_number.get(number)
         if run is not None:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -308,14 +308,14 @@
         now = boot_now()
         for reported in message.outcomes:
             dispatcher.release_connection(reported, now)
-            for outcome in dispatcher.split_outcome(reported):
+            for outcome in dispatcher.outcomes.split(reported):
                 if outcome.kind != "done" and (outcome.events or outcome.whole):
-                    job_and_part = dispatcher.accept_part(outcome)
+                    job_and_part = dispatcher.outcomes.accept_part(outcome)
                     if job_and_part is not None:
                         parts_by_job.setdefault(job_and_part[0], []).append(job_and_part[1])
                 if outcome.kind == PART:
                     continue
-                job_and_result = dispatcher.process_outcome(outcome, now)
+                job_and_result = dispatcher.outcomes.process(outcome, now)
                 if job_and_result is not None:
                     results_by_job.setdefault(job_and_result[0], []).append(job_and_result[1])
         dispatcher.assign_waiting_items(now)
--- a/tests/unit/jobs/test_dispatcher.py
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -93,7 +93,7 @@
 
         :return: the result; None if the item is to run again.
         """
-        job_and_result = self.dispatcher.process_outcome(Outcome(number, kind, **fields), now)
+        job_and_result = self.dispatcher.outcomes.process(Outcome(number, kind, **fields), now)
         if job_and_result is not None:
             self.apply(RecordResults(job_and_result[0], (job_and_result[1],)))
         return job_and_result[1] if job_and_result is not None else None
@@ -106,7 +106,7 @@
         :return: whether the dispatcher accepted the text.
         """
         events = output.count("\n") + 1
-        job_and_part = self.dispatcher.accept_part(
+        job_and_part = self.dispatcher.outcomes.accept_part(
             Outcome(number, PART, output, events, versions, 0.0, after)
         )
         if job_and_part is not None:
@@ -275,7 +275,7 @@
     item = harness.dispatcher.run_by_number[number].item
 
     assert (
-        harness.dispatcher.process_outcome(Outcome(number, "done", "a", 1, (4,)), 0.0) is not None
+        harness.dispatcher.outcomes.process(Outcome(number, "done", "a", 1, (4,)), 0.0) is not None
     )
 
     assert item not in {assignment.item.item for assignment in harness.poll(running=(2,))}
--- a/tests/unit/jobs/test_reward_calls.py
+++ b/tests/unit/jobs/test_reward_calls.py
@@ -38,7 +38,7 @@
         events = output.count("\n") + 1 if output else 0
         versions = (4,) if events else ()
         outcome = Outcome(number, PART, output, events, versions, 0.0, after, whole=True)
-        job_and_part = self.dispatcher.accept_part(outcome)
+        job_and_part = self.dispatcher.outcomes.accept_part(outcome)
         if job_and_part is not None:
             self.apply(KeepTexts(job_and_part[0], (job_and_part[1],)))
 
@@ -126,9 +126,9 @@
     # gap there, and the text would be generated again from the gap on.
     number = harness.poll()[0].number
     broken = Outcome(number, "broken", "a", 1, (4,))
-    job_and_part = harness.dispatcher.accept_part(broken)
+    job_and_part = harness.dispatcher.outcomes.accept_part(broken)
     harness.apply(KeepTexts(job_and_part[0], (job_and_part[1],)))
-    harness.dispatcher.process_outcome(broken, 0.0)
+    harness.dispatcher.outcomes.process(broken, 0.0)
     reassigned = harness.poll(now=1.0)[0]
     assert reassigned.resume_after == 1
     harness.report_part(reassigned.number, 0, "b")
@@ -181,7 +181,7 @@
     harness.state.job_by_id["j"].job = dataclasses.replace(
         harness.state.job_by_id["j"].job, min_version=4
     )
-    assert harness.dispatcher.accept_part(outcome) is None
+    assert harness.dispatcher.outcomes.accept_part(outcome) is None
 
     assert harness.end_run(number, "done", after=1, score="stamp") is None
 
--- a/tests/unit/jobs/test_texts_random.py
+++ b/tests/unit/jobs/test_texts_random.py
@@ -92,13 +92,13 @@
     def report(self, outcome: Outcome) -> None:
         """Process an outcome that the entry reports, in the same way as the service `jobs`."""
         dispatcher, harness = self.harness.dispatcher, self.harness
-        for part_or_end in dispatcher.split_outcome(outcome):
+        for part_or_end in dispatcher.outcomes.split(outcome):
             if part_or_end.kind == PART:
-                job_and_part = dispatcher.accept_part(part_or_end)
+                job_and_part = dispatcher.outcomes.accept_part(part_or_end)
                 if job_and_part is not None:
                     harness.apply(KeepTexts(job_and_part[0], (job_and_part[1],)))
                 continue
-            job_and_result = dispatcher.process_outcome(part_or_end, self.now)
+            job_and_result = dispatcher.outcomes.process(part_or_end, self.now)
             if job_and_result is not None:
                 harness.apply(RecordResults(job_and_result[0], (job_and_result[1],)))
 
@@ -175,13 +175,13 @@
 
     def report(self, outcome: Outcome) -> None:
         if outcome.kind != "done" and (outcome.events or outcome.whole):
-            job_and_part = self.harness.dispatcher.accept_part(outcome)
+            job_and_part = self.harness.dispatcher.outcomes.accept_part(outcome)
             if job_and_part is not None:
                 self.harness.apply(KeepTexts(job_and_part[0], (job_and_part[1],)))
                 self.text_committed = self.text_committed or job_and_part[1].whole
         if outcome.kind == PART:
             return
-        job_and_result = self.harness.dispatcher.process_outcome(outcome, self.now)
+        job_and_result = self.harness.dispatcher.outcomes.process(outcome, self.now)
         if job_and_result is not None:
             self.harness.apply(RecordResults(job_and_result[0], (job_and_result[1],)))
 
