--- a/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ibisspring_core.settings.policy import LoadPolicy
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -47,6 +49,7 @@
     :param cold_overshoot: factor by which a cold engine may get more requests per second than its
         service states.
     :param cold_slack: requests that a cold engine may get in a second beyond that.
+    :param policy: optional decisions about load that are in force.
     """
 
     daemon: str
@@ -73,6 +76,7 @@
     evacuate_s: float = 0.0
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
+    policy: LoadPolicy = LoadPolicy()
 
     def is_in_regions(self, data_centre: str, regions: tuple[str, ...] | None) -> bool:
         """
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
@@ -6,6 +6,9 @@
 
 from ibisspring_core.messages.codec import KindCodec
 from ibisspring_core.messages.jobs import ItemResult, Job, TextPart
+from ibisspring_decisions.account_shares import AccountUsage
+from ibisspring_decisions.engine_speed import KnownSpeed
+from ibisspring_decisions.job_admission import Reservation
 
 
 @dataclass(frozen=True)
@@ -62,16 +65,77 @@
     jobs: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class KeepUsage:
+    """Replace the engine time that client accounts have used."""
+
+    usage: tuple[AccountUsage, ...]
+
+
+@dataclass(frozen=True)
+class KeepSpeeds:
+    """Replace the learned speeds of the engines."""
+
+    speeds: tuple[KnownSpeed, ...]
+
+
+@dataclass(frozen=True)
+class ReservePlace:
+    """
+    Promise a place to a rejected job.
+
+    The first reservation of a job stays in force; a second one has no effect, and neither has one
+    of a job that was accepted.
+    """
+
+    reservation: Reservation
+
+
+@dataclass(frozen=True)
+class DropReservations:
+    """Remove the reservations of jobs that returned or whose places have expired."""
+
+    jobs: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class HoldJob:
+    """
+    Hold or release a job. The items of a held job do not start; those that run continue.
+
+    :param request: id of the operator's request.
+    """
+
+    job: str
+    held: bool
+    request: str
+
+
 COMMANDS = KindCodec.from_types(
-    AcceptJob, RecordResults, RecordKept, KeepTexts, CloseJob, ForgetJobs
+    AcceptJob,
+    RecordResults,
+    RecordKept,
+    KeepTexts,
+    CloseJob,
+    ForgetJobs,
+    KeepUsage,
+    KeepSpeeds,
+    ReservePlace,
+    DropReservations,
+    HoldJob,
 )
 
 __all__ = [
     "COMMANDS",
     "AcceptJob",
     "CloseJob",
+    "DropReservations",
     "ForgetJobs",
+    "HoldJob",
+    "KeepSpeeds",
     "KeepTexts",
+    "KeepUsage",
     "RecordKept",
     "RecordResults",
+    "ReservePlace",
 ]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
@@ -15,16 +15,26 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from ibisspring_core.messages.codec import decode, encode
 from ibisspring_core.messages.jobs import ItemResult, Job, JobItem, TextPart
+from ibisspring_decisions.account_shares import AccountUsage
+from ibisspring_decisions.engine_speed import KnownSpeed
+from ibisspring_decisions.job_admission import Reservation
 from ibisspring_jobs.commands import (
     COMMANDS,
     AcceptJob,
     CloseJob,
+    DropReservations,
     ForgetJobs,
+    HoldJob,
+    KeepSpeeds,
     KeepTexts,
+    KeepUsage,
     RecordKept,
     RecordResults,
+    ReservePlace,
 )
 
 if TYPE_CHECKING:
@@ -56,6 +66,25 @@
     texts: tuple[TextPart, ...] = ()
 
 
+@dataclass(frozen=True)
+class JobsSnapshot:
+    """
+    A snapshot that holds more than jobs; a snapshot of jobs alone is the tuple of these.
+
+    :param jobs: all jobs.
+    :param usage: engine time that client accounts have used.
+    :param speeds: learned speeds of engines.
+    :param reservations: places that were promised to rejected jobs.
+    :param held: ids of the jobs that operators hold.
+    """
+
+    jobs: tuple[StoredJob, ...]
+    usage: tuple[AccountUsage, ...] = ()
+    speeds: tuple[KnownSpeed, ...] = ()
+    reservations: tuple[Reservation, ...] = ()
+    held: tuple[str, ...] = ()
+
+
 class JobRecord:
     """
     A job in the memory of a store.
@@ -69,6 +98,7 @@
     :param carried: those of the job's groups that an earlier job of the same account and model had
         as well; the items of these groups start before the job's other items.
     :param parts_by_item: by item id, the parts of the texts of items without a listed result.
+    :param held: an operator holds the job, so that none of its items starts.
     """
 
     def __init__(self, stored: StoredJob) -> None:
@@ -77,6 +107,7 @@
         self.item_by_id: dict[str, JobItem] = {item.item: item for item in stored.job.items}
         self.results: list[ItemResult] = list(stored.results)
         self.ended = stored.ended
+        self.held = False
         self.groups = frozenset(stored.groups)
         self.carried = frozenset(stored.carried)
         self.parts_by_item: dict[str, list[TextPart]] = {}
@@ -119,12 +150,19 @@
 
     Only the consensus service changes this state, by applying committed commands; other services
     read it.
+
+    :param usage: engine time that client accounts have used.
+    :param speeds: learned speeds of engines.
+    :param reservation_by_job: places that were promised to rejected jobs.
     """
 
     name = "jobs_state"
 
     def __init__(self) -> None:
         self.job_by_id: dict[str, JobRecord] = {}
+        self.usage: tuple[AccountUsage, ...] = ()
+        self.speeds: tuple[KnownSpeed, ...] = ()
+        self.reservation_by_job: dict[str, Reservation] = {}
         self._subscribers: list[Callable[[str], None]] = []
         self._apply_by_type: dict[type[Any], Callable[[Any], None]] = {
             AcceptJob: self._accept_job,
@@ -133,6 +171,11 @@
             KeepTexts: self._add_parts,
             CloseJob: self._close_job,
             ForgetJobs: self._remove_jobs,
+            KeepUsage: self._keep_usage,
+            KeepSpeeds: self._keep_speeds,
+            ReservePlace: self._reserve_place,
+            DropReservations: self._drop_reservations,
+            HoldJob: self._hold_job,
         }
 
     async def start(self, kernel: Kernel) -> None:
@@ -163,8 +206,17 @@
         return b""
 
     def snapshot(self) -> bytes:
-        """Encode all jobs, with their results and partial texts, for `restore`."""
-        return encode(tuple(job.to_stored() for job in self.job_by_id.values()))
+        """
+        Encode all jobs, with their results and partial texts, for `restore`.
+
+        A snapshot of jobs alone keeps the form that earlier releases read.
+        """
+        jobs = tuple(job.to_stored() for job in self.job_by_id.values())
+        held = tuple(job_id for job_id, record in self.job_by_id.items() if record.held)
+        reservations = tuple(self.reservation_by_job.values())
+        if not (self.usage or self.speeds or reservations or held):
+            return encode(jobs)
+        return encode(JobsSnapshot(jobs, self.usage, self.speeds, reservations, held))
 
     def restore(self, data: bytes) -> None:
         """
@@ -172,8 +224,15 @@
 
         :param data: a snapshot, as `snapshot` returned it on any store.
         """
-        jobs = decode(data, tuple[StoredJob, ...])
-        self.job_by_id = {stored.job.job: JobRecord(stored) for stored in jobs}
+        snapshot = _decode_snapshot(data)
+        self.job_by_id = {stored.job.job: JobRecord(stored) for stored in snapshot.jobs}
+        for job in snapshot.held:
+            self.job_by_id[job].held = True
+        self.usage = snapshot.usage
+        self.speeds = snapshot.speeds
+        self.reservation_by_job = {
+            reservation.job: reservation for reservation in snapshot.reservations
+        }
         self._notify("")
 
     def _notify(self, job: str) -> None:
@@ -182,6 +241,7 @@
 
     def _accept_job(self, command: AcceptJob) -> None:
         job = command.job
+        self.reservation_by_job.pop(job.job, None)
         if job.job in self.job_by_id:
             return
         items = {item.item: item for item in job.items}
@@ -249,5 +309,33 @@
             if self.job_by_id.pop(job, None) is not None:
                 self._notify(job)
 
+    def _keep_usage(self, command: KeepUsage) -> None:
+        self.usage = command.usage
+
+    def _keep_speeds(self, command: KeepSpeeds) -> None:
+        self.speeds = command.speeds
+
+    def _reserve_place(self, command: ReservePlace) -> None:
+        reservation = command.reservation
+        if reservation.job not in self.job_by_id:
+            self.reservation_by_job.setdefault(reservation.job, reservation)
+
+    def _drop_reservations(self, command: DropReservations) -> None:
+        for job in command.jobs:
+            self.reservation_by_job.pop(job, None)
+
+    def _hold_job(self, command: HoldJob) -> None:
+        job_record = self.job_by_id.get(command.job)
+        if job_record is not None and not job_record.ended:
+            job_record.held = command.held
+            self._notify(command.job)
+
+
+def _decode_snapshot(data: bytes) -> JobsSnapshot:
+    try:
+        return decode(data, JobsSnapshot)
+    except msgspec.ValidationError:
+        return JobsSnapshot(decode(data, tuple[StoredJob, ...]))
+
 
-__all__ = ["JobRecord", "JobsState"]
+__all__ = ["JobRecord", "JobsSnapshot", "JobsState"]
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -37,7 +37,7 @@
 from ibisspring_entry.proxy.engine_wire import EngineLine
 from ibisspring_entry.rollouts.step_request import StepRequest
 from ibisspring_jobs.commands import COMMANDS as JOBS_COMMANDS
-from ibisspring_jobs.state import StoredJob
+from ibisspring_jobs.state import JobsSnapshot, StoredJob
 
 sys.path.append(str(Path(__file__).resolve().parents[3] / "platform"))
 
@@ -69,6 +69,7 @@
     "control_snapshot": ControlSnapshot,
     "directory_snapshot": DirectorySnapshot,
     "jobs_snapshot": tuple[StoredJob, ...],
+    "jobs_snapshot_with_shares": JobsSnapshot,
     "job_group": directory.Group,
     "endpoint_record": EndpointRecord,
 }
--- a/tests/unit/jobs/test_state.py
+++ b/tests/unit/jobs/test_state.py
@@ -2,17 +2,26 @@
 
 import dataclasses
 
+from ibisspring_core.messages.codec import decode
 from ibisspring_core.messages.jobs import COMPLETED, ItemResult, Job, JobItem, TextPart
+from ibisspring_decisions.account_shares import AccountUsage
+from ibisspring_decisions.engine_speed import KnownSpeed
+from ibisspring_decisions.job_admission import Reservation
 from ibisspring_jobs.commands import (
     COMMANDS,
     AcceptJob,
     CloseJob,
+    DropReservations,
     ForgetJobs,
+    HoldJob,
+    KeepSpeeds,
     KeepTexts,
+    KeepUsage,
     RecordKept,
     RecordResults,
+    ReservePlace,
 )
-from ibisspring_jobs.state import JobsState
+from ibisspring_jobs.state import JobsState, StoredJob
 
 
 def job_of(name: str = "j", items: int = 3) -> Job:
@@ -205,3 +214,47 @@
 
     assert state.job_by_id["j"].results == []
     assert "i0" in state.job_by_id["j"].item_by_id
+
+
+def test_a_snapshot_without_new_kinds_of_state_is_readable_by_an_earlier_release() -> None:
+    # Stores are updated one after the other. An older store that cannot decode the snapshot of a
+    # newer one would never catch up.
+    state = state_after(AcceptJob(job_of()))
+
+    assert decode(state.snapshot(), tuple[StoredJob, ...])[0].job.job == "j"
+
+
+def test_usage_speeds_reservations_and_holds_outlive_a_snapshot() -> None:
+    # A store that starts from a snapshot becomes leader. Without this state it would treat all
+    # accounts and engines alike, and a rejected job would not find the place that it was promised.
+    usage = (AccountUsage("scorer", "training", 4.0, 1000.0),)
+    speeds = (KnownSpeed("engine-1", 3, 0.03),)
+    reservation = Reservation("other", "scorer", "training", 1000.0, 1002.0, 1005.0, 12.0)
+    state = state_after(
+        AcceptJob(job_of()),
+        KeepUsage(usage),
+        KeepSpeeds(speeds),
+        ReservePlace(reservation),
+        HoldJob("j", True, "r1"),
+    )
+    restored = JobsState()
+    restored.restore(state.snapshot())
+
+    assert restored.usage == usage
+    assert restored.speeds == speeds
+    assert restored.reservation_by_job == {"other": reservation}
+    assert restored.job_by_id["j"].held
+    assert restored.snapshot() == state.snapshot()
+
+
+def test_the_first_reservation_of_a_job_stays_in_force_until_it_is_accepted_or_dropped() -> None:
+    # The rejection with its retry time is lost, and the same job is rejected again through another
+    # entry. A second reservation would move the job behind those that were rejected after it.
+    first = Reservation("j", "scorer", "training", 1000.0, 1002.0, 1005.0, 12.0)
+    second = dataclasses.replace(first, not_before_s=1009.0)
+    state = state_after(ReservePlace(first), ReservePlace(second))
+
+    assert state.reservation_by_job == {"j": first}
+    assert not state_after(ReservePlace(first), AcceptJob(job_of())).reservation_by_job
+    assert not state_after(ReservePlace(first), DropReservations(("j",))).reservation_by_job
+    assert not state_after(AcceptJob(job_of()), ReservePlace(first)).reservation_by_job
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from ibisspring_platform.settings import SETTINGS_FILE_VARIABLE, read_settings
+from ibisspring_core.settings.policy import LoadPolicy
+from ibisspring_platform.settings import POLICY_VARIABLE, SETTINGS_FILE_VARIABLE, read_settings
 
 REPOSITORY = Path(__file__).resolve().parents[3]
 BOOT = {
@@ -143,3 +144,16 @@
 
     settings = read({**BOOT, "zones": zones, "fault_tolerance": {"machines": 2}})
     assert (settings.voters, settings.most_voters_per_data_centre) == (5, None)
+
+
+def test_the_policy_of_the_deploy_file_is_part_of_the_settings(read, monkeypatch) -> None:
+    monkeypatch.setenv(POLICY_VARIABLE, "shares, most_engines=40")
+
+    assert read(BOOT).policy == LoadPolicy(shares=True, most_engines=40)
+
+
+def test_a_misspelt_policy_prevents_the_start(read, monkeypatch) -> None:
+    # The daemon would otherwise run without a decision that its operator relies on.
+    monkeypatch.setenv(POLICY_VARIABLE, "share")
+
+    assert [finding.place for finding in read(BOOT)] == [POLICY_VARIABLE]
