--- a/packages/ibisspring-decisions/src/ibisspring_decisions/call_window.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/call_window.py
@@ -11,9 +11,8 @@
 A sender therefore starts with a small limit (its call window) and raises it only while texts wait
 for their calls, since each concurrent call needs a connection, which has a cost, and a text that
 waits for up to `GROW_AFTER_WAIT_S` does not delay its step. Rejections by endpoints lower the
-limit. The duration of calls is not used as a signal, because it varies by more than queueing adds:
-when it was used, limits shrank to one call, and the median call took 0.77 s including its wait, of
-which 0.2 s was work.
+limit. The duration of calls is not used as a signal: it varies by more than queueing adds, so that
+limits would shrink to one call without need.
 """
 
 from __future__ import annotations
@@ -25,9 +24,8 @@
 # duration of one call; a step lasts seconds.
 GROW_AFTER_WAIT_S = 0.25
 # Seconds between two increases of the limit by one call, while calls wait for more than
-# `GROW_AFTER_WAIT_S`. With one increase per second, sixteen texts that end together at one sender
-# are all scored after a second. With growth at each call that waited, 110 of 800 replayed lookups
-# were rejected while the senders searched for their limits.
+# `GROW_AFTER_WAIT_S`. Sixteen texts that end together at one sender are all scored after a second;
+# faster growth makes the endpoints reject lookups while the senders search for their limits.
 GROW_EVERY_S = 1.0
 # Seconds after a rejection by the endpoints during which the limit does not grow: 2 s, because a
 # full service has free slots again within the duration of a few calls.
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/queueing.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/queueing.py
@@ -35,12 +35,10 @@
 
 # Seconds by which a request is moved back in its account's queue for each second of its expected
 # work: short requests overtake a long one for at most four times the long one's expected seconds.
-# With 1.0, lookups that arrived a few seconds after a batch of long work still waited behind all of
-# it.
+# A lookup that arrives a few seconds after a batch of long work does not wait behind all of it.
 OVERTAKING_FACTOR = 4.0
-# Largest number of queued requests of all accounts at one entry. At 3,600 requests per second over
-# 380 entries, 2,000 requests are minutes of arrivals at one entry. At some kilobytes each, these
-# requests fit into an entry's memory.
+# Largest number of queued requests of all accounts at one entry: minutes of arrivals, which at some
+# kilobytes each fit into an entry's memory.
 MAX_WAITING = 2_000
 MIN_RETRY_AFTER_S = 0.1
 # Longest retry time in seconds that a rejection states: an estimate beyond 60 s is too uncertain.
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
@@ -28,10 +28,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-# Largest share of the engines that load weights at a time. With more than two fifths, a step that
-# begins would find fewer than half of the slots free. The limit grows with the fleet because a
-# fixed limit of two was the bottleneck of twenty engines: loads came later than the versions that
-# jobs asked for.
+# Largest share of the engines that load weights at a time, so that a step that begins finds half of
+# the slots free. A share grows with the fleet: with a fixed number, the loads of a large fleet
+# would end later than the jobs ask for their versions.
 MAX_LOADING_SHARE = 0.4
 MIN_LOADS_AT_ONCE = 2
 
