Repeat a request until it is answered or its time is over

Cause: a forwarded request that may be repeated ended without an answer while most of its time was left: after `max_attempts` failures, after two connections that did not open (0.5 s each, and counted as "may have run"), when both attempts used silent connections of the pool, when no endpoint served at the moment, when a split route drew a service without endpoints, when two frozen endpoints held it although a third was well, and when an entry had no route table yet. The caller repeats once only.

Change: `attempt_plan` (pure) decides on each attempt; `RepeatedExchange` follows it for idempotent requests. An endpoint that got no byte does not count towards `max_attempts`; the same endpoints are asked again, with growing pauses and within a budget (0.2 a request, 1 a second). Attempts after silence or a broken connection open a new one. With 0.6 of the route's time left for the caller's repetition at another entry, a request without an attempt in progress is handed back, and one that only silent endpoints hold if the repetition may reach others. The delay is the 0.95 quantile of the service's recent attempts, between 0.1 and 0.5 of the target; below ten answers it is half of the target.

Ruled out: refusing at once when there is no endpoint (uses up the caller's one repetition within 0.3 s); waiting to the deadline (leaves none); shrinking the delay with fewer than ten answers (one slow start would move it); repeating reward calls here (`RewardCalls` repeats them, and counts failures towards an item's end).

Not played with real processes.

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._new_session: aiohttp.ClientSession | None = None
         self._kept = IdleConnections()
 
     async def start(self, kernel: Kernel) -> None:
@@ -54,19 +55,23 @@
             keepalive_timeout=IDLE_S,
             socket_factory=_open_socket,
         )
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            skip_auto_headers=_SUPPRESSED_HEADERS,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-        )
+        self._session = _open_session(connector)
 
     async def stop(self) -> None:
         """Close the pool and its connections."""
         await self._session.close()
+        if self._new_session is not None:
+            await self._new_session.close()
 
     def request(
-        self, method: str, address: str, target: str, headers: Headers, body: bytes
+        self,
+        method: str,
+        address: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        is_new: bool = False,
     ) -> aiohttp.client._RequestContextManager:
         """
         Send a request without changing or adding headers, and without following redirects.
@@ -75,17 +80,31 @@
         :param target: path and query, sent as given.
         :param headers: pairs of name and value.
         :param body: request body; empty for none.
+        :param connect_timeout_s: seconds to wait for a connection if none is idle.
+        :param is_new: use a connection that is not in the pool and is closed after the response.
+            All idle connections may be silent without an error, for example after a device on the
+            way has lost its state; a new one still reaches the endpoint.
         :return: an asynchronous context manager that yields the response.
         """
-        self._kept.take_idle((address,), boot_now())
-        return self._session.request(
+        if not is_new:
+            self._kept.take_idle((address,), boot_now())
+        return self._session_for(is_new).request(
             method,
             URL(f"http://{address}{target}", encoded=True),
             headers=headers,
             data=body or None,
             allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         )
 
+    def _session_for(self, is_new: bool) -> aiohttp.ClientSession:
+        if not is_new:
+            return self._session
+        if self._new_session is None:
+            connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_open_socket)
+            self._new_session = _open_session(connector)
+        return self._new_session
+
     async def fetch(self, request: HttpRequest, timeout_s: float) -> HttpAnswer | NoAnswer:
         """
         Send a read-only request over a pooled connection.
@@ -128,6 +147,14 @@
         return keep_s
 
 
+def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=_SUPPRESSED_HEADERS,
+    )
+
+
 def keep_alive_s(headers: Headers) -> float:
     """
     Read the keep-alive time from response headers.
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
@@ -44,10 +44,25 @@
     The reason why an attempt at one endpoint got no usable response.
 
     :param may_have_run: the endpoint may have run the request.
+    :param sent: a part of the request may have been sent to the endpoint.
     """
 
     reason: Reason
     may_have_run: bool
+    sent: bool = True
 
 
-__all__ = ["EndpointResponse", "FailedAttempt", "SendResult"]
+@dataclass(frozen=True)
+class ConnectTerms:
+    """
+    How an attempt gets its connection.
+
+    :param timeout_s: seconds to wait until a connection that is not in the pool is open.
+    :param is_new: the attempt uses no connection of the pool.
+    """
+
+    timeout_s: float
+    is_new: bool
+
+
+__all__ = ["ConnectTerms", "EndpointResponse", "FailedAttempt", "SendResult"]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
@@ -188,12 +188,22 @@
     def _final_answer(self) -> EndpointResponse | Refusal:
         if self._error_answer is not None:
             return self._error_answer
-        if self._last_reason is Reason.TIMEOUT:
-            return Refusal(Reason.TIMEOUT, not self.may_have_run, None)
-        if self.may_have_run:
-            return Refusal(self._last_reason, False, None)
-        lasting = self._last_reason in (Reason.EVACUATED, Reason.OUTSIDE_REGIONS)
-        return Refusal(self._last_reason, True, LASTING_RETRY_AFTER_S if lasting else RETRY_AFTER_S)
+        return final_refusal(self._last_reason, self.may_have_run)
+
+
+def final_refusal(reason: Reason, may_have_run: bool) -> Refusal:
+    """
+    Build the refusal of a request that no endpoint answered.
+
+    :param reason: why the last attempt failed, or why there was none.
+    :param may_have_run: at least one endpoint may have run the request.
+    """
+    if reason is Reason.TIMEOUT:
+        return Refusal(Reason.TIMEOUT, not may_have_run, None)
+    if may_have_run:
+        return Refusal(reason, False, None)
+    lasting = reason in (Reason.EVACUATED, Reason.OUTSIDE_REGIONS)
+    return Refusal(reason, True, LASTING_RETRY_AFTER_S if lasting else RETRY_AFTER_S)
 
 
 def choose_service(route: Route) -> str:
@@ -207,4 +217,11 @@
     return random.choices(names, weights)[0]
 
 
-__all__ = ["Exchange", "LASTING_RETRY_AFTER_S", "REASONS_BY_DURATION", "choose_service"]
+__all__ = [
+    "ENDPOINT_FAILURE_STATUS",
+    "Exchange",
+    "LASTING_RETRY_AFTER_S",
+    "REASONS_BY_DURATION",
+    "choose_service",
+    "final_refusal",
+]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -10,18 +10,24 @@
 import eliot
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.connections import headers_of
+from ibisspring_core.connections import CONNECT_TIMEOUT_S, headers_of
 from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.routes.model import RepeatRule
+from ibisspring_decisions.hedging import HedgeDelays, SuspectEndpoints
 from ibisspring_decisions.routing import Candidate, Router
 from ibisspring_gateway.attempts import EndpointResponse, FailedAttempt, SendResult
-from ibisspring_gateway.exchange import REASONS_BY_DURATION, Exchange
+from ibisspring_gateway.exchange import ENDPOINT_FAILURE_STATUS, REASONS_BY_DURATION, Exchange
+from ibisspring_gateway.repeated_exchange import RepeatedExchange
 from ibisspring_gateway.wire import ResponseKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.routes.model import Route
     from ibisspring_core.settings.vm import VmSettings
+    from ibisspring_gateway.attempts import ConnectTerms
     from ibisspring_gateway.wire import CallerRequest
 
 
@@ -30,7 +36,10 @@
 
     name = "forwarder"
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, repeats: bool = False) -> None:
+        self._repeats = repeats
+        self.delays = HedgeDelays.from_defaults()
+        self.suspects = SuspectEndpoints()
         self._router = Router.from_data_centre(data_centre, random.Random())
         self._in_flight_by_endpoint: dict[str, int] = {}
         self._background_attempts: set[asyncio.Task[EndpointResponse | FailedAttempt]] = set()
@@ -40,9 +49,10 @@
         """
         Build the forwarder of an entry, which prefers endpoints in its own data centre.
 
-        :param settings: validated settings of the entry.
+        :param settings: validated settings of the entry; its policy decides whether requests are
+            repeated until they are answered.
         """
-        return cls(settings.data_centre)
+        return cls(settings.data_centre, settings.policy.hedging)
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that the forwarder uses, such as the directory view."""
@@ -68,9 +78,11 @@
         """
         time_limit_s = min(route.timeout_s, request.remaining_s or route.timeout_s)
         started_at_s = boot_now()
-        exchange = Exchange(
-            self, request, route, started_at_s + time_limit_s, started_at_s + time_limit_s
-        )
+        deadline_at_s = started_at_s + time_limit_s
+        if self._repeats and route.repeat is RepeatRule.IDEMPOTENT:
+            exchange = RepeatedExchange(self, request, route, deadline_at_s)
+        else:
+            exchange = Exchange(self, request, route, deadline_at_s, deadline_at_s)
         answer = await exchange.run()
         if exchange.may_have_run or isinstance(answer, EndpointResponse):
             self._usage.count_request(request.client_account, boot_now() - started_at_s)
@@ -120,12 +132,30 @@
         :param at_most_once: the request must not run twice.
         :return: the endpoint; None where the service has no endpoint that was not tried.
         """
+        return self.choose_among(
+            service, lambda endpoint: endpoint not in tried_endpoints, at_most_once, regions
+        )
+
+    def choose_among(
+        self,
+        service: str,
+        is_allowed: Callable[[str], bool],
+        at_most_once: bool,
+        regions: tuple[str, ...] | None,
+    ) -> EndpointRecord | None:
+        """
+        Choose one of the allowed endpoints of a service, as `choose_endpoint`.
+
+        :param is_allowed: whether an endpoint, given by its id, may get the request.
+        """
         record_by_id = {
             record.endpoint: record
             for record in self._view.serving(service)
-            if record.endpoint not in tried_endpoints
-            and self._gate.refusal(record, regions) is None
+            if is_allowed(record.endpoint) and self._gate.refusal(record, regions) is None
         }
+        if self._repeats:
+            trusted = self.suspects.without_suspects(record_by_id, boot_now())
+            record_by_id = {endpoint: record_by_id[endpoint] for endpoint in trusted}
         candidates = tuple(self._candidate(record) for record in record_by_id.values())
         chosen = self._router.choose(candidates, boot_now(), repeatable=not at_most_once)
         return record_by_id[chosen] if chosen is not None else None
@@ -160,6 +190,10 @@
         """Count an attempt that was started because the first endpoint was slow."""
         self._counters.add("forward.hedged")
 
+    def count_empty_budget(self) -> None:
+        """Count an attempt that was not made because the budget is used up."""
+        self._counters.add("forward.budget_empty")
+
     def finish_in_background(
         self, attempts: set[asyncio.Task[EndpointResponse | FailedAttempt]]
     ) -> None:
@@ -179,6 +213,7 @@
         record: EndpointRecord,
         deadline_at_s: float,
         endpoint_deadline_at_s: float,
+        connect: ConnectTerms | None = None,
     ) -> EndpointResponse | FailedAttempt:
         """
         Send a request to one endpoint and read its complete response.
@@ -187,6 +222,7 @@
         :param deadline_at_s: boot-clock time at which this attempt times out.
         :param endpoint_deadline_at_s: boot-clock time at which the endpoint is asked to stop
             working on the request.
+        :param connect: how the attempt gets its connection; None for the terms of the pool.
         """
         self._in_flight_by_endpoint[record.endpoint] = (
             self._in_flight_by_endpoint.get(record.endpoint, 0) + 1
@@ -194,11 +230,16 @@
         started_at_s = boot_now()
         try:
             async with asyncio.timeout(deadline_at_s - started_at_s):
-                answer = await self._send_attempt(request, record, endpoint_deadline_at_s)
+                answer = await self._send_attempt(request, record, endpoint_deadline_at_s, connect)
+        except aiohttp.ConnectionTimeoutError:
+            # No connection was opened, so nothing was sent.
+            answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, sent=False)
+            if not self._repeats:
+                answer = FailedAttempt(Reason.TIMEOUT, True)
         except TimeoutError:
             answer = FailedAttempt(Reason.TIMEOUT, True)
         except aiohttp.ClientConnectorError:
-            answer = FailedAttempt(Reason.ENDPOINT_FAILED, False)
+            answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, sent=False)
         except (aiohttp.ClientError, OSError):
             answer = FailedAttempt(Reason.ENDPOINT_FAILED, True)
         finally:
@@ -216,6 +257,11 @@
         self._counters.observe("try_seconds", took_s, _outcome_of(answer))
         if isinstance(answer, EndpointResponse):
             self._router.record_success(record.endpoint, took_s)
+            if answer.status >= ENDPOINT_FAILURE_STATUS:
+                self.suspects.mark(record.endpoint, boot_now())
+                return
+            self.suspects.clear(record.endpoint)
+            self.delays.record(record.service, took_s, boot_now())
             return
         self._counters.retried(answer.reason)
         if answer.reason in REASONS_BY_DURATION:
@@ -230,16 +276,29 @@
             after_s=round(took_s, 3),
         )
         self._router.record_failure(record.endpoint, boot_now())
+        self.suspects.mark(record.endpoint, boot_now())
 
     async def _send_attempt(
-        self, request: CallerRequest, record: EndpointRecord, endpoint_deadline_at_s: float
+        self,
+        request: CallerRequest,
+        record: EndpointRecord,
+        endpoint_deadline_at_s: float,
+        connect: ConnectTerms | None,
     ) -> EndpointResponse | FailedAttempt:
         refusal = self._gate.request_refusal(record, request.regions)
         if refusal is not None:
-            return FailedAttempt(refusal, False)
+            return FailedAttempt(refusal, False, sent=False)
         headers = self._wire.call_headers(request, record, endpoint_deadline_at_s - boot_now())
+        timeout_s = connect.timeout_s if connect is not None else CONNECT_TIMEOUT_S
+        is_new = connect is not None and connect.is_new
         request_context = self._connections.request(
-            request.method, record.address, request.target, headers, request.body
+            request.method,
+            record.address,
+            request.target,
+            headers,
+            request.body,
+            timeout_s,
+            is_new,
         )
         async with request_context as response:
             response_headers = headers_of(response)
@@ -252,7 +311,8 @@
                 response.close()
                 return FailedAttempt(Reason.MISMATCHED_ANSWER, True)
             body = await response.read()
-            self._connections.record_idle(record.address, response_headers)
+            if not is_new:
+                self._connections.record_idle(record.address, response_headers)
             if response_kind in (ResponseKind.REJECTED, ResponseKind.OTHER_ENDPOINT):
                 return FailedAttempt(Reason.ENDPOINT_REFUSED, False)
             return EndpointResponse(response.status, response_headers, body)
