Let operators hold, release and end jobs, and see why items wait

Cause: an operator could see no queue, wait or share of a client account's jobs and could neither hold nor end a job; `explain` did not say why an item waited.

Change: service operator_calls on the jobs' leader (messages job_control), commands `jobs list|show|hold|release|end` and `accounts shares`, service jobs_wait_log (`jobs:waits` when the causes of a job's wait change, checked once a second), `explain` sums these up.

Ruled out: request times as order (clocks of operators differ); a leader's change number (a repeat at another leader could not be told from a new request).

--- a/packages/ibisspring-cli/src/ibisspring_cli/explain.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/explain.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from ibisspring_cli.explanations import ExplainedLine, Explanation
     from ibisspring_cli.log_lines import ClockNote
+    from ibisspring_cli.wait_times import WaitTime
 
 
 @click.command()
@@ -61,6 +62,7 @@
             f"dropped by the daemons' log limits in this period: {dropped} lines of {kind}"
         )
     lines += [f"meaning of {meaning}" for meaning in explanation.meanings]
+    lines += [_format_wait(wait) for wait in explanation.waits]
     return lines
 
 
@@ -75,6 +77,14 @@
     )
 
 
+def _format_wait(wait: WaitTime) -> str:
+    until = f"for {wait.seconds:.1f} s" if wait.seconds is not None else "until the end of the logs"
+    return (
+        f"items of {wait.job} waited {until} from {wait.from_s:+.1f} s on: "
+        f"{', '.join(wait.reasons)} ({wait.meaning})"
+    )
+
+
 def _format_value(value: Any) -> str:
     return value if isinstance(value, str) else json.dumps(value)
 
@@ -107,6 +117,15 @@
             {"process": note.process, "start": note.boot_index, "steps_s": list(note.steps_s)}
             for note in explanation.clocks
         ],
+        "waits": [
+            {
+                "job": wait.job,
+                "from_s": wait.from_s,
+                "seconds": wait.seconds,
+                "reasons": list(wait.reasons),
+            }
+            for wait in explanation.waits
+        ],
         "left_out": explanation.dropped_by_kind,
     }
 
--- a/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_cli.log_lines import merge_in_time_order
+from ibisspring_cli.wait_times import wait_times
 from ibisspring_core.errors import Reason
 from ibisspring_core.logs import DROPPED_LINES_KIND
 
@@ -14,6 +15,7 @@
     from collections.abc import Iterable
 
     from ibisspring_cli.log_lines import ClockNote, LogLine
+    from ibisspring_cli.wait_times import WaitTime
 
 # Period, in seconds, of the other lines that are selected as context: from 10 s before the first
 # line with the wanted id to 1 s after the last one. The state that daemons logged shortly before a
@@ -44,6 +46,8 @@
     Reason.LEASE_LAPSED.value: "this entry had no recent answer from control: look at its "
     "directory_view:no_leader",
     Reason.NO_LEADER.value: "no control daemon was leader, or the leader was unreachable",
+    Reason.CANNOT_FINISH.value: "the job would have ended after its time limits, or made accepted "
+    "jobs late: see predicted_end_s and retry_after_s of jobs:rejected",
     # Outcomes of the run of a job's item on an engine; see `Outcome.kind`.
     "broken": "the engine's stream broke or stalled; the item continues on another engine",
     "failed": "the engine reported that this run failed; the item is retried",
@@ -80,12 +84,14 @@
     :param clocks: the boot clocks by which the lines were ordered.
     :param dropped_by_kind: number of lines, by `message_type`, that daemons did not log in this
         period because of their log limits.
+    :param waits: how long and why the items of the job waited, or of the item's job.
     """
 
     lines: tuple[ExplainedLine, ...]
     meanings: tuple[str, ...]
     clocks: tuple[ClockNote, ...]
     dropped_by_kind: dict[str, int]
+    waits: tuple[WaitTime, ...] = ()
 
 
 def explain(wanted: str, lines: Iterable[LogLine]) -> Explanation:
@@ -119,7 +125,10 @@
             _add_counts(dropped_by_kind, line.fields.get("count"))
         if is_direct or (in_period and _is_context(line, related)):
             explained.append(ExplainedLine(round(at_s - first_s, 4), is_direct, line))
-    return Explanation(tuple(explained), _meanings(explained), tuple(clocks), dropped_by_kind)
+    waits = wait_times([(at_s - first_s, line) for at_s, line in timed], related | wanted_ids)
+    return Explanation(
+        tuple(explained), _meanings(explained), tuple(clocks), dropped_by_kind, waits
+    )
 
 
 def _add_counts(total_by_kind: dict[str, int], counts: Any) -> None:
--- a/packages/ibisspring-cli/src/ibisspring_cli/main.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/main.py
@@ -4,10 +4,12 @@
 
 import click
 
+from ibisspring_cli.accounts import accounts
 from ibisspring_cli.control import control
 from ibisspring_cli.endpoints import endpoint
 from ibisspring_cli.evacuate import evacuate
 from ibisspring_cli.explain import explain
+from ibisspring_cli.jobs import jobs
 from ibisspring_cli.keys import key
 from ibisspring_cli.options import Options
 from ibisspring_cli.rules import rules
@@ -56,6 +58,7 @@
       ibisspring rules apply rules.txt --base 3   replace version 3; waits for all entries
       ibisspring status                           show leader, entries, endpoints, trainers
       ibisspring evacuate start derby             keep new requests from a data centre
+      ibisspring jobs show JOB                    show why a job's items wait
       ibisspring explain ID LOG...                show from log files what happened to a request
 
     \b
@@ -73,7 +76,20 @@
     context.default_map = {"control": {"addresses": addresses, "as_json": as_json}}
 
 
-for command in (control, endpoint, evacuate, explain, key, rules, settings, status, usage):
+COMMANDS = (
+    accounts,
+    control,
+    endpoint,
+    evacuate,
+    explain,
+    jobs,
+    key,
+    rules,
+    settings,
+    status,
+    usage,
+)
+for command in COMMANDS:
     main.add_command(command)
 
 __all__ = ["main"]
--- a/packages/ibisspring-cli/src/ibisspring_cli/system_status.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/system_status.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ibisspring_cli.jobs_leader import stores_of
 from ibisspring_cli.session import EXIT_UNREACHABLE, fail, show
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason
@@ -54,9 +55,7 @@
         directory = await control.call(ReadDirectoryStatus(), timeout_s, CALL_TIMEOUT_S)
         if not isinstance(directory, DirectoryStatus):
             return directory, None
-        stores = [daemon for daemon in directory.daemons if daemon.role == "store"]
-        stores.sort(key=lambda store: not store.leads_jobs)
-        addresses = tuple(store.address for store in stores)
+        addresses = stores_of(directory)
         if not addresses:
             return directory, None
         jobs = LeaderClient(client, lambda: addresses)
@@ -120,6 +119,8 @@
     ]
     for job in status.jobs:
         state = "ended" if job.ended else f"{job.running} running, {job.halves} partly generated"
+        if job.held and not job.ended:
+            state += ", held"
         lines.append(
             f"  {job.job:<22} {job.client_account:<14} {job.model:<14} "
             f"{job.listed} of {job.total} listed, {state}, {job.age_s} s old"
--- a/packages/ibisspring-core/src/ibisspring_core/messages/status.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/status.py
@@ -102,6 +102,7 @@
     :param halves: number of items without a result whose partial output is stored.
     :param ended: whether the job has ended.
     :param age_s: seconds since the submission.
+    :param held: whether an operator holds the job.
     """
 
     job: str
@@ -113,6 +114,7 @@
     halves: int
     ended: bool
     age_s: float
+    held: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
@@ -103,12 +103,17 @@
     """
     Hold or release a job. The items of a held job do not start; those that run continue.
 
+    The command has no effect if it was applied before, or if another request was applied since the
+    one that its operator has read.
+
     :param request: id of the operator's request.
+    :param after: id of the newest request that the operator has read; empty for none.
     """
 
     job: str
     held: bool
     request: str
+    after: str = ""
 
 
 COMMANDS = KindCodec.from_types(
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -62,6 +62,11 @@
             state, self.items, self.engines, self.run_by_number, self._remove_run
         )
 
+    @property
+    def context(self) -> DispatchContext:
+        """The callbacks through which the dispatcher reads the directory view."""
+        return self._context
+
     def adopt(self, runner: Runner, offered: tuple[HeldRun, ...], now: float) -> None:
         """
         Adopt the runs of earlier epochs that a runner offers, as far as they still have a use.
@@ -128,7 +133,9 @@
         """Move runs from engines much slower than the median to engines with free slots."""
         runs = tuple(self.run_by_number.values())
         for run in runs_to_move(self._state, self._context, self.engines, self.items, runs, now):
-            self._request_move(run)
+            # The item of a held job would not start again.
+            if not self._state.job_by_id[run.job].held:
+                self._request_move(run)
 
     def _request_move(self, run: Run) -> None:
         run.moved = True
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -123,7 +123,8 @@
         """
         Yield the items whose text is complete and whose reward call is assigned to no runner.
 
-        Items that meanwhile have a listed result are skipped and removed from `unscored`.
+        Items that meanwhile have a listed result are skipped and removed from `unscored`. Items of
+        held jobs are skipped.
         """
         for key in sorted(self.unscored):
             job_record = self._state.job_by_id.get(key[0])
@@ -134,16 +135,18 @@
             ):
                 self.unscored.discard(key)
                 continue
+            if job_record.held:
+                continue
             if key not in self._runs_by_key and key not in self.committing:
                 yield key
 
     def services(self) -> frozenset[str]:
-        """Return the names of the services that have items without a listed result."""
+        """Return the names of the services that have items which may start."""
         return frozenset(job_record.job.service for job_record in self._open_jobs())
 
     def _open_jobs(self) -> Iterator[JobRecord]:
         for job_record in self._state.job_by_id.values():
-            if job_record.item_by_id and not job_record.ended:
+            if job_record.item_by_id and not job_record.ended and not job_record.held:
                 yield job_record
 
     def waiting(self, service: str, engines: Engines, now: float) -> Iterator[WaitingItem]:
@@ -151,7 +154,8 @@
         Yield the items of a service that may start now, in the order in which they should start.
 
         Items are skipped while they run, while their result is being committed, until the delay
-        after a failed run has passed, and while no engine may run their job.
+        after a failed run has passed, while no engine may run their job, and while an operator
+        holds it.
 
         :param now: seconds since boot.
         """
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
@@ -48,23 +48,35 @@
 
     async def find_job(self, message: Any) -> JobRecord | Any:
         """
-        Find the job that a message names.
+        Find the job that a caller's message names.
+
+        :return: the job; UnknownJob if it does not exist or belongs to another client account;
+            NotLeader if this could not be confirmed.
+        """
+        job_record = await self.find_any(message.job)
+        if isinstance(job_record, (NotLeader, UnknownJob)):
+            return job_record
+        if job_record.job.client_account != message.client_account:
+            return UnknownJob()
+        return job_record
+
+    async def find_any(self, job: str) -> JobRecord | Any:
+        """
+        Find a job of any client account.
 
         Before a job is reported as unknown, a majority of the stores must confirm that this store
         is still the leader, because a former leader may lack jobs that its successor accepted.
 
-        :return: the job; UnknownJob if it does not exist or belongs to another client account;
-            NotLeader if the confirmation failed.
+        :param job: id of the job.
+        :return: the job; UnknownJob if it does not exist; NotLeader if the confirmation failed.
         """
-        job_record = self._state.job_by_id.get(message.job)
+        job_record = self._state.job_by_id.get(job)
         if job_record is None:
             confirmed = await self._consensus.confirm_read()
             if isinstance(confirmed, Refusal):
                 return NotLeader(self._consensus.leader_hint)
-            job_record = self._state.job_by_id.get(message.job)
-        if job_record is None or job_record.job.client_account != message.client_account:
-            return UnknownJob()
-        return job_record
+            job_record = self._state.job_by_id.get(job)
+        return job_record if job_record is not None else UnknownJob()
 
     async def read_results(self, message: ReadResults) -> Any:
         """
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/peaks.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/peaks.py
@@ -1,8 +1,8 @@
 """
 The recent peak of each service: the highest number of its open items in the last seconds.
 
-Open items have no listed result, and their job has not ended. By the peak the directory decides how
-many engines the service needs.
+Open items have no listed result, and their job has neither ended nor is it held. By the peak the
+directory decides how many engines the service needs.
 """
 
 from __future__ import annotations
@@ -41,9 +41,8 @@
         for job_record in state.job_by_id.values():
             if not job_record.ended:
                 service = job_record.job.service
-                open_items_by_service[service] = open_items_by_service.get(service, 0) + len(
-                    job_record.item_by_id
-                )
+                open_items = 0 if job_record.held else len(job_record.item_by_id)
+                open_items_by_service[service] = open_items_by_service.get(service, 0) + open_items
         for service, count in open_items_by_service.items():
             expired = now - self._peak_at_by_service.get(service, 0.0) > PEAK_RETENTION_S
             if count >= self.peak_by_service.get(service, 0) or expired:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/role.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/role.py
@@ -12,9 +12,11 @@
 from ibisspring_core.clock import PROCESS_STARTED_S
 from ibisspring_core.directory_view import DirectoryView
 from ibisspring_jobs.membership import JobMembership
+from ibisspring_jobs.operator_calls import OperatorCalls
 from ibisspring_jobs.service import Jobs
 from ibisspring_jobs.state import JobsState
 from ibisspring_jobs.status import StatusService
+from ibisspring_jobs.wait_log import WaitLog
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Service
@@ -43,6 +45,8 @@
         Jobs.from_config(settings),
         JobMembership.from_config(settings),
         StatusService.from_config(settings),
+        OperatorCalls.from_config(settings),
+        WaitLog.from_config(settings),
     )
 
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
@@ -40,6 +40,9 @@
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
 
+# Number of requests to hold or release a job that are remembered, to recognise repeated ones.
+MAX_HOLD_REQUESTS = 8
+
 
 @dataclass(frozen=True)
 class StoredJob:
@@ -76,6 +79,8 @@
     :param speeds: learned speeds of engines.
     :param reservations: places that were promised to rejected jobs.
     :param held: ids of the jobs that operators hold.
+    :param hold_requests: pairs of a job and the ids of the requests by which it was held and
+        released, oldest first.
     """
 
     jobs: tuple[StoredJob, ...]
@@ -83,6 +88,7 @@
     speeds: tuple[KnownSpeed, ...] = ()
     reservations: tuple[Reservation, ...] = ()
     held: tuple[str, ...] = ()
+    hold_requests: tuple[tuple[str, tuple[str, ...]], ...] = ()
 
 
 class JobRecord:
@@ -99,6 +105,8 @@
         as well; the items of these groups start before the job's other items.
     :param parts_by_item: by item id, the parts of the texts of items without a listed result.
     :param held: an operator holds the job, so that none of its items starts.
+    :param hold_requests: ids of the newest requests by which operators held and released the job,
+        oldest first.
     """
 
     def __init__(self, stored: StoredJob) -> None:
@@ -108,6 +116,7 @@
         self.results: list[ItemResult] = list(stored.results)
         self.ended = stored.ended
         self.held = False
+        self.hold_requests: tuple[str, ...] = ()
         self.groups = frozenset(stored.groups)
         self.carried = frozenset(stored.carried)
         self.parts_by_item: dict[str, list[TextPart]] = {}
@@ -135,6 +144,19 @@
             return None
         return "\n".join(part.output for part in parts if part.events)
 
+    def change_hold(self, command: HoldJob) -> bool:
+        """
+        Hold or release the job, unless the request was applied before or another one came first.
+
+        :return: whether the command was applied.
+        """
+        newest = self.hold_requests[-1] if self.hold_requests else ""
+        if self.ended or command.request in self.hold_requests or command.after != newest:
+            return False
+        self.held = command.held
+        self.hold_requests = (*self.hold_requests, command.request)[-MAX_HOLD_REQUESTS:]
+        return True
+
     def to_stored(self) -> StoredJob:
         """Return the job as it is written to a snapshot."""
         job = replace(self.job, items=tuple(self.item_by_id.values()))
@@ -214,9 +236,14 @@
         jobs = tuple(job.to_stored() for job in self.job_by_id.values())
         held = tuple(job_id for job_id, record in self.job_by_id.items() if record.held)
         reservations = tuple(self.reservation_by_job.values())
-        if not (self.usage or self.speeds or reservations or held):
+        requests = tuple(
+            (job_id, record.hold_requests)
+            for job_id, record in self.job_by_id.items()
+            if record.hold_requests
+        )
+        if not (self.usage or self.speeds or reservations or held or requests):
             return encode(jobs)
-        return encode(JobsSnapshot(jobs, self.usage, self.speeds, reservations, held))
+        return encode(JobsSnapshot(jobs, self.usage, self.speeds, reservations, held, requests))
 
     def restore(self, data: bytes) -> None:
         """
@@ -228,6 +255,8 @@
         self.job_by_id = {stored.job.job: JobRecord(stored) for stored in snapshot.jobs}
         for job in snapshot.held:
             self.job_by_id[job].held = True
+        for job, requests in snapshot.hold_requests:
+            self.job_by_id[job].hold_requests = requests
         self.usage = snapshot.usage
         self.speeds = snapshot.speeds
         self.reservation_by_job = {
@@ -326,8 +355,7 @@
 
     def _hold_job(self, command: HoldJob) -> None:
         job_record = self.job_by_id.get(command.job)
-        if job_record is not None and not job_record.ended:
-            job_record.held = command.held
+        if job_record is not None and job_record.change_hold(command):
             self._notify(command.job)
 
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/status.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/status.py
@@ -66,6 +66,7 @@
                     halves=len(job_record.parts_by_item),
                     ended=job_record.ended,
                     age_s=round(wall_s - job_record.job.submitted_s, 3),
+                    held=job_record.held,
                 )
             )
         runners = [
