Let the runs of an entry follow the size of its VM

mergeable: whole behind `policy.sizes`; entries of unknown size and the leader's choice among them are as before.

Cause: `limits` of the settings file was read nowhere. Each entry accepted 48 streams, whatever its VM; nothing kept a small one from being killed for its memory, and one that had turned slow went on accepting runs.

Change: `VmSettings.size` from the settings file; `entry_size` (pure) gives the capacity by the scarcest limit and accepts none near one; `entry_limits` measures memory, descriptors and lateness every 0.2 s; the runner's calls for work carry free streams and capacity, and runs are given back as `returned`. `Runners.choose` weights its hash and its overload limit by capacity; an idle connection still goes first.

Ruled out: lateness of one measurement (a single long step would stop an entry); giving back runs of a late entry (prompts are read again).

Samples of the extended messages: a third form beside the first two, which stay as they were.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -255,6 +255,7 @@
     :param events: number of events generated so far by each assignment of `running`, in the same
         order.
     :param held: runs of earlier epochs that the runner continues until the leader has decided.
+    :param capacity: number of runs that the runner bears by the size of its VM; 0 if unknown.
     """
 
     runner: str
@@ -267,6 +268,7 @@
     hold_s: float
     events: tuple[int, ...] = ()
     held: tuple[HeldRun, ...] = ()
+    capacity: int = 0
 
 
 @dataclass(frozen=True)
@@ -302,7 +304,8 @@
     :param kind: PART while the run continues; `done`; `failed` if the endpoint reported that this
         run failed; `impossible` if it reported that no run can succeed; `broken` if the stream
         broke or timed out; `turned_away` if the endpoint rejected the request before it started;
-        `stale` if the endpoint has another weight version; `unscored` if the reward call failed
+        `stale` if the endpoint has another weight version; `returned` if the runner gave the run
+        back because its VM is near a limit; `unscored` if the reward call failed
         the maximum number of times.
     :param output: data of the run's events since the last report, joined by line feeds.
     :param events: number of these events.
--- a/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ibisspring_core.settings.policy import LoadPolicy
+from ibisspring_decisions.entry_size import EntrySize
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -50,6 +51,7 @@
         service states.
     :param cold_slack: requests that a cold engine may get in a second beyond that.
     :param policy: optional decisions about load that are in force.
+    :param size: limits of this daemon's process; all unknown by default.
     """
 
     daemon: str
@@ -77,6 +79,7 @@
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
     policy: LoadPolicy = LoadPolicy()
+    size: EntrySize = EntrySize()
 
     def is_in_regions(self, data_centre: str, regions: tuple[str, ...] | None) -> bool:
         """
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/active_runs.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/active_runs.py
@@ -27,6 +27,7 @@
     :param progress: the events that the engine has produced in this run.
     :param kind: how the generation ended; empty while it goes on.
     :param scoring: the item's reward call is in progress.
+    :param returned: the generation was stopped because this entry is near a limit.
     :param task: the task of the generation, or of the steps after it.
     :param key: the runner's own number, which is the same in all epochs.
     """
@@ -36,6 +37,7 @@
     progress: RunProgress = field(default_factory=RunProgress)
     kind: str = ""
     scoring: bool = False
+    returned: bool = False
     task: asyncio.Task[None] | None = None
     key: int = field(default_factory=lambda: next(_keys))
 
@@ -48,6 +50,12 @@
         if self.task is not None:
             self.task.cancel()
 
+    def remaining_events(self) -> int:
+        """Estimate the number of events until the end of the text, from the caller's hints."""
+        item = self.assignment.item
+        expected = item.expected_tokens or max(0, item.tokens - item.prompt_tokens)
+        return expected - self.assignment.resume_after - len(self.progress.data)
+
     def offer(self) -> HeldRun:
         """Describe the run for a new leader, which decides whether it goes on."""
         assignment = self.assignment
@@ -87,6 +95,20 @@
         """Number of runs that read, or will read, the stream of an engine."""
         return sum(1 for run in self.all() if not run.scoring)
 
+    def longest_remaining(self, count: int) -> tuple[ActiveRun, ...]:
+        """
+        Return the runs with the most events left, of those that may be given back.
+
+        :param count: most runs to return.
+        """
+        generating = [
+            run
+            for run in self.by_number.values()
+            if run.progress.data and not (run.kind or run.scoring or run.returned)
+        ]
+        generating.sort(key=lambda run: run.remaining_events(), reverse=True)
+        return tuple(generating[:count])
+
     def all(self) -> tuple[ActiveRun, ...]:
         """Return all runs, held ones included."""
         return (*self.by_number.values(), *self._held_by_key.values())
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
@@ -6,6 +6,7 @@
 
 from ibisspring_core.connections import Connections
 from ibisspring_core.directory_view import DirectoryView
+from ibisspring_gateway.entry_limits import EntryLimits
 from ibisspring_gateway.forward import Forwarder
 from ibisspring_gateway.result_reads import ResultReads
 from ibisspring_gateway.reward_calls import RewardCalls
@@ -25,7 +26,9 @@
     :param settings: validated settings of this daemon.
     :return: the services, in the order in which they must be started.
     """
+    sized = settings.policy.sizes and settings.size.is_known()
     return (
+        *((EntryLimits.from_config(settings),) if sized else ()),
         DirectoryView.from_config(settings),
         UsageCounts.from_config(settings),
         Connections(),
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -23,9 +23,9 @@
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.messages.jobs import AdoptedRun, Assignment, HeldRun, Job
     from ibisspring_core.settings.vm import VmSettings
+    from ibisspring_gateway.entry_limits import EntryLimits
 
-# Most event streams of engines that one entry reads at the same time; all engines together
-# currently have 60 slots.
+# Most event streams of engines that an entry of unknown size reads at the same time.
 MAX_STREAMS = 48
 # Seconds for which the dispatcher may delay its response to a request for work while it has no
 # work; also the runner's pause after a request for work that failed.
@@ -48,6 +48,8 @@
 LAST_REPORT_TIMEOUT_S = 0.8
 # Kind of the outcome of an item that was not sent to its endpoint.
 TURNED_AWAY = "turned_away"
+# Kind of the outcome of a run that was stopped because this entry is near a limit.
+RETURNED = "returned"
 
 
 class Runner:
@@ -69,6 +71,7 @@
         self._sequence = 0
         self._draining = False
         self._runs = ActiveRuns()
+        self._limits: EntryLimits | None = None
         self._pending_outcomes: list[Outcome] = []
         self._report_due = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -90,6 +93,10 @@
         self._counters = kernel.find("counters")
         self._reward_calls = kernel.find("reward_calls")
         self._gate = kernel.find("send_gate")
+        self._limits = kernel.find_optional("entry_limits")
+        if self._limits is not None:
+            self._limits.streams = self._runs.streams
+            self._limits.give_back = self._give_back
         self.leader = LeaderClient(kernel.find("peer_client"), self.job_addresses)
         self._tasks = [
             asyncio.create_task(self._request_work(), name="runner:take"),
@@ -171,10 +178,11 @@
                 epoch=self._epoch,
                 sequence=self._sequence,
                 running=tuple(runs),
-                free=MAX_STREAMS - self._runs.streams() if accepts else 0,
+                free=self._free_streams() if accepts else 0,
                 hold_s=WORK_HOLD_S,
                 events=tuple(len(run.progress.data) for run in runs.values()),
                 held=offered,
+                capacity=self._limits.capacity if self._limits is not None else 0,
             )
             called_at_s = boot_now()
             answer = await self.leader.call(call, FIND_LEADER_TIMEOUT_S, CALL_TIMEOUT_S)
@@ -189,6 +197,17 @@
             # it for the stated time.
             self._apply_work(answer, called_at_s + answer.held_s + MAX_PACED_DELAY_S)
 
+    def _free_streams(self) -> int:
+        if self._limits is not None:
+            return self._limits.free()
+        return MAX_STREAMS - self._runs.streams()
+
+    def _give_back(self, count: int) -> None:
+        """Stop the runs with the most events left; other entries go on after the last ones."""
+        for run in self._runs.longest_remaining(count):
+            run.returned = True
+            run.cancel()
+
     def _resume_runs(self, offered: tuple[HeldRun, ...], adopted: tuple[AdoptedRun, ...]) -> None:
         for rejected in self._runs.resume(offered, adopted, self._finish):
             # The dispatcher assigns the item again, after its stored text.
@@ -224,7 +243,8 @@
             self._log_not_sent(assignment, refusal)
             run.kind = TURNED_AWAY
         elif assignment.endpoint:
-            run.kind = await self._generate_text(run)
+            kind = await self._generate_text(run)
+            run.kind = RETURNED if run.returned and kind == "broken" else kind
         else:
             run.kind = "done"
         if self._runs.is_current(run):
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -27,7 +27,7 @@
 # Seconds for which an engine gets no new runs after one of its runs ended badly, by the kind of the
 # outcome: the stream broke, the engine rejected the run, or it had another weight version than
 # expected. After this time the daemon's directory view usually shows the cause.
-PAUSE_S = {"broken": 0.5, "turned_away": 0.1, "stale": 0.2, "failed": 0.0}
+PAUSE_S = {"broken": 0.5, "turned_away": 0.1, "stale": 0.2, "failed": 0.0, "returned": 0.0}
 # Memory of an engine, in tokens, if its service states no limit: more than all items can take.
 UNLIMITED_MEMORY_TOKENS = 1 << 30
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -47,6 +48,7 @@
     :param waiting: whether a call of the runner is open.
     :param answered_at: when the runner's last call was answered, in seconds since boot.
     :param free_slots: number of further items that the runner accepts.
+    :param capacity: number of runs that the runner bears by the size of its VM; 0 if unknown.
     :param wake: set to answer an open call before its wait limit has passed.
     """
 
@@ -63,6 +65,7 @@
     waiting: bool = False
     answered_at: float = float("-inf")
     free_slots: int = 0
+    capacity: int = 0
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def is_available(self, now: float) -> bool:
@@ -121,6 +124,7 @@
         runner.received_at = now
         runner.sequence = call.sequence
         runner.free_slots = call.free
+        runner.capacity = call.capacity
         return runner, lost + missing
 
     def remove_timed_out(self, now: float) -> tuple[Runner, ...]:
@@ -151,8 +155,9 @@
 
         Runners with an idle connection to the endpoint are preferred, since any other would open a
         new one; then runners in the endpoint's data centre, since traffic between data centres is
-        charged; then runners that are not overloaded. Among equal runners a hash of endpoint and
-        runner decides, so that the runs of an endpoint go to the same runner.
+        charged; then runners that are not overloaded for their size. Among equal runners a hash of
+        endpoint and runner decides, so that the runs of an endpoint go to the same runner; a runner
+        gets as many endpoints as fits its size.
 
         :param data_centre: data centre of the endpoint.
         :param connected: whether a runner, given by its address, has an idle connection to the
@@ -170,16 +175,30 @@
             1, len(runners)
         )
         overload_limit = max(OVERLOAD_MIN_RUNS, OVERLOAD_FACTOR * mean_runs)
+        mean_capacity = sum(candidate.capacity for candidate in runners) / max(1, len(runners))
 
-        def rank(runner: Runner) -> tuple[bool, bool, bool, int]:
+        def rank(runner: Runner) -> tuple[bool, bool, bool, float]:
+            # Relative size; 1.0 for runners that state none.
+            size = runner.capacity / mean_capacity if runner.capacity else 1.0
             return (
                 not connected(runner.address),
                 runner.data_centre != data_centre,
-                len(runner.sequence_by_number) >= overload_limit,
-                xxhash.xxh64_intdigest(f"{endpoint} {runner.address}".encode()),
+                len(runner.sequence_by_number) >= overload_limit * size,
+                _weighted_digest(f"{endpoint} {runner.address}", size),
             )
 
         return min(available, key=rank, default=None)
 
 
+def _weighted_digest(key: str, size: float) -> float:
+    """
+    Return a hash of a key for weighted rendezvous hashing; the lowest one wins.
+
+    Each key wins with a probability in proportion to its size; for equal sizes, the order is that
+    of the digests themselves.
+    """
+    share = (xxhash.xxh64_intdigest(key.encode()) + 1) / 2**64
+    return -math.log1p(-min(share, 1 - 2**-53)) / size
+
+
 __all__ = ["RUNNER_TIMEOUT_S", "Runner", "Runners"]
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -9,7 +9,8 @@
 
 A type may get a field with a default: an older daemon ignores it, a newer one uses the default in
 its place. `ADDED_FIELDS` lists each such field, and the bytes of all other fields stay the same.
-The extended type gets one more sample, whose name ends with the number of its form.
+The extended type gets one more sample, whose name ends with the number of its form. Fields that
+were added after the second form of their type are in `LATER_FIELDS` too, and the type gets a third.
 """
 
 from __future__ import annotations
@@ -47,7 +48,7 @@
 from ibisspring_platform.control_http import VersionPut  # noqa: E402
 from ibisspring_platform.day_reports import DayReport  # noqa: E402
 from ibisspring_platform.orders import Report  # noqa: E402
-from ibisspring_platform.settings import BootFile  # noqa: E402
+from ibisspring_platform.settings import BootFile, Limits  # noqa: E402
 
 ENCODED = Path(__file__).with_name("encoded_messages.json")
 CODEC_BY_NAME: dict[str, KindCodec] = {
@@ -93,7 +94,7 @@
 # Fields that were added after the first sample of their type, by name of the type.
 ADDED_FIELDS: dict[str, dict[str, Any]] = {
     "Assignment": {"data_centre": "", "paced": False, "regions": None},
-    "BootFile": {"zones": {}},
+    "BootFile": {"zones": {}, "limits": Limits()},
     "Bounds": {"evacuate_ms": 0.0, "cold_overshoot": 1.0, "cold_slack": 0.0},
     "ClientAccount": {"regions": ()},
     "DirectoryStatus": {"evacuated": ()},
@@ -104,7 +105,7 @@
     "Route": {"regions": ()},
     "ServiceTerms": {"cold_requests_per_s": 0.0},
     "Snapshot": {"evacuations": ()},
-    "TakeWork": {"held": ()},
+    "TakeWork": {"held": (), "capacity": 0},
     "Tolerance": {"zones": 0},
     "Unchanged": {"cold_shares": {}},
     "VoteReply": {"is_idle": False, "last_index": 0, "last_term": 0},
@@ -115,36 +116,44 @@
     "WorkReported": {"accepted": True},
     "Work": {"held_s": 0.0, "adopted": ()},
 }
+# Those of `ADDED_FIELDS` that the second form of their type lacks.
+LATER_FIELDS: dict[str, dict[str, Any]] = {
+    "BootFile": {"limits": Limits()},
+    "TakeWork": {"capacity": 0},
+}
+# Fields that each form lacks.
+LACKING_BY_FORM: dict[int, dict[str, dict[str, Any]]] = {1: ADDED_FIELDS, 2: LATER_FIELDS, 3: {}}
+NEWEST_FORM = 3
 FORM_MARK = "~"
 
 
-def added_fields(kind: inspect.DataclassType | inspect.StructType) -> dict[str, Any]:
-    return ADDED_FIELDS.get(kind.cls.__name__, {})
+def added_fields(kind: inspect.DataclassType | inspect.StructType, form: int = 1) -> dict[str, Any]:
+    return LACKING_BY_FORM[form].get(kind.cls.__name__, {})
 
 
-def sample(kind: inspect.Type, name: str, with_added: bool) -> Any:
+def sample(kind: inspect.Type, name: str, form: int) -> Any:
     """
     Return plain data that converts to a type; a field holds its own name or a fixed value.
 
-    :param with_added: whether the data has the fields of `ADDED_FIELDS`.
+    :param form: the form whose fields the data has.
     """
     if isinstance(kind, inspect.DataclassType | inspect.StructType):
-        added = {} if with_added else added_fields(kind)
+        added = added_fields(kind, form)
         return {
-            field.encode_name: sample(field.type, field.encode_name, with_added)
+            field.encode_name: sample(field.type, field.encode_name, form)
             for field in kind.fields
             if field.name not in added
         }
     if isinstance(kind, inspect.UnionType):
         first = next(t for t in kind.types if not isinstance(t, inspect.NoneType))
-        return sample(first, name, with_added)
+        return sample(first, name, form)
     if isinstance(kind, inspect.DictType):
-        return {sample(kind.key_type, "key", with_added): sample(kind.value_type, name, with_added)}
+        return {sample(kind.key_type, "key", form): sample(kind.value_type, name, form)}
     collections = inspect.VarTupleType | inspect.ListType | inspect.SetType | inspect.FrozenSetType
     if isinstance(kind, collections):
-        return [sample(kind.item_type, name, with_added)]
+        return [sample(kind.item_type, name, form)]
     if isinstance(kind, inspect.TupleType):
-        return [sample(item, name, with_added) for item in kind.item_types]
+        return [sample(item, name, form) for item in kind.item_types]
     if isinstance(kind, inspect.EnumType):
         return next(iter(kind.cls)).value
     if isinstance(kind, inspect.LiteralType):
@@ -161,35 +170,36 @@
     return value_by_type[type(kind)]
 
 
-def plain_of(message_type: Any, with_added: bool = True) -> Any:
-    return sample(inspect.type_info(message_type), "", with_added)
+def plain_of(message_type: Any, form: int = NEWEST_FORM) -> Any:
+    return sample(inspect.type_info(message_type), "", form)
 
 
-def sample_of(message_type: Any, with_added: bool = True) -> Any:
-    """Return a sample of a type; without the added fields these have their defaults."""
-    plain = plain_of(message_type, with_added)
+def sample_of(message_type: Any, form: int = NEWEST_FORM) -> Any:
+    """Return a sample of a form of a type; the fields that it lacks have their defaults."""
+    plain = plain_of(message_type, form)
     return msgspec.msgpack.decode(msgspec.msgpack.encode(plain), type=message_type)
 
 
-def without_added(kind: inspect.Type, plain: Any) -> Any:
-    """Remove the fields of `ADDED_FIELDS` from the plain data of a type, at any depth."""
+def without_added(kind: inspect.Type, plain: Any, form: int) -> Any:
+    """Remove the fields that a form lacks from the plain data of a type, at any depth."""
     if isinstance(kind, inspect.DataclassType | inspect.StructType):
-        added = added_fields(kind)
+        added = added_fields(kind, form)
         return {
-            field.encode_name: without_added(field.type, plain[field.encode_name])
+            field.encode_name: without_added(field.type, plain[field.encode_name], form)
             for field in kind.fields
             if field.name not in added
         }
     if isinstance(kind, inspect.UnionType):
         first = next(t for t in kind.types if not isinstance(t, inspect.NoneType))
-        return without_added(first, plain)
+        return without_added(first, plain, form)
     if isinstance(kind, inspect.DictType):
-        return {key: without_added(kind.value_type, value) for key, value in plain.items()}
+        return {key: without_added(kind.value_type, value, form) for key, value in plain.items()}
     if isinstance(kind, inspect.VarTupleType | inspect.ListType):
-        return [without_added(kind.item_type, item) for item in plain]
+        return [without_added(kind.item_type, item, form) for item in plain]
     if isinstance(kind, inspect.TupleType):
         return [
-            without_added(item, value) for item, value in zip(kind.item_types, plain, strict=True)
+            without_added(item, value, form)
+            for item, value in zip(kind.item_types, plain, strict=True)
         ]
     return plain
 
@@ -223,17 +233,17 @@
     return CODEC_BY_NAME[group].encode(message)
 
 
-def encoded_without_added(name: str) -> bytes:
-    """Return `encoded_sample` after the removal of the added fields from its decoded data."""
+def encoded_without_added(name: str, form: int = 1) -> bytes:
+    """Return `encoded_sample` after the removal of the fields that a form lacks."""
     kind = inspect.type_info(type_named(name))
     group = name.partition(".")[0]
     data = encoded_sample(name)
     if group == "stored":
-        return msgspec.msgpack.encode(without_added(kind, msgspec.msgpack.decode(data)))
+        return msgspec.msgpack.encode(without_added(kind, msgspec.msgpack.decode(data), form))
     if group == "json":
-        return msgspec.json.encode(without_added(kind, msgspec.json.decode(data)))
+        return msgspec.json.encode(without_added(kind, msgspec.json.decode(data), form))
     class_name, plain = msgspec.msgpack.decode(data)
-    return msgspec.msgpack.encode((class_name, without_added(kind, plain)))
+    return msgspec.msgpack.encode((class_name, without_added(kind, plain, form)))
 
 
 def decoded(name: str, data: bytes) -> Any:
@@ -245,8 +255,9 @@
     return CODEC_BY_NAME[group].decode(data)
 
 
-def is_extended(name: str) -> bool:
-    return plain_of(type_named(name)) != plain_of(type_named(name), with_added=False)
+def is_extended(name: str, form: int = 1) -> bool:
+    """Whether the newest form of a type has fields that an earlier form lacks."""
+    return plain_of(type_named(name)) != plain_of(type_named(name), form)
 
 
 @functools.cache
@@ -269,18 +280,19 @@
 
 @pytest.mark.parametrize("name", FIRST_FORMS)
 def test_bytes_of_the_earlier_release_are_decoded(name: str) -> None:
-    expected = sample_of(type_named(name), with_added=False)
+    expected = sample_of(type_named(name), form=1)
 
     assert decoded(name, of_earlier_release()[name]) == expected
 
 
 @pytest.mark.parametrize("name", EXTENDED_FORMS)
 def test_bytes_of_an_extended_type_stay_the_same(name: str) -> None:
-    type_name = name.partition(FORM_MARK)[0]
+    type_name, _, form = name.partition(FORM_MARK)
     data = of_earlier_release()[name]
 
-    assert encoded_sample(type_name) == data
-    assert decoded(type_name, data) == sample_of(type_named(type_name))
+    assert encoded_without_added(type_name, int(form)) == data
+    assert decoded(type_name, data) == sample_of(type_named(type_name), int(form))
+    assert int(form) < NEWEST_FORM or encoded_sample(type_name) == data
 
 
 def _class_kinds(kind: Any) -> list[Any]:
@@ -318,6 +330,8 @@
     assert set(type_names()) == set(FIRST_FORMS)
     extended = {name.partition(FORM_MARK)[0] for name in EXTENDED_FORMS}
     assert extended == {name for name in type_names() if is_extended(name)}
+    third = {name.partition(FORM_MARK)[0] for name in EXTENDED_FORMS if name.endswith("3")}
+    assert third == {name for name in type_names() if is_extended(name, 2)}
 
 
 if __name__ == "__main__":
@@ -325,7 +339,9 @@
     for type_name in type_names():
         added[type_name] = encoded_without_added(type_name)
         if is_extended(type_name):
-            added[f"{type_name}{FORM_MARK}2"] = encoded_sample(type_name)
+            added[f"{type_name}{FORM_MARK}2"] = encoded_without_added(type_name, 2)
+        if is_extended(type_name, 2):
+            added[f"{type_name}{FORM_MARK}3"] = encoded_sample(type_name)
     added.update(of_earlier_release())
     lines = {name: added[name].hex() for name in sorted(added)}
     ENCODED.write_text(json.dumps(lines, indent=1) + "\n", encoding="utf-8")
--- a/tests/unit/jobs/test_runners.py
+++ b/tests/unit/jobs/test_runners.py
@@ -8,6 +8,8 @@
 
 from types import SimpleNamespace
 
+import xxhash
+
 from ibisspring_core.messages.jobs import TakeWork
 from ibisspring_jobs.runners import OVERLOAD_MIN_RUNS, Runners
 
@@ -115,3 +117,68 @@
 
     _, lost = runners.register_call(TakeWork("e0", "derby", "x", 1, 3, (), 48, 0.4), 0.2)
     assert lost == (7,)
+
+
+def sized_runners(capacity_by_address: dict[str, int]) -> Runners:
+    runners = Runners()
+    for address, capacity in capacity_by_address.items():
+        call = TakeWork(address, "derby", "x", 1, 1, (), 48, 0.4, capacity=capacity)
+        runner, _ = runners.register_call(call, 0.0)
+        runner.waiting = True
+    return runners
+
+
+def test_large_runners_carry_more_runs_than_small_ones() -> None:
+    # A quarter of the runners bears three times the streams of the others. With a hash that knows
+    # no sizes, each runs the same share, and the small ones are short of processor time.
+    capacities = {f"e{number}": 57 if number % 4 == 0 else 19 for number in range(72)}
+    runners = sized_runners(capacities)
+    for number in range(400):
+        for _ in range(4):
+            runners.choose(f"engine-{number}", "derby", 0.0).assign(
+                SimpleNamespace(number=(number, _))
+            )
+    runs = {
+        capacity: sum(
+            len(runner.sequence_by_number)
+            for runner in runners.runner_by_address.values()
+            if runner.capacity == capacity
+        )
+        / sum(1 for known in capacities.values() if known == capacity)
+        for capacity in (57, 19)
+    }
+
+    assert runs[57] > 2 * runs[19]
+
+
+def test_runners_of_equal_or_unknown_size_are_chosen_as_before() -> None:
+    unknown = sized_runners({f"e{number}": 0 for number in range(9)})
+    equal = sized_runners({f"e{number}": 25 for number in range(9)})
+
+    for number in range(50):
+        endpoint = f"engine-{number}"
+        expected = min(
+            unknown.runner_by_address,
+            key=lambda address: xxhash.xxh64_intdigest(f"{endpoint} {address}".encode()),
+        )
+        assert unknown.choose(endpoint, "derby", 0.0).address == expected
+        assert equal.choose(endpoint, "derby", 0.0).address == expected
+
+
+def test_a_large_runner_is_overloaded_later_than_a_small_one() -> None:
+    runners = sized_runners({"small": 20, "large": 60})
+    for runner in runners.runner_by_address.values():
+        runner.sequence_by_number = dict.fromkeys(range(10), 1)
+
+    chosen = {runners.choose(f"engine-{number}", "derby", 0.0).address for number in range(30)}
+
+    assert chosen == {"large"}
+
+
+def test_sizes_open_no_connections_to_engines() -> None:
+    # A small runner has an idle connection to the engine; a large one would have to open one.
+    runners = sized_runners({"small": 20, "large": 60})
+
+    for number in range(20):
+        chosen = runners.choose(f"engine-{number}", "derby", 0.0, lambda one: one == "small")
+        assert chosen.address == "small"
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ibisspring_core.settings.policy import LoadPolicy
+from ibisspring_decisions.entry_size import EntrySize
 from ibisspring_platform.settings import POLICY_VARIABLE, SETTINGS_FILE_VARIABLE, read_settings
 
 REPOSITORY = Path(__file__).resolve().parents[3]
@@ -157,3 +158,11 @@
     monkeypatch.setenv(POLICY_VARIABLE, "share")
 
     assert [finding.place for finding in read(BOOT)] == [POLICY_VARIABLE]
+
+
+def test_limits_of_the_process_give_the_size(read) -> None:
+    limits = {"cpu_share": 0.5, "cores": 2, "memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0}
+
+    # `cores` is the speed of the processor, so half of its time is one core's worth.
+    assert read(BOOT | {"limits": limits}).size == EntrySize(1.0, 300.0, 4100, 1000.0)
+    assert not read(BOOT).size.is_known()
