--- a/packages/ibisspring-decisions/src/ibisspring_decisions/group_order.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/group_order.py
@@ -33,6 +33,9 @@
 GroupKey = tuple[str, str]
 """Job id and group id."""
 
+# Exponent of an account's usage against the size of its largest group in the choice of the group
+# that leaves the first tier. With 1, an account of short groups keeps more than its share.
+SHARE_EXPONENT = 2
 NO_STANDINGS: Mapping[str, AccountStanding] = {}
 
 
@@ -103,11 +106,13 @@
 
     :param groups: the groups in start order. IN_TIME groups come before LATE ones and these before
         SURPLUS ones, but for the groups by which an account is brought to its floor.
-    :param overloaded: not all wanted groups that could still be in time are; otherwise the items
-        keep the order of priority and due time over all jobs.
+    :param by_rank: all groups that can be in time are if the items start by priority and due time
+        over all jobs, so that order is kept.
+    :param overloaded: some wanted groups that could be in time alone will not be.
     """
 
     groups: tuple[PlannedGroup, ...]
+    by_rank: bool
     overloaded: bool
 
 
@@ -132,11 +137,11 @@
     ordered = sorted(works, key=_rank)
     if slots <= 0:
         groups = tuple(PlannedGroup(work.key, GroupTier.LATE, float("inf")) for work in ordered)
-        return GroupPlan(groups, overloaded=False)
+        return GroupPlan(groups, by_rank=True, overloaded=False)
     room = _Room(slots, busy_s, now)
     kept = _keep_order(ordered, room)
     if kept is not None:
-        return GroupPlan(kept, overloaded=False)
+        return GroupPlan(kept, by_rank=True, overloaded=False)
     wanted, surplus = _split_wanted(ordered)
     first, others = _take_floors(wanted, standing_by_account, room)
     selection = _Selection(room, standing_by_account, first)
@@ -149,7 +154,7 @@
     ]
     taken_s = selection.taken_s + sum(work.waiting_s for work in late)
     planned.extend(_in_order(surplus, GroupTier.SURPLUS, room, taken_s))
-    return GroupPlan(tuple(planned), overloaded=bool(selection.displaced))
+    return GroupPlan(tuple(planned), by_rank=False, overloaded=bool(selection.displaced))
 
 
 class _Room:
@@ -173,6 +178,7 @@
 
     def when(self, work_s: float) -> float:
         """Return the time by which the slots can have done so many slot-seconds of work."""
+        work_s = max(0.0, work_s)
         index = bisect_right(self._taken_s, work_s) - 1
         return self.now + self._free_at_s[index] + (work_s - self._taken_s[index]) / (index + 1)
 
@@ -186,7 +192,8 @@
         if work.waiting_s <= 0.0:
             return runs_end_s
         start_s = self.when(before_s)
-        return max(runs_end_s, start_s + work.longest_s, self.when(before_s + work.waiting_s))
+        last_s = self.when(before_s + work.waiting_s)
+        return max(runs_end_s, start_s + work.longest_s, last_s)
 
 
 class _Selection:
@@ -252,7 +259,8 @@
         def excess(account: str) -> tuple[float, str]:
             standing = self._standing_by_account.get(account, AccountStanding())
             used_s = standing.used_s + self._planned_s_by_account[account]
-            return -heap_by_account[account][0][0] * used_s / standing.weight, account
+            waiting_s = -heap_by_account[account][0][0]
+            return waiting_s * (used_s / standing.weight) ** SHARE_EXPONENT, account
 
         account = max(heap_by_account, key=excess)
         _, key = heapq.heappop(heap_by_account[account])
