Order the dispatcher's items by the plan of their groups

Cause: with the switch shares nothing was ordered by it, and what accounts use was known nowhere.

Change: GroupPlans estimates the work of each open group from expected lengths, texts so far, runs and recent paces, plans at most every 0.25 s (0.05 s when jobs change) and gives Items the order. EngineTime charges accounts for the slots of their runs (sampled every 0.1 s) and commits KeepUsage every 3 s if some account's usage differs by 2% of the service's; a new leader restores it. While the plan says that rank does, the code path is the earlier one.

Ruled out: bringing accounts to their floor by groups that are doomed but not yet due. An account that has just come has used nothing, and its hopeless group displaced one in time.

The property test of the order while all fits drew due times that no number of slots meets; it now draws due times that are past or later than the end of all groups.

--- a/packages/ibisspring-decisions/src/ibisspring_decisions/group_order.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/group_order.py
@@ -327,12 +327,19 @@
     standing_by_account: Mapping[str, AccountStanding],
     room: _Room,
 ) -> tuple[list[GroupWork], list[GroupWork]]:
-    """Split off the groups by which accounts reach their floor, those that can be in time first."""
+    """
+    Split off the groups by which accounts reach their floor.
+
+    Groups that can be in time come first, then those past their due time. A group that is not due
+    yet but can no longer be in time shows no starvation: its account may just have come.
+    """
     missing_s_by_account = {
         account: standing.floor_s for account, standing in standing_by_account.items()
     }
+    possible = [work for work in ordered if room.end_of(work, 0.0) <= work.due_s]
+    past_due = [work for work in ordered if work.due_s < room.now]
     first = []
-    for work in sorted(ordered, key=lambda work: room.end_of(work, 0.0) > work.due_s):
+    for work in (*possible, *past_due):
         missing_s = missing_s_by_account.get(work.client_account, 0.0)
         if missing_s <= 0.0:
             continue
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -15,7 +15,9 @@
 from ibisspring_core.messages.jobs import AdoptedRun, Assignment
 from ibisspring_decisions.dispatch import place_items
 from ibisspring_jobs.adoption import AdoptionWindow, stored_part_of
+from ibisspring_jobs.engine_time import EngineTime
 from ibisspring_jobs.engines import Engines
+from ibisspring_jobs.group_plans import GroupPlans
 from ibisspring_jobs.items import ItemKey, Items, memory_tokens_of
 from ibisspring_jobs.moves import runs_to_move
 from ibisspring_jobs.outcomes import Outcomes
@@ -43,6 +45,7 @@
 
     :param run_by_number: the runs that have not ended, by the number of their assignment.
     :param outcomes: applies the outcomes that runners report.
+    :param engine_time: the engine time that client accounts have used, while shares are in force.
     :param now: start of the epoch, in seconds since boot.
     """
 
@@ -57,6 +60,11 @@
         self._last_number = 0
         self.engines = Engines(context, now)
         self.items = Items(state)
+        self.engine_time = EngineTime(state, context)
+        if context.policy.shares:
+            self.items.planner = GroupPlans(
+                context, self.engines, self.items, self.engine_time, self.run_by_number
+            )
         self.adoption = AdoptionWindow()
         self.outcomes = Outcomes(
             state, self.items, self.engines, self.run_by_number, self._remove_run
@@ -180,6 +188,8 @@
 
     def assign_waiting_items(self, now: float) -> None:
         """Assign waiting items to engines with free slots, each through an available runner."""
+        if self._context.policy.shares:
+            self.engine_time.sample(self.run_by_number.values(), now)
         if self.adoption.is_open(now):
             return
         if not any(runner.is_available(now) for runner in self.runners.runner_by_address.values()):
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
 
 from ibisspring_decisions.dispatch import WaitingItem, expected_memory_tokens, rank_of
 from ibisspring_jobs.progress import ItemProgress
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Sequence
 
     from ibisspring_core.messages.jobs import JobItem
     from ibisspring_decisions.dispatch import ItemRank
@@ -25,6 +26,31 @@
 """Job id and item id."""
 
 
+@dataclass(frozen=True)
+class ItemOrder:
+    """
+    The planned order of a service's items.
+
+    :param jobs: ids of the jobs whose items are in the order.
+    :param items: job id and item in start order; None if the items start by rank.
+    """
+
+    jobs: frozenset[str]
+    items: tuple[tuple[str, JobItem], ...] | None
+
+
+class ItemPlanner(Protocol):
+    """Plans the order in which the items of a service start."""
+
+    def item_order(self, service: str, jobs: Sequence[JobRecord], now: float) -> ItemOrder:
+        """
+        Return the order of the items of a service's open jobs.
+
+        :param now: seconds since boot.
+        """
+        ...
+
+
 class Items:
     """
     The items without a listed result, during one epoch of the dispatcher.
@@ -32,10 +58,12 @@
     :param committing: items whose result is being committed to the log; they are not started again.
     :param unscored: items whose text is complete but not scored, and whose reward call is assigned
         to no runner.
+    :param planner: plans the order of the items; None if they start by rank.
     """
 
     def __init__(self, state: JobsState) -> None:
         self._state = state
+        self.planner: ItemPlanner | None = None
         self._progress_by_job: dict[str, dict[str, ItemProgress]] = {}
         self._runs_by_key: dict[ItemKey, set[int]] = {}
         # The start order of a job's items never changes, so the items are sorted only once.
@@ -64,6 +92,21 @@
     def _known_progress(self, key: ItemKey) -> ItemProgress | None:
         return self._progress_by_job.get(key[0], {}).get(key[1])
 
+    def produced_events(self, key: ItemKey) -> int:
+        """Return the number of events that exist of an item's text."""
+        progress = self._known_progress(key)
+        if progress is not None:
+            return progress.events
+        parts = self._state.job_by_id[key[0]].parts_by_item.get(key[1])
+        return parts[-1].after + parts[-1].events if parts else 0
+
+    def has_complete_text(self, key: ItemKey) -> bool:
+        """Whether the text of an item has ended; at most its reward call is still to be made."""
+        progress = self._known_progress(key)
+        if progress is not None and progress.complete:
+            return True
+        return key in self.committing or key in self.unscored
+
     def is_busy(self, key: ItemKey) -> bool:
         """Whether an item runs, waits for its reward call, or has its result being committed."""
         return key in self.committing or key in self.unscored or key in self._runs_by_key
@@ -157,22 +200,61 @@
         """
         jobs = [job_record for job_record in self._open_jobs() if job_record.job.service == service]
         jobs.sort(key=lambda job_record: (job_record.job.priority, _due_s(job_record)))
+        if self.planner is not None:
+            yield from self._waiting_by_plan(self.planner, service, jobs, engines, now)
+            return
+        yield from self._waiting_by_rank(jobs, engines, now)
+
+    def _waiting_by_rank(
+        self, jobs: Iterable[JobRecord], engines: Engines, now: float
+    ) -> Iterator[WaitingItem]:
         for job_record in jobs:
             allowed = engines.allowed(job_record.job, now)
             if allowed:
                 yield from self._waiting_items_of(job_record, allowed, now)
 
+    def _waiting_by_plan(
+        self,
+        planner: ItemPlanner,
+        service: str,
+        jobs: list[JobRecord],
+        engines: Engines,
+        now: float,
+    ) -> Iterator[WaitingItem]:
+        """Yield the items in the order of their groups, and then those of jobs without a plan."""
+        allowed_by_job = {}
+        for job_record in jobs:
+            allowed = engines.allowed(job_record.job, now)
+            if allowed:
+                allowed_by_job[job_record.job.job] = allowed
+        jobs = [job_record for job_record in jobs if job_record.job.job in allowed_by_job]
+        planned = planner.item_order(service, jobs, now)
+        if planned.items is None:
+            yield from self._waiting_by_rank(jobs, engines, now)
+            return
+        job_by_id = {job_record.job.job: job_record for job_record in jobs}
+        for job_id, item in planned.items:
+            job_record = job_by_id.get(job_id)
+            if job_record is None or item.item not in job_record.item_by_id:
+                continue
+            if self._may_start((job_id, item.item), now):
+                yield _waiting_item(job_record, item, allowed_by_job[job_id])
+        unplanned = [job_record for job_record in jobs if job_record.job.job not in planned.jobs]
+        yield from self._waiting_by_rank(unplanned, engines, now)
+
     def _waiting_items_of(
         self, job_record: JobRecord, engines: frozenset[str], now: float
     ) -> Iterator[WaitingItem]:
         for item in self._ordered(job_record):
             key = (job_record.job.job, item.item)
-            if self.is_busy(key):
-                continue
-            progress = self._known_progress(key)
-            if progress is not None and now < progress.not_before_s:
-                continue
-            yield _waiting_item(job_record, item, engines)
+            if self._may_start(key, now):
+                yield _waiting_item(job_record, item, engines)
+
+    def _may_start(self, key: ItemKey, now: float) -> bool:
+        if self.is_busy(key):
+            return False
+        progress = self._known_progress(key)
+        return progress is None or now >= progress.not_before_s
 
     def _ordered(self, job_record: JobRecord) -> list[JobItem]:
         ordered = self._ordered_by_job.get(job_record.job.job)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -158,6 +158,8 @@
                 self._paced_limit,
                 view.is_cold,
                 self._settings.is_in_regions,
+                self._settings.policy,
+                count=self._counters.add,
             )
             self._dispatcher = Dispatcher(self._state, context, term, boot_now())
             eliot.log_message("jobs:leads", term=term, daemon=self._settings.daemon)
@@ -204,6 +206,13 @@
         await self._remove_expired_jobs()
         dispatcher.assign_waiting_items(now)
         dispatcher.move_stragglers(now)
+        if self._settings.policy.shares:
+            await self._keep_usage(dispatcher, now)
+
+    async def _keep_usage(self, dispatcher: Dispatcher, now: float) -> None:
+        usage = dispatcher.engine_time.usage_to_keep(now)
+        if usage is not None:
+            await self._propose(usage)
 
     async def _remove_expired_jobs(self) -> None:
         wall_s = self._view.wall_s()
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ibisspring_core.settings.policy import LoadPolicy
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -28,6 +30,9 @@
     :param is_in_regions: whether a data centre (the first argument) lies in the given regions; None
         stands for all.
     :param wall_s: returns the wall-clock time that most daemons agree on, in seconds since 1970.
+    :param policy: the optional decisions that are in force.
+    :param weight_of: returns the weight of a client account's share.
+    :param count: increases a counter by one.
     """
 
     serving: Callable[[str], tuple[EndpointRecord, ...]]
@@ -37,6 +42,9 @@
     paced_limit: Callable[[str], int | None] = lambda service: None
     is_cold: Callable[[str], bool] = lambda endpoint: False
     is_in_regions: Callable[[str, tuple[str, ...] | None], bool] = lambda data_centre, regions: True
+    policy: LoadPolicy = LoadPolicy()
+    weight_of: Callable[[str], float] = lambda client_account: 1.0
+    count: Callable[[str], None] = lambda name: None
 
 
 __all__ = ["DispatchContext"]
--- a/tests/unit/decisions/test_group_order.py
+++ b/tests/unit/decisions/test_group_order.py
@@ -160,13 +160,21 @@
     assert [planned.end_s for planned in plan.groups] == [float("inf")] * 2
 
 
+ANY_DUE_S = st.floats(-2.0, 12.0)
+# Past, or later than the end of all drawn groups on MANY_SLOTS.
+DUE_S_THAT_FIT = st.one_of(st.floats(-2.0, -1.0), st.floats(8.0, 12.0))
+MANY_SLOTS = 1000
+
+
 @st.composite
-def group_works(draw: st.DrawFn) -> list[GroupWork]:
+def group_works(
+    draw: st.DrawFn, due_times: st.SearchStrategy[float] = ANY_DUE_S
+) -> list[GroupWork]:
     """Return groups of a few jobs, each with one priority, due time and account."""
     works = []
     for job in range(draw(st.integers(1, 4))):
         priority = draw(st.integers(0, 2))
-        due_s = draw(st.floats(-2.0, 12.0))
+        due_s = draw(due_times)
         account = draw(st.sampled_from(["a", "b", "c"]))
         wanted = draw(st.integers(0, 4))
         for number in range(draw(st.integers(1, 5))):
@@ -218,12 +226,12 @@
     assert plan == plan_groups(list(reversed(works)), slots, 0.0, standings, busy_s)
 
 
-@given(group_works(), STANDINGS)
+@given(group_works(DUE_S_THAT_FIT), STANDINGS)
 def test_order_is_by_rank_while_all_groups_fit(
     works: list[GroupWork], standings: dict[str, AccountStanding]
 ) -> None:
     """With enough slots nobody's shares or wanted groups may change the order."""
-    plan = plan_groups(works, 1000, 0.0, standings)
+    plan = plan_groups(works, MANY_SLOTS, 0.0, standings)
     assert plan.by_rank
 
     def rank(work: GroupWork) -> object:
