--- a/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
@@ -100,10 +100,15 @@
 
 @dataclass(frozen=True)
 class Placement:
-    """An item and the engine on which it begins."""
+    """
+    An item and the engine on which it begins.
+
+    :param ends_in_s: seconds until the predicted end of its text; 0.0 if not predicted.
+    """
 
     key: tuple[str, str]
     engine: str
+    ends_in_s: float = 0.0
 
 
 def expected_memory_tokens(max_tokens: int, prompt_tokens: int, expected_tokens: int) -> int:
@@ -160,7 +165,7 @@
         fitting = [
             capacity_by_engine[engine]
             for engine in item.engines
-            if engine in capacity_by_engine and _fits(capacity_by_engine[engine], item)
+            if engine in capacity_by_engine and fits(capacity_by_engine[engine], item)
         ]
         if not fitting:
             if not _any_slot(capacity_by_engine, item.engines):
@@ -188,7 +193,8 @@
     )
 
 
-def _fits(capacity: EngineCapacity, item: WaitingItem) -> bool:
+def fits(capacity: EngineCapacity, item: WaitingItem) -> bool:
+    """Whether an engine has a free slot and probably enough memory for an item."""
     if capacity.free_slots <= 0:
         return False
     # An engine that runs nothing gets the item even if the estimate exceeds its memory: the engine
@@ -217,6 +223,7 @@
     "ItemRank",
     "WaitingItem",
     "expected_memory_tokens",
+    "fits",
     "rank_of",
     "place_items",
 ]
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/stragglers.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/stragglers.py
@@ -14,11 +14,19 @@
 waiting item takes. When the free slots of engines whose weights were too old for the runs were
 counted as well, sixteen runs left the slow engine, the only one that might run them, and were sent
 back to it twice a second for six seconds.
+
+A comparison with the median takes an engine that is slow by nature for a sick one, and noise of
+half a second for a fault; one run in eight was then cut. Where the speed of each engine is learned,
+`choose_gainful_moves` decides instead: a run leaves its engine only if the engine is degraded or
+the run will be late, and if the predicted gain exceeds the cost of the move.
 """
 
 from __future__ import annotations
 
+import enum
+import math
 import statistics
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -35,6 +43,21 @@
 # Weight of a new measurement in the moving average of an engine's seconds per event: two
 # measurements, half a second apart, are enough to detect a slow engine.
 NEW_PACE_WEIGHT = 0.6
+# Seconds from the stop of a run to the next event of its text elsewhere: the stop, its report, the
+# new connection, and the reading of the prompt and of the text so far.
+MOVE_COST_S = 0.25
+# Minimum predicted gain of a move after its cost, in seconds, by its reason. The predicted end of a
+# run is known to about half a second; a degraded engine may get worse.
+MIN_DEGRADED_GAIN_S = 0.5
+MIN_LATE_GAIN_S = 0.8
+# A run counts as late if it ends after its due time with this factor on its remaining time, as
+# estimates of a text's length are often too low.
+LATE_FACTOR = 1.3
+# Seconds after a move in which an item does not move again.
+MOVE_REST_S = 3.0
+# Most moves in a second: this share of the runs in progress, and at least MIN_MOVES_PER_S.
+MOVES_SHARE_PER_S = 0.02
+MIN_MOVES_PER_S = 2
 
 
 @dataclass
@@ -119,4 +142,140 @@
     return tuple(chosen)
 
 
-__all__ = ["MovableRun", "Pace", "choose_moves", "slow_engines"]
+class MoveReason(enum.Enum):
+    """Why a run moves."""
+
+    DEGRADED = "degraded"
+    LATE = "late"
+
+
+@dataclass(frozen=True)
+class ForecastRun:
+    """
+    A run that may move, with its prediction.
+
+    :param number: number by which the caller identifies the run.
+    :param engine: id of the engine that the run is on.
+    :param degraded: whether that engine is degraded.
+    :param remaining_events: estimated number of events that the run still has to produce.
+    :param ends_in_s: seconds until its predicted end where it is.
+    :param due_in_s: seconds until its job is due; negative if the time has passed.
+    :param engines: ids of the engines that may continue the run.
+    """
+
+    number: int
+    engine: str
+    degraded: bool
+    remaining_events: float
+    ends_in_s: float
+    due_in_s: float
+    engines: frozenset[str]
+
+    def reason(self) -> MoveReason | None:
+        """Return why the run should leave its engine; None if it should not."""
+        if self.degraded:
+            return MoveReason.DEGRADED
+        return MoveReason.LATE if LATE_FACTOR * self.ends_in_s > self.due_in_s else None
+
+
+@dataclass
+class FreeEngine:
+    """
+    An engine that runs may move to.
+
+    :param free_slots: number of further runs; reduced by each move.
+    :param event_s: expected seconds per event of a run that begins there now.
+    """
+
+    engine: str
+    free_slots: int
+    event_s: float
+
+
+@dataclass(frozen=True)
+class Move:
+    """
+    A move of a run.
+
+    :param gain_s: seconds by which the run will end sooner, after the cost of the move.
+    """
+
+    number: int
+    engine: str
+    reason: MoveReason
+    gain_s: float
+    ends_in_s: float
+
+
+class MoveBudget:
+    """Limits the moves of any second to a share of the runs; `now` is in seconds since boot."""
+
+    def __init__(self) -> None:
+        self._moved_at: deque[float] = deque()
+
+    def left(self, runs: int, now: float) -> int:
+        """
+        Return the number of further moves in the present second.
+
+        :param runs: number of runs in progress.
+        """
+        while self._moved_at and now - self._moved_at[0] >= 1.0:
+            self._moved_at.popleft()
+        return max(MIN_MOVES_PER_S, math.ceil(MOVES_SHARE_PER_S * runs)) - len(self._moved_at)
+
+    def spend(self, now: float) -> None:
+        """Record a move."""
+        self._moved_at.append(now)
+
+
+def choose_gainful_moves(
+    runs: Iterable[ForecastRun], free_engines: Iterable[FreeEngine], max_moves: int
+) -> tuple[Move, ...]:
+    """
+    Choose the runs that end sooner on another engine by more than a move costs.
+
+    A free slot is given to a run even if items wait, since the run's own slot becomes free for
+    them.
+
+    :param free_engines: engines with free slots, without those that are slower than usual now.
+    :param max_moves: most moves of this decision.
+    :return: the moves, those of the runs that end last first.
+    """
+    candidates = [(run, reason) for run in runs if (reason := run.reason()) is not None]
+    candidates.sort(key=lambda candidate: (-candidate[0].ends_in_s, candidate[0].number))
+    free = [engine for engine in free_engines if engine.free_slots > 0]
+    moves: list[Move] = []
+    for run, reason in candidates:
+        if len(moves) >= max_moves:
+            break
+        target = min(
+            (one for one in free if one.engine in run.engines and one.engine != run.engine),
+            key=lambda one: (one.event_s, one.engine),
+            default=None,
+        )
+        if target is None:
+            continue
+        ends_in_s = MOVE_COST_S + run.remaining_events * target.event_s
+        gain_s = run.ends_in_s - ends_in_s
+        least_s = MIN_DEGRADED_GAIN_S if reason is MoveReason.DEGRADED else MIN_LATE_GAIN_S
+        if gain_s < least_s:
+            continue
+        target.free_slots -= 1
+        if target.free_slots <= 0:
+            free.remove(target)
+        moves.append(Move(run.number, target.engine, reason, gain_s, ends_in_s))
+    return tuple(moves)
+
+
+__all__ = [
+    "ForecastRun",
+    "FreeEngine",
+    "MovableRun",
+    "Move",
+    "MoveBudget",
+    "MoveReason",
+    "Pace",
+    "choose_gainful_moves",
+    "choose_moves",
+    "slow_engines",
+]
