Place and move runs by learned speeds where the policy names speeds

The leader of the jobs' log took any engine slower than 1.7 times the median for sick, lost its paces with each change of the leader, and gave short items the fast engines.

Off by default: existing tests are unchanged.

--- a/bench/_speeds_replay.py
+++ b/bench/_speeds_replay.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ibisspring_decisions.engine_speed import FULL_SLOWDOWN, LearnedSpeeds, StreamProgress
+from ibisspring_decisions.engine_speed import LearnedSpeeds, StreamProgress
+from ibisspring_decisions.engine_start import FULL_SLOWDOWN
 from ibisspring_decisions.stragglers import Pace
 
 if TYPE_CHECKING:
--- a/bench/speeds.py
+++ b/bench/speeds.py
@@ -95,8 +95,10 @@
         def event_s(running: int, name: str = name) -> float:
             return speeds.expected_event_s(name, running)
 
-        pace_s = event_s(len(engine.runs))
-        ends = [remaining_of(text) * pace_s for text in engine.runs]
+        def ends(engine: ReplayedEngine = engine) -> list[float]:
+            pace_s = speeds.expected_event_s(engine.name, len(engine.runs))
+            return [remaining_of(text) * pace_s for text in engine.runs]
+
         forecasts.append(EngineForecast(_capacity(replay, engine), event_s, ends))
     text_by_key = {text.key: text for text in texts}
     placed = place_by_end(
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/placement.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/placement.py
@@ -16,7 +16,8 @@
 from __future__ import annotations
 
 import heapq
-from dataclasses import dataclass
+from bisect import insort
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ibisspring_decisions.dispatch import (
@@ -46,7 +47,7 @@
 NEW_CONNECTION_FACTOR = 1.15
 # Number of items that one decision holds back. The items after them take the free slots, so that
 # the time of a decision is bounded.
-MAX_HELD_BACK = 48
+MAX_HELD_BACK = 8
 
 
 @dataclass
@@ -56,13 +57,14 @@
 
     :param capacity: its free capacity; reduced by each item that is placed.
     :param event_s: returns the expected seconds per event of a run by the number of runs.
-    :param ends_in_s: seconds until the predicted end of each of its runs. It is empty if something
-        else than its runs limits the free slots; then no item is held back for the engine.
+    :param ends_in_s: returns the seconds until the predicted end of each of its runs; called only
+        if an item may wait for the engine. It returns none if something else than the runs limits
+        the free slots.
     """
 
     capacity: EngineCapacity
     event_s: Callable[[int], float]
-    ends_in_s: list[float]
+    ends_in_s: Callable[[], list[float]]
 
 
 @dataclass(frozen=True)
@@ -141,12 +143,26 @@
 
 @dataclass
 class _Slot:
-    """A forecast with its present speed; `next_free_s` is a heap of the ends of its runs."""
+    """
+    A forecast with its present speed.
+
+    :param placed_end_s: ends of the items that this decision placed there.
+    :param next_free_s: heap of the times at which slots become free; None while it is not needed.
+    """
 
     engine: str
     forecast: EngineForecast
     event_s: float
-    next_free_s: list[float]
+    placed_end_s: list[float] = field(default_factory=list)
+    next_free_s: list[float] | None = None
+
+    def free_times_s(self) -> list[float]:
+        """Build the heap of the times at which slots become free."""
+        ends_s = [*self.forecast.ends_in_s(), *self.placed_end_s]
+        is_complete = len(ends_s) == self.forecast.capacity.running
+        self.next_free_s = ends_s if is_complete else []
+        heapq.heapify(self.next_free_s)
+        return self.next_free_s
 
 
 class _Board:
@@ -159,10 +175,11 @@
             capacity = forecast.capacity
             if capacity.free_slots > 0:
                 event_s = forecast.event_s(capacity.running + 1)
-                self.free.append(_Slot(capacity.engine, forecast, event_s, []))
+                self.free.append(_Slot(capacity.engine, forecast, event_s))
             else:
                 event_s = forecast.event_s(capacity.running)
-                self._add_full(_Slot(capacity.engine, forecast, event_s, []))
+                self._full.append(_Slot(capacity.engine, forecast, event_s))
+        self._full.sort(key=lambda slot: slot.event_s)
 
     def best_free(self, item: WaitingItem, remaining: float) -> tuple[_Slot, float] | None:
         """Return the free slot with the lowest cost for an item, and the item's end there."""
@@ -192,10 +209,19 @@
         latest_s = free_end_s - MIN_WAIT_GAIN_S
         best: _Slot | None = None
         for slot in self._full:
-            end_s = slot.next_free_s[0] + remaining * slot.event_s
-            if end_s < latest_s and slot.engine in item.engines:
+            if remaining * slot.event_s >= latest_s:
+                break
+            if slot.engine not in item.engines:
+                continue
+            free_times_s = slot.next_free_s
+            if free_times_s is None:
+                free_times_s = slot.free_times_s()
+            if not free_times_s:
+                continue
+            end_s = free_times_s[0] + remaining * slot.event_s
+            if end_s < latest_s:
                 best, latest_s = slot, end_s
-        if best is None:
+        if best is None or best.next_free_s is None:
             return False
         heapq.heapreplace(best.next_free_s, latest_s)
         return True
@@ -210,19 +236,12 @@
         capacity.groups_with_prompt.add(item.group)
         if capacity.idle_connections:
             capacity.idle_connections -= 1
-        forecast.ends_in_s.append(end_s)
+        slot.placed_end_s.append(end_s)
         if capacity.free_slots > 0:
             slot.event_s = forecast.event_s(capacity.running + 1)
             return
         self.free.remove(slot)
-        self._add_full(slot)
-
-    def _add_full(self, slot: _Slot) -> None:
-        ends_in_s = slot.forecast.ends_in_s
-        if ends_in_s and len(ends_in_s) == slot.forecast.capacity.running:
-            slot.next_free_s = list(ends_in_s)
-            heapq.heapify(slot.next_free_s)
-            self._full.append(slot)
+        insort(self._full, slot, key=lambda full: full.event_s)
 
 
 __all__ = [
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -16,19 +16,24 @@
 from ibisspring_decisions.dispatch import place_items
 from ibisspring_jobs.adoption import AdoptionWindow, stored_part_of
 from ibisspring_jobs.engines import Engines
+from ibisspring_jobs.forecasts import expected_events_of
 from ibisspring_jobs.items import ItemKey, Items, memory_tokens_of
+from ibisspring_jobs.learned_speeds import SpeedRecorder
 from ibisspring_jobs.moves import runs_to_move
 from ibisspring_jobs.outcomes import Outcomes
 from ibisspring_jobs.progress import abandoned_result
 from ibisspring_jobs.runners import Runners
 from ibisspring_jobs.runs import Run
+from ibisspring_jobs.speed_policy import SpeedPolicy
 from ibisspring_jobs.surroundings import DispatchContext
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.messages.jobs import HeldRun, ItemResult, Outcome, TakeWork
+    from ibisspring_decisions.dispatch import Placement
+    from ibisspring_decisions.stragglers import Move
     from ibisspring_jobs.runners import Runner
     from ibisspring_jobs.state import JobsState
 
@@ -43,6 +48,7 @@
 
     :param run_by_number: the runs that have not ended, by the number of their assignment.
     :param outcomes: applies the outcomes that runners report.
+    :param speed_policy: places and moves runs by predicted ends; None if it is not in force.
     :param now: start of the epoch, in seconds since boot.
     """
 
@@ -55,12 +61,16 @@
         self._state = state
         self._context = context
         self._last_number = 0
-        self.engines = Engines(context, now)
+        recorder = SpeedRecorder(state, context.counters, now) if context.policy.speeds else None
+        self.engines = Engines(context, now, recorder)
         self.items = Items(state)
         self.adoption = AdoptionWindow()
         self.outcomes = Outcomes(
             state, self.items, self.engines, self.run_by_number, self._remove_run
         )
+        self.speed_policy = (
+            SpeedPolicy(state, context, self.items, self.engines, recorder) if recorder else None
+        )
 
     def adopt(self, runner: Runner, offered: tuple[HeldRun, ...], now: float) -> None:
         """
@@ -93,6 +103,7 @@
                 memory_tokens_of(item),
                 now,
                 held.resume_after,
+                expected_events=expected_events_of(item),
             )
             self.run_by_number[run.number] = run
             self.items.run_started(key, run.number)
@@ -125,17 +136,35 @@
         return runner
 
     def move_stragglers(self, now: float) -> None:
-        """Move runs from engines much slower than the median to engines with free slots."""
+        """
+        Move runs to engines with free slots: from engines much slower than the median, or by the
+        predicted ends where speeds are learned.
+        """
         runs = tuple(self.run_by_number.values())
+        if self.speed_policy is not None:
+            for run, move in self.speed_policy.choose_moves(runs, now):
+                self._request_move(run, move)
+            return
         for run in runs_to_move(self._state, self._context, self.engines, self.items, runs, now):
             self._request_move(run)
 
-    def _request_move(self, run: Run) -> None:
+    def _request_move(self, run: Run, move: Move | None = None) -> None:
         run.moved = True
         runner = self.runners.runner_by_address.get(run.runner)
         if runner is None:
             return
-        eliot.log_message("dispatch:moved", item=run.item, endpoint=run.endpoint, events=run.events)
+        prediction = (
+            {"reason": move.reason.value, "to": move.engine, "gain_s": round(move.gain_s, 2)}
+            if move is not None
+            else {}
+        )
+        eliot.log_message(
+            "dispatch:moved",
+            item=run.item,
+            endpoint=run.endpoint,
+            events=run.events,
+            **prediction,
+        )
         runner.moved.append(run.number)
         runner.wake.set()
 
@@ -169,6 +198,8 @@
         """
         job_record = self._state.job_by_id.get(job)
         self.items.remove_finished(job)
+        if self.speed_policy is not None:
+            self.speed_policy.remove_finished(job)
         for run in [run for run in self.run_by_number.values() if run.job == job]:
             if job_record is not None and run.item in job_record.item_by_id:
                 continue
@@ -208,13 +239,21 @@
         runs = self.run_by_number.values()
         if not self.engines.any_free_slot(service, records, runs):
             return
-        capacities = self.engines.free_capacities(service, records, runs, now)
-        for placement in place_items(self.items.waiting(service, self.engines, now), capacities):
+        for placement in self._place(service, record_by_engine, now):
             record = record_by_engine[placement.engine]
             runner = self._choose_runner(placement.key, record, now)
             if runner is None:
                 return
-            self._assign(placement.key, record, runner, now)
+            self._assign(placement.key, record, runner, now, placement.ends_in_s)
+
+    def _place(
+        self, service: str, record_by_engine: dict[str, EndpointRecord], now: float
+    ) -> Iterable[Placement]:
+        runs = self.run_by_number.values()
+        if self.speed_policy is not None:
+            return self.speed_policy.place(service, record_by_engine, runs, now)
+        capacities = self.engines.free_capacities(service, record_by_engine.values(), runs, now)
+        return place_items(self.items.waiting(service, self.engines, now), capacities)
 
     def _choose_runner(self, key: ItemKey, record: EndpointRecord, now: float) -> Runner | None:
         def connected(runner: str) -> bool:
@@ -243,13 +282,19 @@
             self.engines.connection_released(run, outcome, now)
 
     def _assign(
-        self, key: ItemKey, record: EndpointRecord | None, runner: Runner, now: float
+        self,
+        key: ItemKey,
+        record: EndpointRecord | None,
+        runner: Runner,
+        now: float,
+        ends_in_s: float = 0.0,
     ) -> None:
         """
         Assign an item to a runner.
 
         :param record: the engine that is to generate the text; None if the text is complete and
             only its reward call is to be made.
+        :param ends_in_s: seconds until the predicted end of the text; 0.0 if not predicted.
         """
         job = self._state.job_by_id[key[0]].job
         item = self._state.job_by_id[key[0]].item_by_id[key[1]]
@@ -283,6 +328,9 @@
             now,
             resume_after,
             scoring=record is None,
+            expected_events=expected_events_of(item),
+            predicted_end_at=now + ends_in_s if ends_in_s else 0.0,
+            ends_at=now + ends_in_s,
         )
         self.run_by_number[run.number] = run
         self.items.run_started(key, run.number)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -21,6 +21,7 @@
     from ibisspring_core.messages.endpoints import EndpointRecord
     from ibisspring_core.messages.jobs import Job, Outcome
     from ibisspring_core.routes.model import ServiceTerms
+    from ibisspring_jobs.learned_speeds import SpeedRecorder
     from ibisspring_jobs.runs import Run
     from ibisspring_jobs.surroundings import DispatchContext
 
@@ -41,8 +42,14 @@
     :param paces: for each engine, the seconds that it takes per event of a stream.
     """
 
-    def __init__(self, context: DispatchContext, now: float) -> None:
-        self.paces = EnginePaces()
+    def __init__(
+        self, context: DispatchContext, now: float, recorder: SpeedRecorder | None = None
+    ) -> None:
+        """
+        :param recorder: learns the own speed of each engine; None if the policy does not use it.
+        """
+        self.paces = EnginePaces(recorder)
+        self._recorder = recorder
         self._context = context
         self._paced = PacedSends(now)
         self._idle_by_runner = IdleConnections()
@@ -87,6 +94,14 @@
         paused_model = model if kind == "stale" else ""
         self._paused_until_by_engine[(engine, paused_model)] = now + PAUSE_S.get(kind, 0.0)
 
+    def register_starts(self, service: str, now: float) -> None:
+        """State to the recorder of speeds which start of each engine of a service is served."""
+        if self._recorder is None:
+            return
+        terms = self._context.terms(service)
+        for record in self._context.serving(service):
+            self._recorder.register(record, _slot_count(record, terms), now)
+
     def any_free_slot(
         self, service: str, records: Iterable[EndpointRecord], runs: Iterable[Run]
     ) -> bool:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/moves.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/moves.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from ibisspring_decisions.placement import TOKENS_PER_EVENT
 from ibisspring_decisions.stragglers import MIN_REMAINING_EVENTS, MovableRun, choose_moves
 
 if TYPE_CHECKING:
@@ -23,9 +24,6 @@
 # Seconds that a run must have lasted before it may move to another engine. Its first events show
 # nothing about the speed of the engine, and an item that has just moved is not moved again.
 MIN_RUN_BEFORE_MOVE_S = 0.4
-# Number of tokens in one stream event of current engines. By it the number of events that a run
-# still has to produce is estimated from the item's expected number of tokens.
-TOKENS_PER_EVENT = 60
 
 
 def runs_to_move(
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runs.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runs.py
@@ -21,6 +21,11 @@
     :param moved: the runner is to stop the run, so that its item continues at another endpoint.
     :param scoring: the item's text is complete and only its reward call is in progress, which uses
         no capacity of the endpoint.
+    :param expected_events: expected number of events of the item's complete text; 0.0 if ends are
+        not predicted.
+    :param predicted_end_at: predicted end of the text when the run began, in seconds since boot;
+        0.0 if not predicted.
+    :param ends_at: the same by the last report of the run.
     """
 
     number: int
@@ -35,6 +40,9 @@
     events: int = 0
     moved: bool = False
     scoring: bool = False
+    expected_events: float = 0.0
+    predicted_end_at: float = 0.0
+    ends_at: float = 0.0
 
 
 __all__ = ["Run"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -158,6 +158,8 @@
                 self._paced_limit,
                 view.is_cold,
                 self._settings.is_in_regions,
+                self._settings.policy,
+                self._counters,
             )
             self._dispatcher = Dispatcher(self._state, context, term, boot_now())
             eliot.log_message("jobs:leads", term=term, daemon=self._settings.daemon)
@@ -202,9 +204,17 @@
             results_by_job.setdefault(job, []).append(result)
         await self._commit_results(results_by_job)
         await self._remove_expired_jobs()
+        await self._keep_speeds(dispatcher, now)
         dispatcher.assign_waiting_items(now)
         dispatcher.move_stragglers(now)
 
+    async def _keep_speeds(self, dispatcher: Dispatcher, now: float) -> None:
+        if dispatcher.speed_policy is None:
+            return
+        command = dispatcher.speed_policy.update(now)
+        if command is not None:
+            await self._propose(command)
+
     async def _remove_expired_jobs(self) -> None:
         wall_s = self._view.wall_s()
         expired = []
@@ -308,6 +318,9 @@
         now = boot_now()
         for reported in message.outcomes:
             dispatcher.release_connection(reported, now)
+            if dispatcher.speed_policy is not None:
+                run = dispatcher.run_by_number.get(reported.number)
+                dispatcher.speed_policy.record_end(run, reported, now)
             for outcome in dispatcher.outcomes.split(reported):
                 if outcome.kind != "done" and (outcome.events or outcome.whole):
                     job_and_part = dispatcher.outcomes.accept_part(outcome)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ibisspring_core.counters import Counters
+from ibisspring_core.settings.policy import LoadPolicy
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -28,6 +31,8 @@
     :param is_in_regions: whether a data centre (the first argument) lies in the given regions; None
         stands for all.
     :param wall_s: returns the wall-clock time that most daemons agree on, in seconds since 1970.
+    :param policy: the optional decisions about load that are in force.
+    :param counters: the daemon's counters.
     """
 
     serving: Callable[[str], tuple[EndpointRecord, ...]]
@@ -37,6 +42,8 @@
     paced_limit: Callable[[str], int | None] = lambda service: None
     is_cold: Callable[[str], bool] = lambda endpoint: False
     is_in_regions: Callable[[str, tuple[str, ...] | None], bool] = lambda data_centre, regions: True
+    policy: LoadPolicy = LoadPolicy()
+    counters: Counters = field(default_factory=lambda: Counters(None))
 
 
 __all__ = ["DispatchContext"]
--- a/tests/unit/decisions/test_engine_speed.py
+++ b/tests/unit/decisions/test_engine_speed.py
@@ -7,17 +7,19 @@
 from hypothesis import strategies as st
 
 from ibisspring_decisions.engine_speed import (
-    DEGRADED_AFTER_S,
-    FULL_SLOWDOWN,
     KEPT_CHANGE,
-    RELEARN_AFTER_S,
-    STATE_KEPT_S,
     EngineState,
     KnownSpeed,
     LearnedSpeeds,
     StreamProgress,
     is_worth_keeping,
 )
+from ibisspring_decisions.engine_start import (
+    DEGRADED_AFTER_S,
+    FULL_SLOWDOWN,
+    RELEARN_AFTER_S,
+    STATE_KEPT_S,
+)
 
 SLOTS = 8
 REPORT_S = 0.4
@@ -220,7 +222,8 @@
 
     assert speeds.event_s("unknown", 4) == pytest.approx(0.04, rel=0.1)
     assert speeds.state("unknown") is EngineState.NORMAL
-    speeds.retain(("a",))
+    speeds.register("a", 1, SLOTS, 100.0)
+    speeds.forget_absent(before=100.0)
     assert speeds.median_event_s() == pytest.approx(0.02, rel=0.1)
 
 
--- a/tests/unit/decisions/test_placement.py
+++ b/tests/unit/decisions/test_placement.py
@@ -31,7 +31,7 @@
 
 def forecast(engine: str, event_s: float, free: int, ends=(), **changes) -> EngineForecast:
     capacity = EngineCapacity(engine, free, 100_000, len(ends), 1.0, set(), **changes)
-    return EngineForecast(capacity, lambda running: event_s, list(ends))
+    return EngineForecast(capacity, lambda running: event_s, lambda: list(ends))
 
 
 def place(events: list[float], *forecasts: EngineForecast):
@@ -77,7 +77,7 @@
 def test_an_engine_whose_slots_are_limited_otherwise_is_not_waited_for() -> None:
     # A cold engine gets few requests a second; the end of a run does not make a slot free there.
     paced = EngineForecast(
-        EngineCapacity("fast", 0, 100_000, 2, 1.0, set()), lambda running: FAST_S, []
+        EngineCapacity("fast", 0, 100_000, 2, 1.0, set()), lambda running: FAST_S, list
     )
     engines, held = place([130], paced, forecast("slow", SLOW_S, 1))
 
@@ -142,7 +142,9 @@
     waiting = {f"i{number}" for number in range(len(events))} - set(engines)
     assert waiting == set(held)
     # The ends of the items that were placed just now count as well.
-    first_free_s = min(fast.ends_in_s) if not fast.capacity.free_slots else 0.0
+    placed = [events[int(key[1:])] for key, engine in engines.items() if engine == "fast"]
+    ends_s = [*ends[free_fast:], *(remaining * FAST_S for remaining in placed)]
+    first_free_s = min(ends_s) if not fast.capacity.free_slots else 0.0
     for number, remaining in enumerate(events):
         if f"i{number}" in held:
             assert first_free_s + remaining * FAST_S < remaining * SLOW_S - MIN_WAIT_GAIN_S
