--- a/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
@@ -201,7 +201,7 @@
         if made.plan.overloaded:
             self._overloaded_at_by_service[service] = now
             if not began:
-                self._context.count("dispatch.overload_began")
+                self._context.counters.add("dispatch.overload_began")
                 self._log_overload(service, made, "began")
         elif began and now - self._overloaded_at_by_service[service] >= OVERLOAD_END_S:
             del self._overloaded_at_by_service[service]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/surroundings.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ibisspring_core.counters import Counters
 from ibisspring_core.settings.policy import LoadPolicy
 
 if TYPE_CHECKING:
@@ -32,7 +33,7 @@
     :param wall_s: returns the wall-clock time that most daemons agree on, in seconds since 1970.
     :param policy: the optional decisions that are in force.
     :param weight_of: returns the weight of a client account's share.
-    :param count: increases a counter by one.
+    :param counters: the daemon's counters.
     """
 
     serving: Callable[[str], tuple[EndpointRecord, ...]]
@@ -44,7 +45,7 @@
     is_in_regions: Callable[[str, tuple[str, ...] | None], bool] = lambda data_centre, regions: True
     policy: LoadPolicy = LoadPolicy()
     weight_of: Callable[[str], float] = lambda client_account: 1.0
-    count: Callable[[str], None] = lambda name: None
+    counters: Counters = field(default_factory=lambda: Counters(None))
 
 
 __all__ = ["DispatchContext"]
