--- a/tests/unit/jobs/test_speed_policy.py
+++ b/tests/unit/jobs/test_speed_policy.py
@@ -235,6 +235,78 @@
     ]
 
 
+def test_a_waiting_item_does_not_take_the_slot_of_a_moving_run() -> None:
+    # All slots are taken, an engine degrades, and a slot becomes free on the other one. While the
+    # run that moves there is being stopped, an item of a more urgent job arrives.
+    harness = SpeedHarness(*([400] * 8))
+    first = harness.assign()
+    harness.run(6.0)
+    harness.factor_by_engine[FAST.endpoint] = 6.0
+    harness.run(2.0)
+    slow_item = next(name for name, engine in first.items() if engine == SLOW.endpoint)
+    harness.end(slow_item, output="x", events=1, versions=(4,))
+    harness.dispatcher.move_stragglers(harness.now)
+    assert len(harness.moved()) == 1
+
+    job = harness.state.job_by_id["j"].job
+    urgent = dataclasses.replace(job, job="k", items=(item(100, 150),), due_s=1.0)
+    harness.apply(AcceptJob(urgent))
+    assert harness.assign() == {}
+
+    number = harness.moved()[0]
+    moved_item = harness.dispatcher.run_by_number[number].item
+    del harness.events_by_number[number]
+    harness.end_run(number, "broken", harness.now, output="a", events=1, versions=(4,))
+    assert harness.assign()[moved_item] == SLOW.endpoint
+
+
+def test_a_moved_item_rests_even_if_its_new_engine_degrades() -> None:
+    # Both engines degrade in turn. Without the rest, the same text would be read again and again.
+    harness = SpeedHarness(*([400] * 8))
+    first = harness.assign()
+    harness.run(6.0)
+    harness.factor_by_engine[FAST.endpoint] = 6.0
+    harness.run(2.0)
+    for name in [name for name, engine in first.items() if engine == SLOW.endpoint]:
+        harness.end(name, output="x", events=1, versions=(4,))
+    harness.dispatcher.move_stragglers(harness.now)
+    number = harness.moved()[0]
+    moved = harness.dispatcher.run_by_number[number]
+    del harness.events_by_number[number]
+    harness.end_run(number, "broken", harness.now, output="a", events=1, versions=(4,))
+    assert harness.assign() == {moved.item: SLOW.endpoint}
+
+    harness.factor_by_engine = {SLOW.endpoint: 12.0}
+    moved_at = harness.now
+    moved_items = []
+    while harness.now - moved_at < MOVE_REST_S + 2.0:
+        harness.moved().clear()
+        harness.run(REPORT_S, move=True)
+        moved_items = [harness.dispatcher.run_by_number[one].item for one in harness.moved()]
+        if moved.item in moved_items:
+            break
+    assert moved.item in moved_items
+    assert harness.now - moved_at >= MOVE_REST_S
+
+
+def test_the_time_before_the_first_event_is_not_part_of_the_pace() -> None:
+    # Engines read the prompt before the first event. If this time counted, an engine with many
+    # short texts would seem to be noisy.
+    harness = SpeedHarness(*([20] * 40), engines=(FAST,))
+    for _ in range(8):
+        names = list(harness.assign())
+        for events in (0, 1, 1 + REPORT_S / FAST_S):
+            harness.now += REPORT_S
+            harness.events_by_number = dict.fromkeys(harness.events_by_number, events)
+            harness.assign()
+        for name in names:
+            harness.end(name, output="x", events=1, versions=(4,))
+
+    event_s = harness.policy._recorder.speeds.event_s(FAST.endpoint, SLOTS // 2)
+    assert event_s == pytest.approx(FAST_S, rel=0.15)
+    assert "engine_state.noisy" not in harness.counters.count_by_name
+
+
 def test_a_slot_is_kept_for_a_moving_run_only_for_a_moment() -> None:
     harness = learned()
     reserved = harness.policy._placement.reserved
