--- a/tests/unit/decisions/test_entry_size.py
+++ b/tests/unit/decisions/test_entry_size.py
@@ -109,6 +109,16 @@
     assert peak_memory_mb(StreamLimit(replace(LARGE, memory_mb=160.0))) < SMALL.memory_mb
 
 
+def test_runs_are_given_back_in_parts_whose_effect_is_measured() -> None:
+    # Memory falls only when the runs have ended. Giving runs back at each measurement would empty
+    # the entry meanwhile.
+    limit = StreamLimit(SMALL)
+    full = EntryUsage(20, 0.95 * SMALL.memory_mb)
+    given_back = [limit.measure(full, number * TICK_S) for number in range(7)]
+
+    assert given_back == [5, 0, 0, 0, 0, 5, 0]
+
+
 def test_an_entry_that_turns_slow_accepts_no_runs_within_a_second() -> None:
     limit = StreamLimit(SMALL)
     late = EntryUsage(5, 60.0, 100, 0.12)
