Preempt runs for a group that only a slot now can save

Cause: a run holds its slot to its end. In the test's load (16 slots full of 6 s items that are due a minute later) a step of eight items that is due in 3.5 s was whole after 2.0 + 3.5 s.

Change: choose_preempted (pure) and Preemption, on the leader. For up to two groups that are late in the plan but could be in time alone, and that can wait for at most 1 s, up to 16 runs a second yield: of surplus groups, of groups that are hopeless, or of groups with twice the slack that it costs. Runs are stopped only if the plan without them has the group in time and loses none. A yield is the existing moved list, so the text so far is committed and continued.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -21,6 +21,7 @@
 from ibisspring_jobs.items import ItemKey, Items, memory_tokens_of
 from ibisspring_jobs.moves import runs_to_move
 from ibisspring_jobs.outcomes import Outcomes
+from ibisspring_jobs.preempting import Preemption
 from ibisspring_jobs.progress import abandoned_result
 from ibisspring_jobs.runners import Runners
 from ibisspring_jobs.runs import Run
@@ -61,10 +62,16 @@
         self.engines = Engines(context, now)
         self.items = Items(state)
         self.engine_time = EngineTime(state, context)
+        self._preemption: Preemption | None = None
         if context.policy.shares:
-            self.items.planner = GroupPlans(
+            plans = GroupPlans(
                 context, self.engines, self.items, self.engine_time, self.run_by_number
             )
+            self.items.planner = plans
+            if context.policy.preemption:
+                self._preemption = Preemption(
+                    context, self.engines, self.items, plans, self.run_by_number
+                )
         self.adoption = AdoptionWindow()
         self.outcomes = Outcomes(
             state, self.items, self.engines, self.run_by_number, self._remove_run
@@ -138,6 +145,14 @@
         for run in runs_to_move(self._state, self._context, self.engines, self.items, runs, now):
             self._request_move(run)
 
+    def preempt(self, now: float) -> None:
+        """Stop runs that give their slot to a group which would be late otherwise."""
+        if self._preemption is None or self.adoption.is_open(now):
+            return
+        for service in self.items.services():
+            for run in self._preemption.select(service, now):
+                self._request_move(run)
+
     def _request_move(self, run: Run) -> None:
         run.moved = True
         runner = self.runners.runner_by_address.get(run.runner)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
@@ -43,18 +43,22 @@
     """
     A plan with what it was computed from.
 
-    :param order: the jobs whose groups are in the plan, and the order of their items.
+    :param records: the jobs whose groups are in the plan.
+    :param order: their ids, and the order of their items.
     :param work_by_key: the work of each group.
     :param planned_by_key: the place of each group.
     :param slots: number of slots of all engines.
+    :param event_s_by_engine: seconds per event of each engine's runs.
     :param made_at: seconds since boot.
     """
 
+    records: tuple[JobRecord, ...]
     order: ItemOrder
     plan: GroupPlan
     work_by_key: Mapping[GroupKey, GroupWork]
     planned_by_key: Mapping[GroupKey, PlannedGroup]
     slots: int
+    event_s_by_engine: Mapping[str, float]
     made_at: float
 
 
@@ -169,11 +173,13 @@
                 )
             )
         return ServicePlan(
+            tuple(jobs),
             ItemOrder(frozenset(job_by_id), items),
             plan,
             {work.key: work for work in works},
             {planned.key: planned for planned in plan.groups},
             slots,
+            event_s_by_engine,
             now,
         )
 
@@ -184,10 +190,10 @@
         return frozenset(job_by_id).union(*elsewhere)
 
     def _busy_s(self, event_s_by_engine: Mapping[str, float]) -> list[float]:
-        """Return the seconds until each slot that is in use is free."""
+        """Return the seconds until each slot is free that no run is being stopped on."""
         busy_s = []
         for run in self._run_by_number.values():
-            if run.scoring or run.endpoint not in event_s_by_engine:
+            if run.scoring or run.moved or run.endpoint not in event_s_by_engine:
                 continue
             item = self._items.item_of(run)
             if item is not None:
@@ -195,6 +201,19 @@
                 busy_s.append(left * event_s_by_engine[run.endpoint])
         return busy_s
 
+    def replan_if(self, service: str, now: float, accept: Callable[[ServicePlan], bool]) -> bool:
+        """
+        Compute the plan of a service's groups anew, and use it if it is accepted.
+
+        :param accept: decides on the new plan.
+        """
+        known = self._plan_by_service[service]
+        tried = self._make_plan(service, known.records, now)
+        if not accept(tried):
+            return False
+        self._plan_by_service[service] = tried
+        return True
+
     def _note_overload(self, service: str, made: ServicePlan, now: float) -> None:
         """Log the begin and the end of an overload with the accounts' shares."""
         began = service in self._overloaded_at_by_service
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/group_work.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/group_work.py
@@ -64,7 +64,8 @@
         """
         Return the groups of a job that have items without a listed result.
 
-        :param run_by_key: the runs in progress that generate text.
+        :param run_by_key: the runs in progress that generate text. The item of a run that is being
+            stopped counts as waiting.
         :param event_s_of: returns the seconds per event on an engine.
         :param waiting_event_s: seconds per event of an item that waits.
         """
@@ -92,15 +93,13 @@
         if run is None and self._items.has_complete_text(key):
             group.produced += expected_events(item)
             return
-        if run is not None:
-            produced = run.resume_after + run.events
-            left = events_left(item, produced)
+        produced = run.resume_after + run.events if run else self._items.produced_events(key)
+        left = events_left(item, produced)
+        if run is not None and not run.moved:
             run_s = left * event_s_of(run.endpoint)
             group.running_s += run_s
             group.runs_end_s = max(group.runs_end_s, run_s)
         else:
-            produced = self._items.produced_events(key)
-            left = events_left(item, produced)
             group.waiting_s += left * waiting_event_s
             group.longest_s = max(group.longest_s, left * waiting_event_s)
         group.produced += produced
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -198,12 +198,41 @@
 
         :param now: seconds since boot.
         """
-        jobs = [job_record for job_record in self._open_jobs() if job_record.job.service == service]
-        jobs.sort(key=lambda job_record: (job_record.job.priority, _due_s(job_record)))
         if self.planner is not None:
-            yield from self._waiting_by_plan(self.planner, service, jobs, engines, now)
+            yield from self._waiting_by_plan(self.planner, service, engines, now)
             return
-        yield from self._waiting_by_rank(jobs, engines, now)
+        yield from self._waiting_by_rank(self._jobs_by_rank(service), engines, now)
+
+    def _jobs_by_rank(self, service: str) -> list[JobRecord]:
+        jobs = [job_record for job_record in self._open_jobs() if job_record.job.service == service]
+        jobs.sort(key=lambda job_record: (job_record.job.priority, _due_s(job_record)))
+        return jobs
+
+    def startable_jobs(
+        self, service: str, engines: Engines, now: float
+    ) -> dict[str, frozenset[str]]:
+        """
+        Return the engines of each open job of a service that any engine may run, by job id.
+
+        The jobs are in the order of their ranks.
+
+        :param now: seconds since boot.
+        """
+        allowed_by_job = {}
+        for job_record in self._jobs_by_rank(service):
+            allowed = engines.allowed(job_record.job, now)
+            if allowed:
+                allowed_by_job[job_record.job.job] = allowed
+        return allowed_by_job
+
+    def records(self, jobs: Iterable[str]) -> list[JobRecord]:
+        """Return the jobs with the given ids."""
+        return [self._state.job_by_id[job_id] for job_id in jobs]
+
+    def is_open(self, key: ItemKey) -> bool:
+        """Whether an item has no listed result and its job has not ended."""
+        job_record = self._state.job_by_id.get(key[0])
+        return job_record is not None and key[1] in job_record.item_by_id
 
     def _waiting_by_rank(
         self, jobs: Iterable[JobRecord], engines: Engines, now: float
@@ -217,17 +246,12 @@
         self,
         planner: ItemPlanner,
         service: str,
-        jobs: list[JobRecord],
         engines: Engines,
         now: float,
     ) -> Iterator[WaitingItem]:
         """Yield the items in the order of their groups, and then those of jobs without a plan."""
-        allowed_by_job = {}
-        for job_record in jobs:
-            allowed = engines.allowed(job_record.job, now)
-            if allowed:
-                allowed_by_job[job_record.job.job] = allowed
-        jobs = [job_record for job_record in jobs if job_record.job.job in allowed_by_job]
+        allowed_by_job = self.startable_jobs(service, engines, now)
+        jobs = self.records(allowed_by_job)
         planned = planner.item_order(service, jobs, now)
         if planned.items is None:
             yield from self._waiting_by_rank(jobs, engines, now)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -206,6 +206,7 @@
         await self._remove_expired_jobs()
         dispatcher.assign_waiting_items(now)
         dispatcher.move_stragglers(now)
+        dispatcher.preempt(now)
         if self._settings.policy.shares:
             await self._keep_usage(dispatcher, now)
 
--- a/tests/unit/jobs/overload_system.py
+++ b/tests/unit/jobs/overload_system.py
@@ -33,6 +33,15 @@
 SERVICE = "scorer"
 
 
+@dataclass(frozen=True)
+class RunStart:
+    """An assignment that a runner received."""
+
+    at_s: float
+    item: str
+    resume_after: int
+
+
 @dataclass
 class SimulatedRun:
     """An assignment that a runner executes."""
@@ -61,7 +70,8 @@
     :param events_by_item: number of events of each item's complete text.
     :param whole_at_by_group: time at which all items of a group were listed.
     :param idle_steps: steps after which a slot was free while an item waited.
-    :param run_starts: pairs of time and item, one for each assignment.
+    :param run_starts: all assignments that runners received.
+    :param moved: time and item of each run that was stopped for another one.
     """
 
     def __init__(self, policy: LoadPolicy, engines: int = 4, runners: int = 3) -> None:
@@ -88,7 +98,7 @@
         self.items_by_group: dict[tuple[str, str], list[str]] = {}
         self.whole_at_by_group: dict[tuple[str, str], float] = {}
         self.idle_steps = 0
-        self.run_starts: list[tuple[float, str]] = []
+        self.run_starts: list[RunStart] = []
         self.moved: list[tuple[float, str]] = []
 
     @property
@@ -140,6 +150,7 @@
             self.apply(RecordResults(job, (result,)))
         self.dispatcher.assign_waiting_items(self.now)
         self.dispatcher.move_stragglers(self.now)
+        self.dispatcher.preempt(self.now)
         kept = self.dispatcher.engine_time.usage_to_keep(self.now)
         if kept is not None:
             self.apply(kept)
@@ -176,7 +187,9 @@
                 self.moved.append((self.now, run.assignment.item.item))
                 self._report(run, "broken")
         for assignment in known.outbox:
-            self.run_starts.append((self.now, assignment.item.item))
+            self.run_starts.append(
+                RunStart(self.now, assignment.item.item, assignment.resume_after)
+            )
             runner.run_by_number[assignment.number] = SimulatedRun(
                 assignment, self.now, reported_at=self.now
             )
