--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -207,6 +207,7 @@
         await self._keep_speeds(dispatcher, now)
         dispatcher.assign_waiting_items(now)
         dispatcher.move_stragglers(now)
+        dispatcher.preempt(now)
         if self._settings.policy.shares:
             await self._keep_usage(dispatcher, now)
 
