Reject jobs that cannot be met, with places that outlive the leader

A job that could not be met held its trainer until its limit. With the policy's admission, Jobs.submit asks the new module ibisspring_jobs.admission; without it nothing changes.

A rejection promises that nothing runs. So: one decision on a job at a time; it is answered after ReservePlace is committed and while the lease holds; after a proposed acceptance only an acceptance or 'not confirmed' until a later term (whose leader has applied all that can still commit); a copy of a submission that is delayed on its way is told from a return by the time at which it was sent, which the entry puts into the job's submitted_s (the leader replaces it, as before).

Found by the integration test: on a wall clock of 1.8e9 s the rounding of a short piece of work made the whole rest of the time count as taken (the tests had used a clock of 1000 s); the Retry-After of an answer that waited for an election counted from the submission, so that the job came too late; the runs observed at the start were thrown away, so that nothing was rejected at first.

Each guard was taken out by hand and one test or more failed: unsettled acceptance, shared decision, lease after the commit, time of sending, age, work that is being committed, first submission, commit before the answer.

--- a/packages/ibisspring-decisions/src/ibisspring_decisions/engine_room.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/engine_room.py
@@ -16,8 +16,6 @@
     from collections.abc import Iterable
 
 NEVER = float("inf")
-# Slot-seconds below which work counts as done; the rounding of the sums is far smaller.
-NEGLIGIBLE_SLOT_S = 1e-9
 
 
 @dataclass(frozen=True)
@@ -74,21 +72,26 @@
         :return: time at which the last of them is used; infinite if there are not as many, in which
             case those that exist are taken.
         """
-        at_s = max(from_s, self.now)
+        start_s = max(from_s, self.now)
         left_s = slot_s
-        index = self._split(at_s)
-        while left_s > NEGLIGIBLE_SLOT_S and index < len(self._spans):
+        for index in range(self._split(start_s), len(self._spans)):
+            if left_s <= 0:
+                return start_s
             span = self._spans[index]
             if span.slots <= 0:
-                index += 1
                 continue
-            at_s = min(span.end_s, span.start_s + left_s / span.slots)
-            if at_s < span.end_s:
-                self._split(at_s)
-            left_s -= (at_s - span.start_s) * span.slots
+            start_s = span.start_s
+            end_s = start_s + left_s / span.slots
+            if end_s < span.end_s:
+                # Work so short that the clock does not resolve it takes nothing.
+                if end_s > start_s:
+                    self._split(end_s)
+                    span.slots = 0.0
+                return end_s
+            left_s -= (span.end_s - start_s) * span.slots
+            start_s = span.end_s
             span.slots = 0.0
-            index += 1
-        return at_s if left_s <= NEGLIGIBLE_SLOT_S else NEVER
+        return start_s if left_s <= 0 else NEVER
 
     def first_free_s(self, from_s: float) -> float:
         """Return the earliest time from `from_s` on at which a slot is free."""
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/job_admission.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/job_admission.py
@@ -197,18 +197,19 @@
     return JobRejected(None, _next_chance_s(candidate, inputs, end_by_job, now), end_s)
 
 
-def repeated_rejection(kept: Reservation, asked_s: float) -> JobRejected | None:
+def repeated_rejection(kept: Reservation, asked_s: float, now: float) -> JobRejected | None:
     """
     Return the answer to a rejected job that is submitted again before its time.
 
     :param kept: its reservation.
     :param asked_s: when the submission was sent.
+    :param now: present time, from which the caller waits.
     :return: the same rejection as before; None if its time has come.
     """
     if asked_s >= kept.not_before_s - EARLY_RETURN_S:
         return None
     reservation = kept if kept.slot_s else None
-    return JobRejected(reservation, kept.not_before_s - asked_s)
+    return JobRejected(reservation, max(0.0, kept.not_before_s - now))
 
 
 def holds_place(kept: Reservation, now: float) -> bool:
--- a/packages/ibisspring-directory/src/ibisspring_directory/fleet.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/fleet.py
@@ -12,7 +12,15 @@
 
 from ibisspring_core.endpoint_table import SERVING
 from ibisspring_core.guarded_http import HttpAnswer
-from ibisspring_decisions.fleet_size import OrderHistory, PlatformOffer, next_order, wanted_count
+from ibisspring_decisions.fleet_size import (
+    FleetLimit,
+    OrderHistory,
+    PlatformOffer,
+    limit_beside,
+    missing_by_limit,
+    next_order,
+    wanted_count,
+)
 from ibisspring_directory.commands import SetFleet
 from ibisspring_directory.outside import FleetOrder
 
@@ -36,6 +44,9 @@
     def __init__(self, settings: VmSettings) -> None:
         self._may_scale = settings.scales
         self._fleet_by_service: dict[str, OrderHistory] = {}
+        policy = settings.policy
+        self._limit = FleetLimit.from_policy(policy.most_engines, policy.most_price)
+        self._limited_by_service: dict[str, int] = {}
 
     @classmethod
     def from_config(cls, settings: VmSettings) -> Fleet:
@@ -91,7 +102,11 @@
         }
         market = PlatformOffer(scaling.most, scaling.boot_s, prices)
         fleet = self._fleet_by_service.setdefault(terms.name, OrderHistory())
-        order = next_order(fleet, market, wanted, present, now)
+        evacuated_count = {name: count for name, count in serving.items() if name in evacuated}
+        limit = limit_beside(self._limit, evacuated_count, scaling.price_by_data_centre)
+        limited = missing_by_limit(fleet, market, wanted, present, now, limit)
+        self._log_limited(terms.name, limited, wanted, serving)
+        order = next_order(fleet, market, wanted, present, now, limit)
         if order is None:
             return
         request = self._outside.fleet_order(
@@ -114,6 +129,22 @@
             return
         fleet.record_refusal(order.data_centre, now)
 
+    def _log_limited(self, service: str, missing: int, wanted: int, serving: dict) -> None:
+        if missing == self._limited_by_service.get(service, 0):
+            return
+        self._limited_by_service[service] = missing
+        eliot.log_message(
+            "fleet:limited",
+            service=service,
+            missing=missing,
+            wanted=wanted,
+            serving=serving,
+            most_engines=self._limit.most_endpoints,
+            most_price=self._limit.most_price,
+        )
+        if missing:
+            self._counters.add("fleet.limited")
+
     def _count_serving(self, service: str) -> dict[str, int]:
         present: dict[str, int] = {}
         for received in self._directory.endpoints.table.records():
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -144,7 +144,9 @@
             if not store.empty and not self._gate.is_in_regions(store.data_centre, job.regions):
                 detail = f"jobs are stored in {store.data_centre} too"
                 return Refusal(Reason.OUTSIDE_REGIONS, True, LASTING_RETRY_AFTER_S, detail)
-        return await self.call_jobs_leader(SubmitJob(job))
+        # By this time the leader tells a new submission from a late copy of an earlier one.
+        sent = replace(job, submitted_s=self._view.wall_s())
+        return await self.call_jobs_leader(SubmitJob(sent))
 
     async def call_jobs_leader(self, message: Any, hold_s: float = 0.0) -> Any:
         """
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
@@ -84,8 +84,9 @@
     """
     Promise a place to a rejected job.
 
-    The first reservation of a job stays in force; a second one has no effect, and neither has one
-    of a job that was accepted.
+    The first reservation of a job that holds a place stays in force; a second one has no effect,
+    and neither has one of a job that was accepted. A record without a place (0 slot-seconds) is
+    replaced.
     """
 
     reservation: Reservation
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -93,6 +93,7 @@
                 memory_tokens_of(item),
                 now,
                 held.resume_after,
+                adopted=True,
             )
             self.run_by_number[run.number] = run
             self.items.run_started(key, run.number)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -98,7 +98,7 @@
         """
         running = Counter(run.endpoint for run in runs if not run.scoring)
         terms = self._context.terms(service)
-        return any(running[record.endpoint] < _slot_count(record, terms) for record in records)
+        return any(running[record.endpoint] < slot_count(record, terms) for record in records)
 
     def free_capacities(
         self, service: str, records: Iterable[EndpointRecord], runs: Iterable[Run], now: float
@@ -135,7 +135,7 @@
     def _free_slots(
         self, record: EndpointRecord, terms: ServiceTerms | None, running: int, now: float
     ) -> int:
-        free_slots = _slot_count(record, terms) - running
+        free_slots = slot_count(record, terms) - running
         limit = self._context.paced_limit(record.service)
         if limit is None or free_slots <= 0:
             return free_slots
@@ -177,8 +177,13 @@
             self._idle.add((run.endpoint,), now, outcome.kept_s)
 
 
-def _slot_count(record: EndpointRecord, terms: ServiceTerms | None) -> int:
+def slot_count(record: EndpointRecord, terms: ServiceTerms | None) -> int:
+    """
+    Return the number of items that an engine runs at a time.
+
+    :param terms: the terms of its service, which count if the engine states no number.
+    """
     return record.load.capacity or (terms.capacity if terms else 1)
 
 
-__all__ = ["Engines"]
+__all__ = ["Engines", "slot_count"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runs.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runs.py
@@ -21,6 +21,7 @@
     :param moved: the runner is to stop the run, so that its item continues at another endpoint.
     :param scoring: the item's text is complete and only its reward call is in progress, which uses
         no capacity of the endpoint.
+    :param adopted: the run began in an earlier epoch, before `started_at`.
     """
 
     number: int
@@ -35,6 +36,7 @@
     events: int = 0
     moved: bool = False
     scoring: bool = False
+    adopted: bool = False
 
 
 __all__ = ["Run"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -35,6 +35,7 @@
     WorkReported,
 )
 from ibisspring_decisions.paced_sends import forwarded_part, requests_per_window
+from ibisspring_jobs.admission import Admission
 from ibisspring_jobs.commands import (
     COMMANDS,
     AcceptJob,
@@ -87,6 +88,18 @@
         self._state = kernel.find("jobs_state")
         self._view = kernel.find("directory_view")
         self._counters = kernel.find("counters")
+        self._admission: Admission | None = None
+        if self._settings.policy.admission:
+            self._admission = Admission(
+                self._settings,
+                self._state,
+                self._view,
+                self._consensus,
+                self._counters,
+                self._propose,
+                self.dispatcher,
+                self.has_leader_lease,
+            )
         self.reads = JobReads(self._state, self._consensus, self.has_leader_lease)
         self._state.subscribe(self._on_job_changed)
         self._view.subscribe(self._match)
@@ -202,6 +215,8 @@
             results_by_job.setdefault(job, []).append(result)
         await self._commit_results(results_by_job)
         await self._remove_expired_jobs()
+        if self._admission is not None:
+            await self._admission.tick(now, self._peaks.peak_by_service)
         dispatcher.assign_waiting_items(now)
         dispatcher.move_stragglers(now)
 
@@ -226,6 +241,8 @@
         A job that was accepted before is not changed.
         """
         job = message.job
+        if self._admission is not None:
+            return await self._admission.submit(job)
         if job.job not in self._state.job_by_id:
             accepted = AcceptJob(replace(job, submitted_s=self._view.wall_s()))
             committed = await self._propose(accepted)
@@ -307,6 +324,8 @@
         parts_by_job: dict[str, list[TextPart]] = {}
         now = boot_now()
         for reported in message.outcomes:
+            if self._admission is not None:
+                self._admission.load.run_reported(dispatcher, reported, now)
             dispatcher.release_connection(reported, now)
             for outcome in dispatcher.outcomes.split(reported):
                 if outcome.kind != "done" and (outcome.events or outcome.whole):
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
@@ -317,8 +317,10 @@
 
     def _reserve_place(self, command: ReservePlace) -> None:
         reservation = command.reservation
-        if reservation.job not in self.job_by_id:
-            self.reservation_by_job.setdefault(reservation.job, reservation)
+        kept = self.reservation_by_job.get(reservation.job)
+        if reservation.job in self.job_by_id or (kept is not None and kept.slot_s):
+            return
+        self.reservation_by_job[reservation.job] = reservation
 
     def _drop_reservations(self, command: DropReservations) -> None:
         for job in command.jobs:
