--- a/tests/unit/decisions/test_job_admission.py
+++ b/tests/unit/decisions/test_job_admission.py
@@ -121,6 +121,7 @@
 
     assert isinstance(decide_admission(candidate("new", 60.0), inputs_of(old), NOW), JobRejected)
     decision = decide_admission(candidate("new", 60.0), inputs_of(old, use=grows), NOW)
+    assert isinstance(decision, JobAdmitted)
     assert decision.predicted_end_s <= NOW + 8.0
 
 
