--- a/tests/unit/gateway/test_runner.py
+++ b/tests/unit/gateway/test_runner.py
@@ -1,15 +1,24 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from types import SimpleNamespace
 
 import pytest
 from unit.gateway.test_send_gate import ASSIGNMENT, gate_with
+from unit.jobs.test_state import job_of
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.counters import Counters
 from ibisspring_core.messages.directory import Group, Member, View
-from ibisspring_core.messages.jobs import AdoptedRun, Work, WorkReported, text_digest
+from ibisspring_core.messages.jobs import (
+    AdoptedRun,
+    JobAccepted,
+    SubmitJob,
+    Work,
+    WorkReported,
+    text_digest,
+)
 from ibisspring_core.settings.vm import ENTRY, VmSettings
 from ibisspring_gateway.active_runs import ActiveRun
 from ibisspring_gateway.runner import Runner
@@ -159,3 +168,22 @@
     runner._apply_work(Work(8), 0.0)
     reporting.cancel()
     assert [held.key for held in runner._runs.offers()] == [run.key]
+
+
+async def test_a_submission_states_when_it_was_sent() -> None:
+    # By this time the leader tells a rejected job that returns from a late copy of its first
+    # submission, of which its caller was told that nothing runs.
+    sent = []
+
+    class _Leader:
+        async def call(self, message, *timeouts):
+            sent.append(message)
+            return JobAccepted()
+
+    runner = Runner(SETTINGS)
+    runner.leader = _Leader()
+    runner._view = SimpleNamespace(view=View(1, 1), wall_s=lambda: 1234.5)
+
+    await runner.submit(job_of())
+
+    assert sent == [SubmitJob(dataclasses.replace(job_of(), submitted_s=1234.5))]
