--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -124,6 +124,7 @@
                 now,
                 held.resume_after,
                 expected_events=expected_events_of(item),
+                adopted=True,
             )
             self.run_by_number[run.number] = run
             self.items.run_started(key, run.number)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/predictions.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/predictions.py
@@ -90,7 +90,12 @@
             if capacity is None or capacity.free_slots <= 0:
                 continue
             job_record = self._state.job_by_id.get(key[0])
-            if job_record is None or job_record.ended or key[1] not in job_record.item_by_id:
+            if (
+                job_record is None
+                or job_record.ended
+                or job_record.held
+                or key[1] not in job_record.item_by_id
+            ):
                 self.reserved.release(key)
                 continue
             if self._items.is_busy(key):
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runs.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runs.py
@@ -26,6 +26,7 @@
     :param predicted_end_at: predicted end of the text when the run began, in seconds since boot;
         0.0 if not predicted.
     :param ends_at: the same by the last report of the run.
+    :param adopted: the run began in an earlier epoch, before `started_at`.
     """
 
     number: int
@@ -43,6 +44,7 @@
     expected_events: float = 0.0
     predicted_end_at: float = 0.0
     ends_at: float = 0.0
+    adopted: bool = False
 
 
 __all__ = ["Run"]
