Replace silent connections between core daemons before they cost an election

Cause: connections that stay open and carry nothing are found out only by a call that times out. In the search for the jobs' leader an entry met one silent connection after the other, each for 1 s, and the leader took its runs away after 1.5 s (8 of 8 items, 'runner timed out').

Change: a replica that misses two heartbeats checks its connections by an empty call of 0.2 s; votes lost with a connection that had worked are sent once more; a channel between daemons that had no answer since a call on another one began and timed out is replaced before its next use; the jobs' leader counts the silence of runners anew once it regains its lease.

Ruled out: keepalive of the transport (its limits are longer than an election).

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
@@ -30,6 +30,10 @@
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import Settings
 
+# Number of heartbeats that a replica misses before it checks its connections. With the time limits
+# of the check this is less than the shortest election timeout.
+MISSED_HEARTBEATS = 2
+
 
 class ConsensusNode:
     """Runs one replica of a replicated log as a service of the daemon."""
@@ -42,6 +46,7 @@
         self.core: Core | None = None
         self.applied_index = 0
         self.failed = False
+        self._checked_contact_at: float | None = None
         self.group_commit = True
         self.pending_results = PendingResults(retry_after_s=replica.core.election_timeout_s)
         self._snapshot_in_progress = False
@@ -297,6 +302,22 @@
 
     async def _tick(self, now: float) -> None:
         self.dispatch(events.Tick())
+        self._check_quiet_connections()
+
+    def _check_quiet_connections(self) -> None:
+        """
+        Check the connections once the leader's heartbeats stay away.
+
+        A connection that accepts bytes and returns none is thus replaced before the election, which
+        would fail if the requests for votes or the replies were sent on it.
+        """
+        state = self.core.state
+        contact_at = state.leader_contact_at
+        if self.core.is_leader or contact_at is None or contact_at == self._checked_contact_at:
+            return
+        if state.now >= contact_at + MISSED_HEARTBEATS * self.config.heartbeat_s:
+            self._checked_contact_at = contact_at
+            self._peers.check_connections()
 
     def _on_persist_synced(self, sequence: int) -> None:
         now = boot_now()
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
@@ -11,7 +11,14 @@
 import grpc
 import grpc.aio
 
-from ibisspring_consensus.messages import MESSAGES, Message, ReplicaId, SnapshotChunk
+from ibisspring_consensus.messages import (
+    MESSAGES,
+    Message,
+    ReplicaId,
+    SnapshotChunk,
+    VoteReply,
+    VoteRequest,
+)
 from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
 from ibisspring_core.peer_rpc import compression_for
 
@@ -44,6 +51,8 @@
     ("grpc.enable_http_proxy", 0),
 )
 RETRY_PAUSE_S = 0.1
+# Time limit in seconds of a call without messages that checks a connection.
+CHECK_TIMEOUT_S = 0.2
 
 ReadChunk = Callable[[int, int], Awaitable[bytes | None]]
 
@@ -96,6 +105,9 @@
         self._wake = asyncio.Event()
         self._stopping = False
         self._channel: grpc.aio.Channel | None = None
+        # Whether the other daemon has answered a call on the channel.
+        self._channel_answered = False
+        self._check_due = False
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -114,21 +126,29 @@
             await self._channel.close()
 
     def send(self, target: ReplicaId, message: Message) -> None:
-        """Queue a message to the daemon; it is sent at most once, so it may be lost."""
+        """Queue a message to the daemon; it may be lost, and a vote may arrive twice."""
         self._outbox.append((target, message))
         self._wake.set()
 
+    def check_connection(self) -> None:
+        """Find out soon whether the connection still works, and replace it if not."""
+        self._check_due = True
+        self._wake.set()
+
     async def _run(self) -> None:
         while not self._stopping:
             await self._wake.wait()
             self._wake.clear()
             while self._outbox:
                 await self._send_batch()
+            if self._check_due:
+                await self._check_channel()
 
     async def _send_batch(self) -> None:
-        request = await self._build_batch()
+        votes, request = await self._build_batch()
         if self._channel is None:
             self._channel = open_channel(self._address)
+            self._channel_answered = False
         stub = consensus_pb2_grpc.ConsensusStub(self._channel)
         try:
             size = request.ByteSize()
@@ -138,10 +158,25 @@
         except grpc.aio.AioRpcError as error:
             self._counters.add(f"consensus.deliver_failed.{error.code().name.lower()}")
             await self._discard_channel()
+            self._queue_votes_again(votes)
             return
+        self._channel_answered = True
         replica = ReplicaId(self.daemon, reply.disk_id)
         self._on_identity(Identity(replica, reply.empty, reply.cluster))
 
+    async def _check_channel(self) -> None:
+        """Make a call without messages on the open channel, and discard it without an answer."""
+        self._check_due = False
+        if self._channel is None:
+            return
+        request = consensus_pb2.DeliverRequest(daemon=self._own.daemon, disk_id=self._own.disk_id)
+        stub = consensus_pb2_grpc.ConsensusStub(self._channel)
+        try:
+            await stub.Deliver(request, timeout=CHECK_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            self._counters.add(f"consensus.check_failed.{error.code().name.lower()}")
+            await self._discard_channel()
+
     async def _discard_channel(self) -> None:
         """
         Close the channel after a failed call, and wait `RETRY_PAUSE_S` before the next call.
@@ -153,8 +188,25 @@
         self._channel = None
         await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def _build_batch(self) -> consensus_pb2.DeliverRequest:
+    def _queue_votes_again(self, votes: list[tuple[ReplicaId, Message]]) -> None:
+        """
+        Queue the votes of a failed call again, if the daemon had answered on the same channel.
+
+        Requests for votes and replies to them are sent once in an election, while everything else
+        is repeated with the next heartbeat. A channel that was never answered leads to a daemon
+        that is down, for which they are dropped.
+        """
+        if not votes or not self._channel_answered:
+            return
+        self._counters.add("consensus.votes_sent_again", len(votes))
+        self._outbox.extendleft(reversed(votes))
+
+    async def _build_batch(
+        self,
+    ) -> tuple[list[tuple[ReplicaId, Message]], consensus_pb2.DeliverRequest]:
+        """Take messages to one replica from the outbox; return its votes and the request."""
         target = self._outbox[0][0]
+        votes: list[tuple[ReplicaId, Message]] = []
         messages = []
         size = 0
         while self._outbox and self._outbox[0][0] == target and size < MAX_BATCH_BYTES:
@@ -167,7 +219,9 @@
             encoded = MESSAGES.encode(message)
             size += len(encoded)
             messages.append(encoded)
-        return consensus_pb2.DeliverRequest(
+            if isinstance(message, (VoteRequest, VoteReply)):
+                votes.append((target, message))
+        return votes, consensus_pb2.DeliverRequest(
             daemon=self._own.daemon,
             disk_id=self._own.disk_id,
             target_disk_id=target.disk_id,
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/peers.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/peers.py
@@ -56,6 +56,11 @@
         for peer in self._peer_by_daemon.values():
             await peer.stop()
 
+    def check_connections(self) -> None:
+        """Check the connections to all other daemons, and replace those that do not work."""
+        for peer in self._peer_by_daemon.values():
+            peer.check_connection()
+
     def send(self, target: ReplicaId, message: Message) -> None:
         """Queue a message to a replica; it is dropped if its daemon's address is not known."""
         peer = self._peer_by_daemon.get(target.daemon)
--- a/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
+++ b/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
@@ -40,6 +40,8 @@
     ("grpc.so_reuseport", 0),
 )
 STOP_GRACE_S = 1.0
+# Shortest time limit of a call, in seconds, that tells a silent connection from a slow daemon.
+MIN_SILENCE_S = 0.5
 # Size in bytes from which a message is compressed. Compression reduces jobs, directory views and
 # generated texts to a third or less. For a message that fits into one packet it is not worth the
 # CPU time.
@@ -133,6 +135,9 @@
         self._codec = codec
         self._counters = counters
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self._answered_at_by_address: dict[str, float] = {}
+        # Start of the newest call that timed out, in seconds since boot.
+        self._silent_since = float("-inf")
         self._closing: set[asyncio.Task[None]] = set()
 
     async def start(self, kernel: Kernel) -> None:
@@ -155,7 +160,11 @@
             MISMATCHED_ANSWER if it could not be decoded.
         """
         channel = self._channel_by_address.get(address)
+        if channel is not None and self._may_be_silent(address):
+            self._replace(address, channel)
+            channel = None
         if channel is None:
+            self._answered_at_by_address[address] = boot_now()
             channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
             self._channel_by_address[address] = channel
         method = channel.unary_unary(METHOD)
@@ -167,10 +176,14 @@
             self._counters.add(f"peer_sent_bytes.{kind}", len(data))
             data = await method(data, timeout=timeout_s, compression=compression)
             self._counters.add(f"peer_received_bytes.{kind}", len(data))
+            self._answered_at_by_address[address] = boot_now()
             self._counters.observe("peer_call_seconds", boot_now() - started_s, kind)
             return self._codec.decode(data)
         except grpc.aio.AioRpcError as error:
             code = error.code().name.lower()
+            timed_out = error.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+            if timed_out and timeout_s >= MIN_SILENCE_S:
+                self._silent_since = max(self._silent_since, started_s)
             self._replace(address, channel)
         except asyncio.CancelledError:
             if is_task_cancelled():
@@ -183,6 +196,16 @@
         self._counters.add(f"peer_call_failed.{code}")
         return Refusal(Reason.ENDPOINT_SILENT, False, None, f"{address}: {code}")
 
+    def _may_be_silent(self, address: str) -> bool:
+        """
+        Whether a channel has had no answer since a call on another channel began and timed out.
+
+        A fault of the network that silences one connection often silences others that were open.
+        If each of them were found out by a timeout of its own, the search for a leader among many
+        daemons would take as many timeouts.
+        """
+        return self._answered_at_by_address[address] < self._silent_since
+
     def _replace(self, address: str, channel: grpc.aio.Channel) -> None:
         """
         Close a channel after a failed call; the next call opens a new one.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -123,6 +123,11 @@
         runner.free_slots = call.free
         return runner, lost + missing
 
+    def restart_timeouts(self, now: float) -> None:
+        """Count the silence of all runners from now on; before, their calls were not answered."""
+        for runner in self.runner_by_address.values():
+            runner.received_at = max(runner.received_at, now)
+
     def remove_timed_out(self, now: float) -> tuple[Runner, ...]:
         """
         Remove the runners without a call for work in the last RUNNER_TIMEOUT_S seconds.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -66,6 +66,7 @@
     def __init__(self, settings: VmSettings) -> None:
         self._settings = settings
         self._dispatcher: Dispatcher | None = None
+        self._lease_was_lost = False
         self._peaks = Peaks()
 
     @classmethod
@@ -194,8 +195,13 @@
 
     async def _tick(self, now: float) -> None:
         if not self.has_leader_lease():
+            self._lease_was_lost = True
             return
         dispatcher = self.dispatcher()
+        if self._lease_was_lost:
+            # Without the lease this store answered no runner.
+            self._lease_was_lost = False
+            dispatcher.runners.restart_timeouts(now)
         self._peaks.update(self._state, now)
         results_by_job: dict[str, list[ItemResult]] = {}
         for job, result in dispatcher.sweep(now):
--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -17,8 +17,10 @@
 import grpc.aio
 
 from fakes.platform_engine import PlatformEngine
+from fakes.proxied_daemon import listen_address
 from ibisspring_core.pb import consensus_pb2, consensus_pb2_grpc
 from integration.processes import REPOSITORY, Process, free_port, wait_until
+from integration.proxy import FaultProxy
 
 DATA_CENTRES = ("derby", "stoke", "walsall")
 REGION_BY_DATA_CENTRE = {"derby": "midlands", "stoke": "midlands", "walsall": "west"}
@@ -108,6 +110,8 @@
 
     :param usage_to: IP:port that receives usage reports; empty for none.
     :param boot_by_name: contents of the daemons' settings files.
+    :param proxied: whether the calls between daemons pass through proxies.
+    :param proxy_by_name: the proxies of a proxied system, by the daemon that is called.
     """
 
     folder: Path
@@ -115,6 +119,8 @@
     process_by_name: dict[str, Process] = field(default_factory=dict)
     boot_by_name: dict[str, dict] = field(default_factory=dict)
     engines: list[PlatformEngine] = field(default_factory=list)
+    proxied: bool = False
+    proxy_by_name: dict[str, FaultProxy] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.ports = {name: free_port() for name in ("peer", "control", "callers", "ready")}
@@ -164,6 +170,8 @@
         # `env` sets the variable and then executes the daemon, so that signals reach the daemon.
         variable = f"IBISSPRING_CONFIG={self.folder / name / 'boot.json'}"
         start = str(REPOSITORY / "platform" / "start.py")
+        if self.proxied:
+            start = str(REPOSITORY / "tests" / "fakes" / "proxied_daemon.py")
         arguments = ["/usr/bin/env", variable, sys.executable, "-OO", start, role]
         process = Process(name, arguments, self.folder / f"{name}.log")
         self.process_by_name[name] = process
@@ -181,6 +189,18 @@
         for process in self.process_by_name.values():
             process.start()
 
+    def peer_address(self, name: str) -> str:
+        """Return the address at which other daemons call a daemon."""
+        offset = 1 if name.startswith("store") else 0
+        return f"{self.boot_by_name[name]['ip']}:{self.ports['peer'] + offset}"
+
+    async def add_proxies(self) -> None:
+        """Start the proxies of a proxied system."""
+        for name in self.process_by_name:
+            address = self.peer_address(name)
+            proxy = await FaultProxy.in_front_of(listen_address(address), address)
+            self.proxy_by_name[name] = proxy
+
     def restart(self, name: str, wipe: bool = False) -> None:
         """
         Start a daemon that ended, without permission to bootstrap its cluster again.
@@ -230,9 +250,7 @@
 
     async def replica_status(self, name: str) -> dict | None:
         """Return the status that a daemon's replica reports, or None if the call fails."""
-        offset = 1 if name.startswith("store") else 0
-        address = f"{self.boot_by_name[name]['ip']}:{self.ports['peer'] + offset}"
-        async with grpc.aio.insecure_channel(address) as channel:
+        async with grpc.aio.insecure_channel(self.peer_address(name)) as channel:
             stub = consensus_pb2_grpc.ConsensusStub(channel)
             try:
                 reply = await stub.Manage(consensus_pb2.ManageRequest(action="status"), timeout=2.0)
@@ -359,19 +377,24 @@
 
 
 @asynccontextmanager
-async def platform_system(folder: Path, entries: int = 2, usage_to: str = ""):
+async def platform_system(
+    folder: Path, entries: int = 2, usage_to: str = "", proxied: bool = False
+):
     """
     Start three control daemons, three stores, entries, an archive endpoint and two engines.
 
     :param usage_to: IP:port that receives usage reports; empty for none.
+    :param proxied: whether the calls between daemons pass through proxies.
     """
-    system = PlatformSystem(folder, usage_to)
+    system = PlatformSystem(folder, usage_to, proxied=proxied)
     for number in (1, 2, 3):
         system.add("control", number)
         system.add("store", number)
     for number in range(1, entries + 1):
         system.add("entry", number)
     try:
+        if proxied:
+            await system.add_proxies()
         system.start()
         await system.add_engine("archive")
         await system.add_engine("scorer", models={"m": 1})
@@ -386,6 +409,7 @@
     finally:
         system.stop()
         await asyncio.gather(*(engine.stop() for engine in system.engines))
+        await asyncio.gather(*(proxy.stop() for proxy in system.proxy_by_name.values()))
 
 
 async def wait_served(system: PlatformSystem, entries: int) -> None:
--- a/tests/integration/proxy.py
+++ b/tests/integration/proxy.py
@@ -84,9 +84,9 @@
 class FaultProxy:
     """Listens on a free loopback port and forwards connections to one target."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, address: str = "") -> None:
         self.target = target
-        self.address = f"127.0.0.1:{free_port()}"
+        self.address = address or f"127.0.0.1:{free_port()}"
         self.links: list[Link] = []
         self.delay_s = 0.0
         self.refuse_new = False
@@ -95,13 +95,14 @@
         self._server: asyncio.Server | None = None
 
     @classmethod
-    async def in_front_of(cls, target: str) -> FaultProxy:
+    async def in_front_of(cls, target: str, address: str = "") -> FaultProxy:
         """
         Start a proxy in front of a process.
 
         :param target: IP:port of the proxied process, which may start later.
+        :param address: IP:port of the proxy; empty for a free port of 127.0.0.1.
         """
-        proxy = cls(target)
+        proxy = cls(target, address)
         host, port = proxy.address.split(":")
         proxy._server = await asyncio.start_server(proxy._serve, host, int(port))
         return proxy
@@ -180,6 +181,11 @@
             await link.set_modes(Mode.PASS, Mode.PASS)
         self.refuse_new = False
 
+    def reset_open(self) -> None:
+        """Reset all connections that are open now; new ones are accepted."""
+        for link in list(self.links):
+            link.reset()
+
     def cut(self) -> None:
         """Reset all connections and abort new ones."""
         self.refuse_new = True
