End the attempts of a request that is handed back

A request that is handed back is repeated by its caller; frozen endpoints would have worked on the first copy too once they woke, until its deadline. Without the end of the attempts, test_request_that_two_frozen_endpoints_hold_is_handed_back_for_a_third fails.

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/repeated_exchange.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/repeated_exchange.py
@@ -98,12 +98,19 @@
             answer = await self._run_attempts()
         except asyncio.CancelledError:
             # The caller disconnected, so no response to its request is needed.
-            for task in self._endpoint_by_task:
-                task.cancel()
+            self._cancel_attempts()
             raise
+        if isinstance(answer, Refusal) and boot_now() < self._deadline_at_s:
+            # The caller repeats the request; endpoints must not work on it twice.
+            self._cancel_attempts()
+            return answer
         self._sender.finish_in_background(set(self._endpoint_by_task))
         return answer
 
+    def _cancel_attempts(self) -> None:
+        for task in self._endpoint_by_task:
+            task.cancel()
+
     async def _run_attempts(self) -> EndpointResponse | Refusal:
         plan = self._plan
         while True:
--- a/tests/unit/gateway/test_repeated_exchange.py
+++ b/tests/unit/gateway/test_repeated_exchange.py
@@ -308,6 +308,10 @@
         repeating(forwarder)
         forwarder.suspects.mark("e2", boot_now())
         answer, took_s = await timed_forward(forwarder)
+        await asyncio.sleep(0.05)
+        # The frozen endpoints must not work on it as well once they wake.
+        assert sum(forwarder._in_flight_by_endpoint.values()) == 0
+        forwarder.suspects.clear("e2")
         repetition = replace(REQUEST, remaining_s=ROUTE.timeout_s - took_s)
         repeated, _ = await timed_forward(forwarder, request=repetition)
 
