--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -359,11 +359,17 @@
 
 
 @asynccontextmanager
-async def platform_system(folder: Path, entries: int = 2, usage_to: str = ""):
+async def platform_system(
+    folder: Path,
+    entries: int = 2,
+    usage_to: str = "",
+    limits_by_name: dict[str, dict] | None = None,
+):
     """
     Start three control daemons, three stores, entries, an archive endpoint and two engines.
 
     :param usage_to: IP:port that receives usage reports; empty for none.
+    :param limits_by_name: limits of daemons' processes, by name of the daemon.
     """
     system = PlatformSystem(folder, usage_to)
     for number in (1, 2, 3):
@@ -371,6 +377,8 @@
         system.add("store", number)
     for number in range(1, entries + 1):
         system.add("entry", number)
+    for name, limits in (limits_by_name or {}).items():
+        system.write_boot(name, limits=limits)
     try:
         system.start()
         await system.add_engine("archive")
