--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -62,15 +62,16 @@
         self.engines = Engines(context, now)
         self.items = Items(state)
         self.engine_time = EngineTime(state, context)
+        self._plans: GroupPlans | None = None
         self._preemption: Preemption | None = None
         if context.policy.shares:
-            plans = GroupPlans(
+            self._plans = GroupPlans(
                 context, self.engines, self.items, self.engine_time, self.run_by_number
             )
-            self.items.planner = plans
+            self.items.planner = self._plans
             if context.policy.preemption:
                 self._preemption = Preemption(
-                    context, self.engines, self.items, plans, self.run_by_number
+                    context, self.engines, self.items, self._plans, self.run_by_number
                 )
         self.adoption = AdoptionWindow()
         self.outcomes = Outcomes(
@@ -203,8 +204,9 @@
 
     def assign_waiting_items(self, now: float) -> None:
         """Assign waiting items to engines with free slots, each through an available runner."""
-        if self._context.policy.shares:
+        if self._plans is not None:
             self.engine_time.sample(self.run_by_number.values(), now)
+            self._plans.end_overloads(now)
         if self.adoption.is_open(now):
             return
         if not any(runner.is_available(now) for runner in self.runners.runner_by_address.values()):
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
@@ -215,16 +215,24 @@
         return True
 
     def _note_overload(self, service: str, made: ServicePlan, now: float) -> None:
-        """Log the begin and the end of an overload with the accounts' shares."""
-        began = service in self._overloaded_at_by_service
-        if made.plan.overloaded:
-            self._overloaded_at_by_service[service] = now
-            if not began:
-                self._context.count("dispatch.overload_began")
-                self._log_overload(service, made, "began")
-        elif began and now - self._overloaded_at_by_service[service] >= OVERLOAD_END_S:
-            del self._overloaded_at_by_service[service]
-            self._log_overload(service, made, "ended")
+        """Log the begin of an overload with the accounts' shares."""
+        if not made.plan.overloaded:
+            return
+        if service not in self._overloaded_at_by_service:
+            self._context.count("dispatch.overload_began")
+            self._log_overload(service, made, "began")
+        self._overloaded_at_by_service[service] = now
+
+    def end_overloads(self, now: float) -> None:
+        """
+        Log the end of the overloads that no plan has shown for OVERLOAD_END_S seconds.
+
+        :param now: seconds since boot.
+        """
+        for service, overloaded_at in tuple(self._overloaded_at_by_service.items()):
+            if now - overloaded_at >= OVERLOAD_END_S:
+                del self._overloaded_at_by_service[service]
+                self._log_overload(service, self._plan_by_service[service], "ended")
 
     def _log_overload(self, service: str, made: ServicePlan, change: str) -> None:
         tiers = Counter(planned.tier for planned in made.plan.groups)
--- a/tests/unit/jobs/test_group_plans.py
+++ b/tests/unit/jobs/test_group_plans.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 
+import eliot
 import pytest
 from unit.jobs.overload_system import SERVICE, STEP_S, OverloadSystem, submit_steps
 
 from ibisspring_core.settings.policy import LoadPolicy
 from ibisspring_jobs.engine_time import KEEP_EVERY_S
+from ibisspring_jobs.items import ItemOrder
 
 SHARES = LoadPolicy(shares=True)
 ACCOUNTS = ("large", "left", "right")
@@ -45,6 +49,19 @@
     assert with_shares.run_starts == without.run_starts
 
 
+@contextmanager
+def eliot_messages() -> Iterator[list[dict]]:
+    """Collect the log messages of a block."""
+    messages: list[dict] = []
+    eliot.add_destinations(messages.append)
+    # The first destination of a process receives the messages that were logged before it.
+    messages.clear()
+    try:
+        yield messages
+    finally:
+        eliot.remove_destination(messages.append)
+
+
 def used_s_by_account(system: OverloadSystem) -> dict[str, float]:
     """Return the usage of each account as the leader knows it."""
     shares = system.dispatcher.engine_time.shares(SERVICE)
@@ -101,3 +118,28 @@
     system.run_until(9.0)
     assert system.whole_at_by_group["next", "g0"] <= 5.0
     assert ("late", "g0") in system.whole_at_by_group
+
+
+def test_items_of_jobs_without_a_plan_still_start() -> None:
+    """A job that arrives just after a plan was made must not wait beside free slots."""
+
+    class OldPlanner:
+        def item_order(self, service: str, jobs: object, now: float) -> ItemOrder:
+            return ItemOrder(frozenset(), ())
+
+    system = OverloadSystem(SHARES, engines=1)
+    system.dispatcher.items.planner = OldPlanner()
+    system.submit("a", "large", [[5] * 8])
+    system.run_until(0.3)
+    assert len(system.dispatcher.run_by_number) == 8
+
+
+def test_overload_is_logged_once_with_the_shares() -> None:
+    """Operators see from the log when accounts competed and who had used how much."""
+    with eliot_messages() as messages:
+        system = played(SHARES, 1.6, until_s=12.0)
+        system.run_until(24.0)
+    overloads = [line for line in messages if line.get("message_type") == "dispatch:overload"]
+    assert [line["change"] for line in overloads] == ["began", "ended"] * (len(overloads) // 2)
+    assert overloads
+    assert set(overloads[-1]["used_s_by_account"]) == set(ACCOUNTS)
