--- a/packages/ibisspring-decisions/src/ibisspring_decisions/engine_speed.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/engine_speed.py
@@ -187,9 +187,18 @@
         factor = start.ratio if start.state is EngineState.DEGRADED else start.noise
         return self.event_s(engine, running) * max(1.0, factor)
 
-    def median_event_s(self) -> float:
-        """Return the median of the usual seconds per event of half-full engines."""
-        return self._median_s
+    def median_event_s(self, engines: Iterable[str] | None = None) -> float:
+        """
+        Return the median of the usual seconds per event of half-full engines.
+
+        :param engines: ids of the engines, such as those of a service; None for all.
+        :return: the median of all engines if none of the given ones is known.
+        """
+        if engines is None:
+            return self._median_s
+        starts = [self._start_by_engine.get(engine) for engine in engines]
+        speeds = [start.usual_s for start in starts if start is not None and start.usual_s]
+        return median_low(speeds) if speeds else self._median_s
 
     def state(self, engine: str) -> EngineState:
         """Return the engine's present state; NORMAL for an engine that is not known."""
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/speed_policy.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/speed_policy.py
@@ -33,6 +33,8 @@
     Placement and moves by predicted ends, during one epoch.
 
     In all methods `now` is in seconds since boot.
+
+    :param speeds: the learned speeds of engines.
     """
 
     def __init__(
@@ -43,7 +45,7 @@
         engines: Engines,
         recorder: SpeedRecorder,
     ) -> None:
-        speeds = recorder.speeds
+        self.speeds = speeds = recorder.speeds
         self._recorder = recorder
         self._items = items
         self._engines = engines
--- a/tests/unit/decisions/test_engine_speed.py
+++ b/tests/unit/decisions/test_engine_speed.py
@@ -222,6 +222,8 @@
 
     assert speeds.event_s("unknown", 4) == pytest.approx(0.04, rel=0.1)
     assert speeds.state("unknown") is EngineState.NORMAL
+    assert speeds.median_event_s(("c", "unknown")) == pytest.approx(0.06, rel=0.1)
+    assert speeds.median_event_s(("unknown",)) == speeds.median_event_s()
     speeds.register("a", 1, SLOTS, 100.0)
     speeds.forget_absent(before=100.0)
     assert speeds.median_event_s() == pytest.approx(0.02, rel=0.1)
