--- a/tests/unit/decisions/overload_load.py
+++ b/tests/unit/decisions/overload_load.py
@@ -118,7 +118,7 @@
 def by_plan_without_shares(
     groups: Sequence[LoadGroup], now: float, ledger: AccountLedger
 ) -> list[LoadItem]:
-    """Earliest deadline first with an overload test, blind to accounts."""
+    """Earliest deadline first with an overload test, without the ledger of past usage."""
     return _by_plan(groups, now, None)
 
 
--- a/tests/unit/decisions/test_group_order.py
+++ b/tests/unit/decisions/test_group_order.py
@@ -16,6 +16,7 @@
     replay,
 )
 
+from ibisspring_decisions import group_order
 from ibisspring_decisions.account_shares import FLOOR_PART, AccountLedger, AccountStanding
 from ibisspring_decisions.dispatch import WaitingItem, rank_of
 from ibisspring_decisions.group_order import (
@@ -69,12 +70,15 @@
     assert alone.in_time_part() < IN_TIME_PART_OF_ROOM / 1.6
 
 
-def test_overload_test_alone_favours_short_groups() -> None:
-    """Without shares, the account with the shortest groups takes time from the others."""
+def test_overload_test_alone_favours_short_groups(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without shares, the account with the shortest groups takes the time of the others."""
     variant = LoadVariant(0.0, 0.5)
-    blind = replay(by_plan_without_shares, 2.5, 1, variant).in_time_by_account()
-    shared = replay(by_plan, 2.5, 1, variant).in_time_by_account()
-    assert min(shared["left"], shared["right"]) > min(blind["left"], blind["right"]) + 0.05
+    shared = replay(by_plan, 1.6, 1, variant).in_time_by_account()
+    monkeypatch.setattr(group_order, "SHARE_EXPONENT", 0)
+    blind = replay(by_plan_without_shares, 1.6, 1, variant)
+    assert blind.fairness(1.6) < MIN_FAIRNESS
+    in_time = blind.in_time_by_account()
+    assert max(in_time["left"], in_time["right"]) < min(shared["left"], shared["right"]) / 2
 
 
 def test_load_below_the_room_is_served_as_by_due_time() -> None:
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -10,6 +11,7 @@
 
 from fakes.still_server import IdlePeerServer
 from ibisspring_consensus.proposals import Committed
+from ibisspring_core.clock import boot_now
 from ibisspring_core.counters import Counters
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.messages.job_reads import (
@@ -26,8 +28,10 @@
     TakeWork,
     WorkReported,
 )
+from ibisspring_core.settings.policy import LoadPolicy
 from ibisspring_core.settings.vm import STORE, VmSettings
 from ibisspring_core.timer import TimerService
+from ibisspring_jobs.engine_time import KEEP_EVERY_S
 from ibisspring_jobs.service import Jobs
 from ibisspring_jobs.state import JobsState
 
@@ -153,3 +157,28 @@
     assert await service.report_work(ReportWork("e1", 6, (outcome,))) == WorkReported(
         accepted=False
     )
+
+
+async def test_usage_of_accounts_is_committed_and_outlives_the_leader() -> None:
+    # A new leader that forgot what an account has used would give it its share a second time.
+    settings = replace(SETTINGS, policy=LoadPolicy(shares=True))
+    service = Jobs.from_config(settings)
+    state, log = JobsState(), _Consensus()
+    parts = (TimerService(), Counters.from_config(None), IdlePeerServer(), state, _View())
+    kernel = Kernel.from_services((*parts, log, service))
+    await kernel.start()
+    await service.submit(SubmitJob(job_of()))
+    await _take_one_item(service)
+    now = boot_now()
+    for tick in range(8):
+        await service._tick(now + tick * KEEP_EVERY_S / 4)
+    log.term = 8
+
+    (share,) = service.dispatcher().engine_time.shares("scorer")
+
+    assert share.client_account == job_of().client_account
+    assert 0.0 < share.used_s <= 2 * KEEP_EVERY_S
+    restored = JobsState()
+    restored.restore(state.snapshot())
+    assert restored.usage == state.usage
+    await kernel.stop()
