Prove the replacement of silent connections; soak connections and held jobs

Tests of the parts (peer_rpc, runners, service) and a series of the soak with a random source of its own, so that the recorded seeds keep their faults: connections of some daemons reset or silent for good, a job held and released.

--- a/packages/ibisspring-cli/src/ibisspring_cli/jobs_leader.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/jobs_leader.py
@@ -52,10 +52,11 @@
     :return: the leader's answer; a `Refusal` with NO_LEADER if none came. `not_run` of the refusal
         says that the message was sent to no store.
     """
-    return asyncio.run(_call(seeds, message, timeout_s))
+    return asyncio.run(call_leader_of_jobs(seeds, message, timeout_s))
 
 
-async def _call(seeds: tuple[str, ...], message: Any, timeout_s: float) -> Any:
+async def call_leader_of_jobs(seeds: tuple[str, ...], message: Any, timeout_s: float) -> Any:
+    """Do the same as `call_jobs_leader`, in a running event loop."""
     client = PeerClient(PEER_MESSAGES, Counters.from_config(None))
     try:
         control = LeaderClient(client, lambda: seeds)
@@ -72,4 +73,4 @@
         await client.stop()
 
 
-__all__ = ["call_jobs_leader", "stores_of", "with_seeds"]
+__all__ = ["call_jobs_leader", "call_leader_of_jobs", "stores_of", "with_seeds"]
--- a/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
+++ b/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
@@ -41,7 +41,7 @@
 )
 STOP_GRACE_S = 1.0
 # Shortest time limit of a call, in seconds, that tells a silent connection from a slow daemon.
-MIN_SILENCE_S = 0.5
+MIN_SILENCE_S = 0.4
 # Size in bytes from which a message is compressed. Compression reduces jobs, directory views and
 # generated texts to a third or less. For a message that fits into one packet it is not worth the
 # CPU time.
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,7 +2,8 @@
 Injects random faults into a system of real processes: `make soak`, or `--seed` for one seed.
 
 Two series of faults run concurrently, so that faults overlap. Daemons are killed, frozen, stopped,
-wiped, kept from opening descriptors and restarted while jobs and lookups run. Disks are wiped one
+wiped, kept from opening descriptors and restarted while jobs and lookups run. Connections between
+daemons are reset or go silent for good, and jobs are held and released. Disks are wiped one
 at a time, each after the other daemons with disks have caught up, so that the system never loses
 more disks at once than it tolerates. Accepted jobs and configurations must exist afterwards,
 results that were read must not change, and no daemon may end except by a fault. Seeds that showed a
@@ -23,10 +24,16 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import click
 
+from ibisspring_cli.jobs_leader import call_leader_of_jobs
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.messages.job_control import ChangeHold, HoldChanged, ReadJob
+from ibisspring_core.messages.status import ReadJobsStatus
+from ibisspring_core.request_ids import new_request_id
 from integration.platform_system import (
     LOOKUP,
     PlatformSystem,
@@ -35,6 +42,7 @@
     platform_system,
 )
 from integration.processes import wait_until
+from integration.proxy import Mode
 
 ENTRIES = 3
 FAULT_SERIES = 2
@@ -45,6 +53,8 @@
 POLL_S = 0.05
 STOP_TIMEOUT_S = 9.0
 FAULTS = ("kill", "freeze", "stop", "wipe", "descriptors", "kill_all", "engine", "table")
+# A series with a random source of its own, so that the other faults of a seed stay the same.
+LINK_FAULTS = ("connections", "hold")
 SPARE_DESCRIPTORS = (0, 4)
 MAX_DESCRIPTORS = 4096
 SEEDS = Path(__file__).parent / "seeds.txt"
@@ -123,6 +133,51 @@
         if await self.system.put(version) == 200:
             self.version = max(self.version, version)
 
+    async def link_faults(self, random_source: random.Random) -> None:
+        """Hit connections between daemons, and hold and release jobs, one after the other."""
+        while self.running():
+            await asyncio.sleep(random_source.uniform(*PAUSE_S))
+            fault = random_source.choice(LINK_FAULTS)
+            duration_s = random_source.uniform(*FAULT_DURATION_S)
+            print(f"{fault} for {duration_s:.1f} s", flush=True)
+            if fault == "hold":
+                await self._hold_a_job(duration_s)
+            else:
+                await self._hit_connections(random_source)
+
+    async def _hit_connections(self, random_source: random.Random) -> None:
+        """Reset the open connections to some daemons, or silence them for good."""
+        is_reset = random_source.random() < 0.5
+        for proxy in self.system.proxy_by_name.values():
+            if random_source.random() < 0.5:
+                continue
+            if is_reset:
+                proxy.reset_open()
+            else:
+                await proxy.set_modes_of_open(Mode.SILENT, Mode.SILENT)
+
+    async def _hold_a_job(self, duration_s: float) -> None:
+        """Hold the newest job for a while; its results must be complete in the end all the same."""
+        seeds = tuple(self.system.peer_seeds())
+        status = await self._ask(seeds, ReadJobsStatus())
+        open_jobs = [job.job for job in status.jobs if job.listed < job.total]
+        if not open_jobs:
+            return
+        for held in (True, False):
+            answer = None
+            while not isinstance(answer, HoldChanged):
+                read = await self._ask(seeds, ReadJob(open_jobs[0]))
+                message = ChangeHold(open_jobs[0], held, new_request_id(), read.hold_request)
+                answer = await self._ask(seeds, message)
+            await asyncio.sleep(duration_s)
+
+    async def _ask(self, seeds: tuple[str, ...], message: Any) -> Any:
+        """Call the jobs' leader until it answers."""
+        while True:
+            answer = await call_leader_of_jobs(seeds, message, STOP_TIMEOUT_S)
+            if not isinstance(answer, Refusal) or answer.reason is not Reason.NO_LEADER:
+                return answer
+
     async def _kill_all(self) -> None:
         while self.faulted:
             await asyncio.sleep(POLL_S)
@@ -283,9 +338,10 @@
     :return: descriptions of the defects that were found.
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    async with platform_system(folder, ENTRIES) as system:
+    async with platform_system(folder, ENTRIES, proxied=True) as system:
         run = Soak(system, random.Random(seed), time.monotonic() + seconds)
         work = [run.faults() for _ in range(FAULT_SERIES)]
+        work.append(run.link_faults(random.Random(-seed)))
         work += [run.lookups(series) for series in range(LOOKUP_SERIES)]
         work += [run.jobs(series) for series in range(2)]
         ended = await asyncio.gather(run.watch(), *work, return_exceptions=True)
--- a/tests/unit/jobs/test_runners.py
+++ b/tests/unit/jobs/test_runners.py
@@ -9,7 +9,7 @@
 from types import SimpleNamespace
 
 from ibisspring_core.messages.jobs import TakeWork
-from ibisspring_jobs.runners import OVERLOAD_MIN_RUNS, Runners
+from ibisspring_jobs.runners import OVERLOAD_MIN_RUNS, RUNNER_TIMEOUT_S, Runners
 
 DATA_CENTRES = ("derby", "stoke", "walsall")
 ENGINES = {f"engine-{number}": DATA_CENTRES[number % 3] for number in range(5)}
@@ -115,3 +115,16 @@
 
     _, lost = runners.register_call(TakeWork("e0", "derby", "x", 1, 3, (), 48, 0.4), 0.2)
     assert lost == (7,)
+
+
+def test_runners_are_not_lost_for_the_time_in_which_their_leader_held_no_lease() -> None:
+    # Connections between the stores go silent and the leader loses its lease for a second. It
+    # answered no runner in this time. If it counted that as their silence, it would give all of
+    # their items to others, although they run.
+    runners = runners_of(2)
+    regained_at = RUNNER_TIMEOUT_S + 0.1
+
+    runners.restart_timeouts(regained_at)
+
+    assert runners.remove_timed_out(regained_at + RUNNER_TIMEOUT_S / 2) == ()
+    assert len(runners.remove_timed_out(regained_at + RUNNER_TIMEOUT_S + 0.1)) == 2
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -28,6 +28,7 @@
 )
 from ibisspring_core.settings.vm import STORE, VmSettings
 from ibisspring_core.timer import TimerService
+from ibisspring_jobs.runners import RUNNER_TIMEOUT_S
 from ibisspring_jobs.service import Jobs
 from ibisspring_jobs.state import JobsState
 
@@ -153,3 +154,15 @@
     assert await service.report_work(ReportWork("e1", 6, (outcome,))) == WorkReported(
         accepted=False
     )
+
+
+async def test_a_leader_that_regains_its_lease_keeps_the_runs_of_its_runners(jobs) -> None:
+    jobs, log = jobs
+    number = await _take_one_item(jobs)
+    (runner,) = jobs.dispatcher().runners.runner_by_address.values()
+    log.lease_left_s = lambda: 0.0
+    await jobs._tick(runner.received_at + 1.0)
+    del log.lease_left_s
+    await jobs._tick(runner.received_at + RUNNER_TIMEOUT_S + 0.5)
+
+    assert number in jobs.dispatcher().run_by_number
