--- a/tests/unit/jobs/test_runners.py
+++ b/tests/unit/jobs/test_runners.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from ibisspring_core.messages.jobs import TakeWork
-from ibisspring_jobs.runners import OVERLOAD_MIN_RUNS, Runners
+from ibisspring_jobs.runners import OVERLOAD_MIN_RUNS, RUNNER_TIMEOUT_S, Runners
 
 DATA_CENTRES = ("derby", "stoke", "walsall")
 ENGINES = {f"engine-{number}": DATA_CENTRES[number % 3] for number in range(5)}
@@ -182,3 +182,16 @@
     for number in range(20):
         chosen = runners.choose(f"engine-{number}", "derby", 0.0, lambda one: one == "small")
         assert chosen.address == "small"
+
+
+def test_runners_are_not_lost_for_the_time_in_which_their_leader_held_no_lease() -> None:
+    # Connections between the stores go silent and the leader loses its lease for a second. It
+    # answered no runner in this time. If it counted that as their silence, it would give all of
+    # their items to others, although they run.
+    runners = runners_of(2)
+    regained_at = RUNNER_TIMEOUT_S + 0.1
+
+    runners.restart_timeouts(regained_at)
+
+    assert runners.remove_timed_out(regained_at + RUNNER_TIMEOUT_S / 2) == ()
+    assert len(runners.remove_timed_out(regained_at + RUNNER_TIMEOUT_S + 0.1)) == 2
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -32,6 +32,7 @@
 from ibisspring_core.settings.vm import STORE, VmSettings
 from ibisspring_core.timer import TimerService
 from ibisspring_jobs.engine_time import KEEP_EVERY_S
+from ibisspring_jobs.runners import RUNNER_TIMEOUT_S
 from ibisspring_jobs.service import Jobs
 from ibisspring_jobs.state import JobsState
 
@@ -182,3 +183,15 @@
     restored.restore(state.snapshot())
     assert restored.usage == state.usage
     await kernel.stop()
+
+
+async def test_a_leader_that_regains_its_lease_keeps_the_runs_of_its_runners(jobs) -> None:
+    jobs, log = jobs
+    number = await _take_one_item(jobs)
+    (runner,) = jobs.dispatcher().runners.runner_by_address.values()
+    log.lease_left_s = lambda: 0.0
+    await jobs._tick(runner.received_at + 1.0)
+    del log.lease_left_s
+    await jobs._tick(runner.received_at + RUNNER_TIMEOUT_S + 0.5)
+
+    assert number in jobs.dispatcher().run_by_number
