Show operators the ledger and the plan; plan by the learned speeds

Cause: the parts were built apart: accounts shares showed the usage of the log only, jobs show no predicted end, and the plan of groups measured paces of its own although the policy speeds learns them. Change: load_reports reads EngineTime and GroupPlans, and GroupPlans takes LearnedSpeeds.event_s where the policy names speeds. tests/unit/jobs: 178 passed.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -52,6 +52,7 @@
     :param run_by_number: the runs that have not ended, by the number of their assignment.
     :param outcomes: applies the outcomes that runners report.
     :param engine_time: the engine time that client accounts have used, while shares are in force.
+    :param plans: the order of the groups; None while shares are not in force.
     :param speed_policy: places and moves runs by predicted ends; None if it is not in force.
     :param now: start of the epoch, in seconds since boot.
     """
@@ -69,16 +70,21 @@
         self.engines = Engines(context, now, recorder)
         self.items = Items(state)
         self.engine_time = EngineTime(state, context)
-        self._plans: GroupPlans | None = None
+        self.plans: GroupPlans | None = None
         self._preemption: Preemption | None = None
         if context.policy.shares:
-            self._plans = GroupPlans(
-                context, self.engines, self.items, self.engine_time, self.run_by_number
+            self.plans = GroupPlans(
+                context,
+                self.engines,
+                self.items,
+                self.engine_time,
+                self.run_by_number,
+                recorder.speeds.event_s if recorder is not None else None,
             )
-            self.items.planner = self._plans
+            self.items.planner = self.plans
             if context.policy.preemption:
                 self._preemption = Preemption(
-                    context, self.engines, self.items, self._plans, self.run_by_number
+                    context, self.engines, self.items, self.plans, self.run_by_number
                 )
         self.adoption = AdoptionWindow()
         self.outcomes = Outcomes(
@@ -243,9 +249,9 @@
 
     def assign_waiting_items(self, now: float) -> None:
         """Assign waiting items to engines with free slots, each through an available runner."""
-        if self._plans is not None:
+        if self.plans is not None:
             self.engine_time.sample(self.run_by_number.values(), now)
-            self._plans.end_overloads(now)
+            self.plans.end_overloads(now)
         if self.adoption.is_open(now):
             return
         if not any(runner.is_available(now) for runner in self.runners.runner_by_address.values()):
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/group_plans.py
@@ -86,7 +86,7 @@
         self._engine_time = engine_time
         self._run_by_number = run_by_number
         self._paces = RunPaces()
-        self._event_s = event_s or self._paces.event_s
+        self.event_s = event_s or self._paces.event_s
         self._works = GroupWorks(items)
         self._plan_by_service: dict[str, ServicePlan] = {}
         self._overloaded_at_by_service: dict[str, float] = {}
@@ -115,6 +115,21 @@
         self._note_overload(service, made, now)
         return made
 
+    def predicted_end_s(self, job: str) -> float | None:
+        """
+        Return the predicted time at which the last wanted group of a job is whole.
+
+        :return: wall-clock time in seconds since 1970; None for a job without open wanted groups
+            in the last plan.
+        """
+        ends_s = [
+            planned.end_s
+            for made in self._plan_by_service.values()
+            for planned in made.plan.groups
+            if planned.key[0] == job and planned.tier is not GroupTier.SURPLUS
+        ]
+        return max(ends_s, default=None)
+
     def groups_of(
         self, jobs: Sequence[JobRecord], event_s_of: Callable[[str], float], waiting_event_s: float
     ) -> tuple[list[GroupWork], dict[GroupKey, OpenGroup]]:
@@ -137,7 +152,7 @@
             service, self._context.serving(service), runs, now
         )
         event_s_by_engine = {
-            capacity.engine: self._event_s(capacity.engine, max(1, capacity.running))
+            capacity.engine: self.event_s(capacity.engine, max(1, capacity.running))
             for capacity in capacities
         }
         slots_by_engine = {
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/load_reports.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/load_reports.py
@@ -24,14 +24,22 @@
     owed_s: float
 
 
-def share_balances(dispatcher: Dispatcher, wall_s: float) -> dict[tuple[str, str], ShareBalance]:
+def share_balances(dispatcher: Dispatcher) -> dict[tuple[str, str], ShareBalance]:
     """
     Return the balance of each client account, by service and account.
 
-    :param wall_s: wall-clock time in seconds since 1970.
     :return: empty while the dispatcher keeps no ledger.
     """
-    return {}
+    if not dispatcher.context.policy.shares:
+        return {}
+    engine_time = dispatcher.engine_time
+    return {
+        (share.service, share.client_account): ShareBalance(
+            share.used_s, share.lent_s, share.owed_s
+        )
+        for service in engine_time.services()
+        for share in engine_time.shares(service)
+    }
 
 
 def predicted_end_s(dispatcher: Dispatcher, job: str) -> float | None:
@@ -41,7 +49,7 @@
     :param job: id of the job.
     :return: wall-clock time in seconds since 1970; None if no prediction is made.
     """
-    return None
+    return dispatcher.plans.predicted_end_s(job) if dispatcher.plans is not None else None
 
 
 __all__ = ["ShareBalance", "predicted_end_s", "share_balances"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/operator_calls.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/operator_calls.py
@@ -152,7 +152,7 @@
         for job_record in self._state.job_by_id.values():
             if job_record.item_by_id:
                 waiting[_account_of(job_record)] += count_items(dispatcher, job_record).waiting
-        balances = share_balances(dispatcher, self._view.wall_s())
+        balances = share_balances(dispatcher)
         shares = []
         for key in sorted({*used_s, *running, *waiting, *balances}):
             balance = balances.get(key)
