Split the commits of texts and results off the jobs' service

Change: its three functions that propose texts and results move to result_commits.py; no statement changes but names. tests/unit/jobs pass.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -22,7 +22,6 @@
     ReadResults,
 )
 from ibisspring_core.messages.jobs import (
-    COMPLETED,
     PART,
     EndJob,
     JobAccepted,
@@ -41,13 +40,11 @@
     AcceptJob,
     CloseJob,
     ForgetJobs,
-    KeepTexts,
-    RecordKept,
-    RecordResults,
 )
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
 from ibisspring_jobs.job_reads import JobReads
 from ibisspring_jobs.peaks import Peaks
+from ibisspring_jobs.result_commits import ResultCommits
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -101,6 +98,7 @@
                 self.dispatcher,
                 self.has_leader_lease,
             )
+        self._results = ResultCommits(self._state, self._propose)
         self.reads = JobReads(self._state, self._consensus, self.has_leader_lease)
         self._state.subscribe(self._on_job_changed)
         self._view.subscribe(self._match)
@@ -221,7 +219,7 @@
         results_by_job: dict[str, list[ItemResult]] = {}
         for job, result in dispatcher.sweep(now):
             results_by_job.setdefault(job, []).append(result)
-        await self._commit_results(results_by_job)
+        await self._results.commit_results(results_by_job)
         await self._remove_expired_jobs()
         await self._keep_speeds(dispatcher, now)
         if self._admission is not None:
@@ -366,45 +364,11 @@
                     results_by_job.setdefault(job_and_result[0], []).append(job_and_result[1])
         dispatcher.assign_waiting_items(now)
         # A result without output refers to the parts in the log, so the parts are committed first.
-        if not await self._commit_texts(parts_by_job) or not await self._commit_results(
-            results_by_job
-        ):
+        if not await self._results.commit_texts(
+            parts_by_job
+        ) or not await self._results.commit_results(results_by_job):
             return NotLeader(self._consensus.leader_hint)
         return WorkReported()
 
-    async def _commit_texts(self, parts_by_job: dict[str, list[TextPart]]) -> bool:
-        commands = [KeepTexts(job, tuple(parts)) for job, parts in parts_by_job.items()]
-        if not await self._commit_all(commands):
-            return False
-        for job, parts in parts_by_job.items():
-            eliot.log_message("jobs:texts_kept", job=job, items=len(parts))
-        return True
-
-    async def _commit_results(self, results_by_job: dict[str, list[ItemResult]]) -> bool:
-        commands: list[Any] = []
-        for job, results in results_by_job.items():
-            job_record = self._state.job_by_id.get(job)
-            texts = (
-                {result.item: job_record.complete_text(result.item) for result in results}
-                if job_record
-                else {}
-            )
-            without_output = [
-                replace(result, output="")
-                for result in results
-                if result.state == COMPLETED and texts.get(result.item) == result.output
-            ]
-            items_without_output = {result.item for result in without_output}
-            with_output = [result for result in results if result.item not in items_without_output]
-            if without_output:
-                commands.append(RecordKept(job, tuple(without_output)))
-            if with_output:
-                commands.append(RecordResults(job, tuple(with_output)))
-        return await self._commit_all(commands)
-
-    async def _commit_all(self, commands: list[Any]) -> bool:
-        answers = await asyncio.gather(*(self._propose(command) for command in commands))
-        return not any(isinstance(answer, Refusal) for answer in answers)
-
 
 __all__ = ["Jobs"]
