--- a/tests/unit/platform/test_deploy.py
+++ b/tests/unit/platform/test_deploy.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from ibisspring_core.settings.policy import LoadPolicy, parse_policy
+from ibisspring_platform.settings import POLICY_VARIABLE
+
 DEPLOY = Path(__file__).resolve().parents[3] / "deploy" / "system.toml"
 
 
@@ -46,3 +49,12 @@
     # may leave the log only after an added store has replaced it. More machines must therefore give
     # more stores.
     assert count_stores((2, 1, 1)) > count_stores((1, 1, 1))
+
+
+def test_all_roles_have_the_same_valid_policy() -> None:
+    # With different policies, runners would state sizes that the jobs' leader does not use, and an
+    # unknown switch would prevent the start of every daemon.
+    texts = {role["env"][POLICY_VARIABLE] for role in read_roles().values()}
+
+    assert len(texts) == 1
+    assert isinstance(parse_policy(texts.pop(), POLICY_VARIABLE), LoadPolicy)
