--- a/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/dispatch.py
@@ -116,8 +116,7 @@
     Estimate the engine memory that an item needs.
 
     The estimate is the expected size, not the maximum. If items were counted with their maximum
-    size, four items would fill an engine's memory and eight of its twelve slots would stay empty:
-    with this count, a job of 111 items took 5.6 s until its last item began, instead of 1.3 s. An
+    size, a few items would fill an engine's memory and most of its slots would stay empty. An
     engine that runs out of memory returns its newest item to its queue and later reads that item's
     text again in a millisecond, which costs far less than empty slots.
 
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/fleet_size.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/fleet_size.py
@@ -8,8 +8,8 @@
 data centre may have none available for some seconds. An endpoint that has stopped sending
 announcements may resume by itself.
 
-Without replacements, the fleet would shrink with each loss and never grow again: five engines
-became two within 20 s, and half of the trainers' steps after that were late.
+Without replacements, the fleet would shrink with each loss and never grow again, and more and more
+steps of the trainers would be late.
 
 The policy keeps as many endpoints as at the first start, since the operator paid for this number
 and sized the work for the fleet by it. The policy orders more endpoints if a trainer's items do not
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/stragglers.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/stragglers.py
@@ -4,19 +4,17 @@
 Load pattern: one engine of five becomes three times slower for some seconds while it runs twelve
 half-finished items; the step that they belong to waits for all of them.
 
-Without this policy, the slow engine would be detected only when its runs end, which is too late. An
-output of 38 events took 6.7 s on such an engine instead of 1.4 s; the next step of the trainer
-began 4.9 s late, and the trainer's last step of the day was never submitted.
+Without this policy, the slow engine would be detected only when its runs end, which is too late:
+the trainer's step waits for its slowest text, and each later step of the trainer begins late.
 
 The policy detects a slow engine by the pace of the events in its streams while they run. A moved
 run continues after its last event and costs the engine that it moves to one reading of its text, a
 few milliseconds. A run moves only to an engine that may run it and that has a free slot which no
-waiting item takes. When the free slots of engines whose weights were too old for the runs were
-counted as well, sixteen runs left the slow engine, the only one that might run them, and were sent
-back to it twice a second for six seconds.
+waiting item takes. Otherwise runs would leave the only engine that may run them and be sent back
+to it again and again.
 
 A comparison with the median takes an engine that is slow by nature for a sick one, and noise of
-half a second for a fault; one run in eight was then cut. Where the speed of each engine is learned,
+half a second for a fault. Where the speed of each engine is learned,
 `choose_gainful_moves` decides instead: a run leaves its engine only if the engine is degraded or
 the run will be late, and if the predicted gain exceeds the cost of the move.
 """
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/version_hosts.py
@@ -79,10 +79,8 @@
     """
     Return the number of engines that load the new versions of each model.
 
-    A model gets no more engines (hosts) than its share. In the emulation of `bench/emulated.py`
-    with two trainers on five engines, twice as many hosts, each of which loaded equally seldom,
-    saved steps no time (0.80 of the groups were in time with either number) and needed 59 loads
-    instead of 36.
+    A model gets no more engines (hosts) than its share: more hosts, each of which loads equally
+    seldom, save steps no time and need more loads.
 
     :return: number of engines divided by number of models, rounded up.
     """
