--- a/packages/ibisspring-cli/src/ibisspring_cli/accounts.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/accounts.py
@@ -5,8 +5,8 @@
 import click
 import msgspec
 
-from ibisspring_cli.jobs_leader import call_jobs_leader, with_seeds
-from ibisspring_cli.options import Options, split_addresses, with_options
+from ibisspring_cli.jobs_leader import call_jobs_leader
+from ibisspring_cli.options import Options, split_addresses, with_options, with_seeds
 from ibisspring_cli.session import EXIT_UNREACHABLE, fail, show
 from ibisspring_cli.share_lines import share_line
 from ibisspring_core.errors import Reason, Refusal
--- a/packages/ibisspring-cli/src/ibisspring_cli/evacuate.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/evacuate.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any, NoReturn
+from typing import Any, NoReturn
 
 import click
 import msgspec
 
-from ibisspring_cli.options import Options, split_addresses, with_options
+from ibisspring_cli.options import Options, split_addresses, with_options, with_seeds
 from ibisspring_cli.session import (
     EXIT_CONFLICT,
     EXIT_FINDINGS,
@@ -31,25 +31,11 @@
 from ibisspring_core.messages.peers import PEER_MESSAGES
 from ibisspring_core.peer_rpc import PeerClient
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 # Time limit in seconds for the answer of one control daemon. The leader answers a change at the
 # latest 2.5 s after its commit.
 CALL_TIMEOUT_S = 4.0
 
 
-def _with_seeds(command: Callable[..., Any]) -> Callable[..., Any]:
-    return click.option(
-        "--seeds",
-        "seeds",
-        multiple=True,
-        required=True,
-        envvar="IBISSPRING_SEEDS",
-        help="Peer IP:port of control daemons; one running daemon is enough.",
-    )(command)
-
-
 @click.group()
 def evacuate() -> None:
     """
@@ -61,7 +47,7 @@
 
 @evacuate.command()
 @click.argument("data_centre")
-@_with_seeds
+@with_seeds
 @with_options
 def start(options: Options, data_centre: str, seeds: tuple[str, ...]) -> None:
     """Start the evacuation of DATA_CENTRE; returns once all entries in touch act on it."""
@@ -70,7 +56,7 @@
 
 @evacuate.command()
 @click.argument("data_centre")
-@_with_seeds
+@with_seeds
 @with_options
 def stop(options: Options, data_centre: str, seeds: tuple[str, ...]) -> None:
     """End the evacuation of DATA_CENTRE; its endpoints may be cold for some seconds."""
@@ -78,7 +64,7 @@
 
 
 @evacuate.command("list")
-@_with_seeds
+@with_seeds
 @with_options
 def list_evacuations(options: Options, seeds: tuple[str, ...]) -> None:
     """List all data centres and whether they are evacuated."""
--- a/packages/ibisspring-cli/src/ibisspring_cli/jobs.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/jobs.py
@@ -7,8 +7,8 @@
 import click
 import msgspec
 
-from ibisspring_cli.jobs_leader import call_jobs_leader, with_seeds
-from ibisspring_cli.options import Options, split_addresses, with_options
+from ibisspring_cli.jobs_leader import call_jobs_leader
+from ibisspring_cli.options import Options, split_addresses, with_options, with_seeds
 from ibisspring_cli.session import (
     EXIT_CONFLICT,
     EXIT_REFUSED,
--- a/packages/ibisspring-cli/src/ibisspring_cli/jobs_leader.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/jobs_leader.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
-
-import click
+from typing import Any
 
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
@@ -14,9 +12,6 @@
 from ibisspring_core.messages.status import DirectoryStatus, ReadDirectoryStatus
 from ibisspring_core.peer_rpc import PeerClient
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 # Time limit in seconds for the answer of one control daemon.
 CONTROL_CALL_TIMEOUT_S = 1.0
 # Time limit in seconds for the answer of one store, which answers a hold 2 s after its commit at
@@ -24,18 +19,6 @@
 STORE_CALL_TIMEOUT_S = 4.0
 
 
-def with_seeds(command: Callable[..., Any]) -> Callable[..., Any]:
-    """Add the option `--seeds` to a command; its value is passed as `seeds`."""
-    return click.option(
-        "--seeds",
-        "seeds",
-        multiple=True,
-        required=True,
-        envvar="IBISSPRING_SEEDS",
-        help="Peer IP:port of control daemons; one running daemon is enough.",
-    )(command)
-
-
 def stores_of(directory: DirectoryStatus) -> tuple[str, ...]:
     """Return the addresses of the stores, that of the leader of the jobs' log first."""
     stores = [daemon for daemon in directory.daemons if daemon.role == "store"]
@@ -73,4 +56,4 @@
         await client.stop()
 
 
-__all__ = ["call_jobs_leader", "call_leader_of_jobs", "stores_of", "with_seeds"]
+__all__ = ["call_jobs_leader", "call_leader_of_jobs", "stores_of"]
--- a/packages/ibisspring-cli/src/ibisspring_cli/options.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/options.py
@@ -53,6 +53,18 @@
     return tuple(part for text in texts for part in text.replace(",", " ").split())
 
 
+def with_seeds(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the option `--seeds` to a command; its value is passed as `seeds`."""
+    return click.option(
+        "--seeds",
+        "seeds",
+        multiple=True,
+        required=True,
+        envvar="IBISSPRING_SEEDS",
+        help="Peer IP:port of control daemons; one running daemon is enough.",
+    )(command)
+
+
 def with_options(command: Callable[..., Any]) -> Callable[..., Any]:
     """
     Pass the shared options to a command and accept `--json` after the command's name too.
@@ -71,4 +83,4 @@
     return run
 
 
-__all__ = ["Options", "split_addresses", "with_options"]
+__all__ = ["Options", "split_addresses", "with_options", "with_seeds"]
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/group_order.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/group_order.py
@@ -34,7 +34,7 @@
 """Job id and group id."""
 
 # Exponent of an account's usage against the size of its largest group in the choice of the group
-# that leaves the first tier. With 1, an account of short groups keeps more than its share.
+# that leaves the first tier. Above 1, so that an account of short groups keeps only its share.
 SHARE_EXPONENT = 2
 NO_STANDINGS: Mapping[str, AccountStanding] = {}
 
