Log the identity of a request under which an endpoint ended

The entries' lines named request ids alone, which differ with each attempt, and a broken connection did not tell an ended endpoint from a reset: whether one request went from engine to engine (hypothesis A) or many requests were cut together could not be told. forward:endpoint_ended is written when the connection of an attempt broke and the endpoint then refuses a new one: digest of method, host, target, account and body, the endpoint's start, and how many requests of this entry were there.

No decision reads it. Cost: one connection for each attempt that broke; nothing otherwise.

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -18,6 +19,7 @@
 from ibisspring_gateway.attempts import EndpointResponse, FailedAttempt, SendResult
 from ibisspring_gateway.exchange import ENDPOINT_FAILURE_STATUS, REASONS_BY_DURATION, Exchange
 from ibisspring_gateway.repeated_exchange import RepeatedExchange
+from ibisspring_gateway.request_identity import identity_of
 from ibisspring_gateway.wire import ResponseKind
 
 if TYPE_CHECKING:
@@ -30,6 +32,11 @@
     from ibisspring_gateway.attempts import ConnectTerms
     from ibisspring_gateway.wire import CallerRequest
 
+# Seconds for the check whether an endpoint still accepts connections after one of them broke. A
+# process that ended is refused at once; the check must not delay the next attempt for long.
+END_CHECK_TIMEOUT_S = 0.1
+MAX_LOGGED_TARGET_CHARS = 200
+
 
 class Forwarder:
     """The service `forwarder`: sends requests to endpoints, with retries and hedged attempts."""
@@ -242,11 +249,29 @@
             answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, sent=False)
         except (aiohttp.ClientError, OSError):
             answer = FailedAttempt(Reason.ENDPOINT_FAILED, True)
+            if await self._connections.is_refused(record.address, END_CHECK_TIMEOUT_S):
+                answer = replace(answer, endpoint_ended=True)
+                self._log_end(request, record)
         finally:
             self._in_flight_by_endpoint[record.endpoint] -= 1
         self._record_attempt(request, record, answer, boot_now() - started_at_s)
         return answer
 
+    def _log_end(self, request: CallerRequest, record: EndpointRecord) -> None:
+        """Log that an endpoint ended during an attempt, with all that identifies the request."""
+        self._counters.add("forward.endpoint_ended")
+        eliot.log_message(
+            "forward:endpoint_ended",
+            request=request.request_id,
+            identity=identity_of(request),
+            client_account=request.client_account,
+            method=request.method,
+            target=request.target[:MAX_LOGGED_TARGET_CHARS],
+            endpoint=record.endpoint,
+            incarnation=record.incarnation,
+            in_flight=self._in_flight_by_endpoint[record.endpoint],
+        )
+
     def _record_attempt(
         self,
         request: CallerRequest,
