Stop a request that ends the endpoints that run it, in all entries and for good

What callers saw: a request under which an engine ends was sent on to the next engine, by each entry and each repetition anew.

Change: an entry whose attempt broke and whose endpoint then refuses a connection records the end under the request's identity (digest of method, host, target, account, body). It holds there at once and is committed to the directory's log, so it survives the entry and the leader, and is part of every entry's view; without a suspect nothing is digested and no call is made. One end: no hedged attempt. Two: the request is tried alone, one trial of a service at a time, allowed by the leader only if another endpoint remains. Three, one of them in a trial: 503 at once. An answer clears. The trial is what tells the request that ends endpoints from those that were there with it, and from copies of a popular request when a whole service crashes (a test of each).

Ruled out: quarantine at three ends without a trial (the crash of a whole service would stop its popular requests); counting at each entry alone (nine entries make nine counts); a 4xx (it would blame the caller, and the fault is the engine's).

The bytes of stored records: fields added with defaults, samples of the new types and third forms added by the test's own program; all earlier bytes compare as before.

--- a/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
@@ -43,6 +43,9 @@
     "account allow",
     Reason.COLD.value: "the endpoints have just started, and this entry had sent them as many "
     "requests as its share of what they bear allows",
+    Reason.CRASH_SUSPECT.value: "endpoints ended while they ran this request: see the lines with "
+    "its `identity`, crash_suspects:endpoint_ended and directory:crash_suspect, and "
+    "`ibisspring suspects list`",
     Reason.LEASE_LAPSED.value: "this entry had no recent answer from control: look at its "
     "directory_view:no_leader",
     Reason.NO_LEADER.value: "no control daemon was leader, or the leader was unreachable",
--- a/packages/ibisspring-cli/src/ibisspring_cli/main.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/main.py
@@ -15,6 +15,7 @@
 from ibisspring_cli.rules import rules
 from ibisspring_cli.settings import settings
 from ibisspring_cli.status import status
+from ibisspring_cli.suspects import suspects
 from ibisspring_cli.usage import usage
 
 # Default time limit, in seconds, for the answer to a command. A rules change is acknowledged only
@@ -58,6 +59,7 @@
       ibisspring rules apply rules.txt --base 3   replace version 3; waits for all entries
       ibisspring status                           show leader, entries, endpoints, trainers
       ibisspring evacuate start derby             keep new requests from a data centre
+      ibisspring suspects list                    show requests that endpoints end under
       ibisspring jobs show JOB                    show why a job's items wait
       ibisspring explain ID LOG...                show from log files what happened to a request
 
@@ -87,6 +89,7 @@
     rules,
     settings,
     status,
+    suspects,
     usage,
 )
 for command in COMMANDS:
--- a/packages/ibisspring-core/src/ibisspring_core/directory_view.py
+++ b/packages/ibisspring-core/src/ibisspring_core/directory_view.py
@@ -79,6 +79,7 @@
         self._current_settings = kernel.find("current_settings")
         self._leader = LeaderClient(kernel.find("peer_client"), self._addresses)
         self._usage_leader = LeaderClient(kernel.find("peer_client"), self._addresses)
+        self._other_calls_leader = LeaderClient(kernel.find("peer_client"), self._addresses)
         self._task = asyncio.create_task(self._run(), name="directory_view")
 
     async def stop(self) -> None:
@@ -109,6 +110,16 @@
         message = CountUsage(self._settings.peer_address, self._incarnation, usage)
         return await self._usage_leader.call(message, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
 
+    async def call_leader(self, message: Any, timeout_s: float) -> Any:
+        """
+        Call the directory's leader outside of the renewals.
+
+        :param message: an idempotent message.
+        :param timeout_s: time limit of all tries together, in seconds.
+        :return: the leader's answer; a `Refusal` if no leader answered in time.
+        """
+        return await self._other_calls_leader.call(message, timeout_s, CALL_TIMEOUT_S)
+
     def add_renew_fields(self, complete: CompleteRenewal) -> None:
         """Set a function that completes each renewal, for example with the daemon's disk."""
         self._complete_renewal = complete
@@ -229,6 +240,13 @@
                 evacuated=self.view.evacuated,
                 evacuation_change=self.view.evacuation_change,
             )
+        if view.suspect_change < self.view.suspect_change:
+            self._counters.add("directory_view.older_suspects")
+            view = replace(
+                view,
+                suspects=self.view.suspects,
+                suspect_change=self.view.suspect_change,
+            )
         if view.evacuation_change != self.view.evacuation_change:
             eliot.log_message(
                 "directory_view:evacuated",
--- a/packages/ibisspring-core/src/ibisspring_core/errors.py
+++ b/packages/ibisspring-core/src/ibisspring_core/errors.py
@@ -30,6 +30,7 @@
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_SILENT = "endpoint_silent"
+    CRASH_SUSPECT = "crash_suspect"
     MISMATCHED_ANSWER = "mismatched_answer"
     TOO_LARGE = "too_large"
     STALE = "stale"
--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ibisspring_core.messages.crash_suspects import SuspectSummary
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.routes.model import RouteTable
 
@@ -144,6 +145,8 @@
     :param evacuation_change: number of the newest change of an evacuation; rises with each change.
     :param cold_shares: by cold endpoint, requests per window that this entry may send to it for a
         limited time from its renewal.
+    :param suspects: requests under which endpoints ended, by identity.
+    :param suspect_change: number of the newest change of the suspects; rises with each change.
     """
 
     epoch: int
@@ -164,6 +167,8 @@
     evacuated: tuple[str, ...] = ()
     evacuation_change: int = 0
     cold_shares: dict[str, int] = field(default_factory=dict)
+    suspects: dict[str, SuspectSummary] = field(default_factory=dict)
+    suspect_change: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
@@ -4,12 +4,27 @@
 
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import NotLeader
-from ibisspring_core.messages import directory, evacuations, job_control, job_reads, jobs, status
+from ibisspring_core.messages import (
+    crash_suspects,
+    directory,
+    evacuations,
+    job_control,
+    job_reads,
+    jobs,
+    status,
+)
 from ibisspring_core.messages.codec import KindCodec
 
 PEER_MESSAGES = KindCodec.from_types(
     Refusal,
     NotLeader,
+    crash_suspects.ClearSuspect,
+    crash_suspects.ReadSuspects,
+    crash_suspects.ReportEnd,
+    crash_suspects.StartTrial,
+    crash_suspects.SuspectsChanged,
+    crash_suspects.SuspectsRead,
+    crash_suspects.TrialStarted,
     directory.Announce,
     directory.Announced,
     directory.CountUsage,
--- a/packages/ibisspring-directory/src/ibisspring_directory/commands.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/commands.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ibisspring_core.messages.codec import KindCodec
+from ibisspring_core.messages.crash_suspects import CrashSuspect
 from ibisspring_core.messages.directory import Group
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.routes.model import RouteTable
@@ -122,6 +123,29 @@
     expected_change: int
 
 
+@dataclass(frozen=True)
+class RecordEnd:
+    """
+    Record that an endpoint ended while it ran a request.
+
+    :param suspect: the request, with this end alone.
+    """
+
+    suspect: CrashSuspect
+
+
+@dataclass(frozen=True)
+class RemoveSuspect:
+    """
+    Remove a suspect: an endpoint answered it, or an operator released it.
+
+    :param known_ends: number of ends that are known to the sender; a suspect with more stays.
+    """
+
+    identity: str
+    known_ends: int
+
+
 Command = (
     PutTable
     | PutVersion
@@ -131,6 +155,8 @@
     | CloseWindow
     | WindowReported
     | SetEvacuation
+    | RecordEnd
+    | RemoveSuspect
 )
 
 COMMANDS = KindCodec.from_types(
@@ -144,6 +170,8 @@
     CloseWindow,
     WindowReported,
     SetEvacuation,
+    RecordEnd,
+    RemoveSuspect,
 )
 
 __all__ = [
@@ -155,6 +183,8 @@
     "FoundJobs",
     "PutTable",
     "PutVersion",
+    "RecordEnd",
+    "RemoveSuspect",
     "RetireStore",
     "SetEvacuation",
     "SetFleet",
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -14,6 +14,12 @@
 
 from ibisspring_core.clock import boot_now, wall_now
 from ibisspring_core.leader_client import NotLeader
+from ibisspring_core.messages.crash_suspects import (
+    ClearSuspect,
+    ReadSuspects,
+    ReportEnd,
+    StartTrial,
+)
 from ibisspring_core.messages.directory import (
     Announce,
     CountUsage,
@@ -31,6 +37,7 @@
 from ibisspring_core.settings.vm import CONTROL, ENTRY
 from ibisspring_directory.cold_engines import ColdEngines
 from ibisspring_directory.commands import COMMANDS
+from ibisspring_directory.crash_suspects import CrashSuspects
 from ibisspring_directory.evacuations import Evacuations
 from ibisspring_directory.known_endpoints import KnownEndpoints
 from ibisspring_directory.leader_context import LeaderContext
@@ -133,6 +140,7 @@
         self.tables = RouteTables(context)
         self.evacuations = Evacuations(context)
         self.retirements = Retirements(context)
+        self.suspects = CrashSuspects(context)
         self.state.subscribe(self.mark_changed)
         server = kernel.find("peer_server")
         server.register_handler(Renew, self.renew)
@@ -146,6 +154,10 @@
             Evacuate: self.evacuations.evacuate,
             ReadEvacuations: self.evacuations.read,
             CountUsage: self.count_usage,
+            ReportEnd: self.suspects.report_end,
+            ClearSuspect: self.suspects.clear,
+            StartTrial: self.suspects.start_trial,
+            ReadSuspects: self.suspects.read,
         }
         for message_type, handler in on_leader.items():
             server.register_handler(message_type, self._leader_only(handler))
@@ -203,6 +215,7 @@
             self.state.job_group,
             self._controls(),
             self.state.evacuation_change,
+            self.state.suspects.change,
         )
 
     def _controls(self) -> tuple[str, ...]:
@@ -235,6 +248,7 @@
         self.version_lags.clear()
         self.endpoints.start_term(self.led_since)
         self._cold_engines.start_term(self.led_since)
+        self.suspects.start_term(self.led_since)
         self.mark_changed()
         eliot.log_message("directory:leads", term=self._term, daemon=self.settings.daemon)
 
@@ -343,6 +357,8 @@
             evacuated=state.evacuated,
             evacuation_change=state.evacuation_change,
             cold_shares=self._cold_engines.shares_for(renew, now),
+            suspects=self.state.suspects.summaries(),
+            suspect_change=self.state.suspects.change,
         )
 
     async def propose(self, command: Any) -> Committed | Refusal:
--- a/packages/ibisspring-directory/src/ibisspring_directory/state.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/state.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.messages.codec import decode, encode
+from ibisspring_core.messages.crash_suspects import CrashSuspect
 from ibisspring_core.messages.directory import Group
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.messages.evacuations import Evacuation
@@ -24,11 +25,14 @@
     FoundJobs,
     PutTable,
     PutVersion,
+    RecordEnd,
+    RemoveSuspect,
     RetireStore,
     SetEvacuation,
     SetFleet,
     WindowReported,
 )
+from ibisspring_directory.suspect_state import SuspectState
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -60,6 +64,8 @@
     :param closed_window: newest usage window whose counts are final; -1 for none.
     :param windows: closed usage windows that are not reported yet.
     :param evacuations: newest record of each data centre that was ever evacuated.
+    :param suspects: requests under which endpoints ended.
+    :param suspect_change: number of the newest change of the suspects.
     """
 
     table: RouteTable | None = None
@@ -73,6 +79,8 @@
     closed_window: int = -1
     windows: tuple[CloseWindow, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    suspects: tuple[CrashSuspect, ...] = ()
+    suspect_change: int = 0
 
 
 class DirectoryState:
@@ -99,6 +107,10 @@
             CloseWindow: self._close_window,
             WindowReported: self._window_reported,
             SetEvacuation: self._set_evacuation,
+            RecordEnd: lambda command: self.suspects.record(command.suspect),
+            RemoveSuspect: lambda command: self.suspects.clear(
+                command.identity, command.known_ends
+            ),
         }
 
     async def start(self, kernel: Kernel) -> None:
@@ -160,6 +172,8 @@
                 self.closed_window,
                 tuple(self.window_by_number.values()),
                 tuple(self.evacuation_by_data_centre.values()),
+                tuple(self.suspects.by_identity.values()),
+                self.suspects.change,
             )
         )
 
@@ -190,6 +204,7 @@
         self.closed_window = snapshot.closed_window
         self.window_by_number = {window.window: window for window in snapshot.windows}
         self.evacuation_by_data_centre = {one.data_centre: one for one in snapshot.evacuations}
+        self.suspects = SuspectState(snapshot.suspects, snapshot.suspect_change)
 
     def _put_table(self, command: PutTable) -> None:
         # A command with the current version is ignored as well: a second table under the same
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
@@ -45,13 +45,11 @@
 
     :param may_have_run: the endpoint may have run the request.
     :param sent: a part of the request may have been sent to the endpoint.
-    :param endpoint_ended: the endpoint's process ended while the request was there.
     """
 
     reason: Reason
     may_have_run: bool
     sent: bool = True
-    endpoint_ended: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
@@ -46,6 +46,10 @@
 class AttemptSender(Protocol):
     """What an exchange needs of the forwarder; `Forwarder` documents the methods."""
 
+    def may_send(self, request: CallerRequest) -> bool: ...
+
+    def may_hedge(self, request: CallerRequest) -> bool: ...
+
     def choose_endpoint(
         self,
         service: str,
@@ -160,6 +164,8 @@
     def _may_hedge(self, attempts: set[asyncio.Task[EndpointResponse | FailedAttempt]]) -> bool:
         if self._route.repeat is not RepeatRule.IDEMPOTENT or len(attempts) != 1:
             return False
+        if not self._sender.may_hedge(self._request):
+            return False
         return not self._hedged and len(self.tried_endpoints) < self._route.max_attempts
 
     def _start_attempt(self, attempts: set[asyncio.Task[EndpointResponse | FailedAttempt]]) -> bool:
@@ -171,6 +177,8 @@
             return False
         if self._deadline_at_s - boot_now() < MIN_ATTEMPT_S:
             return False
+        if not self._sender.may_send(self._request):
+            return False
         service = choose_service(self._route)
         regions = self._request.regions
         record = self._sender.choose_endpoint(service, self.tried_endpoints, at_most_once, regions)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -14,12 +13,12 @@
 from ibisspring_core.connections import CONNECT_TIMEOUT_S, headers_of
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.routes.model import RepeatRule
+from ibisspring_decisions.crash_suspects import Standing
 from ibisspring_decisions.hedging import HedgeDelays, SuspectEndpoints
 from ibisspring_decisions.routing import Candidate, Router
 from ibisspring_gateway.attempts import EndpointResponse, FailedAttempt, SendResult
 from ibisspring_gateway.exchange import ENDPOINT_FAILURE_STATUS, REASONS_BY_DURATION, Exchange
 from ibisspring_gateway.repeated_exchange import RepeatedExchange
-from ibisspring_gateway.request_identity import identity_of
 from ibisspring_gateway.wire import ResponseKind
 
 if TYPE_CHECKING:
@@ -35,7 +34,6 @@
 # Seconds for the check whether an endpoint still accepts connections after one of them broke. A
 # process that ended is refused at once; the check must not delay the next attempt for long.
 END_CHECK_TIMEOUT_S = 0.1
-MAX_LOGGED_TARGET_CHARS = 200
 
 
 class Forwarder:
@@ -69,6 +67,7 @@
         self._counters = kernel.find("counters")
         self._usage = kernel.find("usage_counts")
         self._gate = kernel.find("send_gate")
+        self._crash_suspects = kernel.find("crash_suspects")
 
     async def stop(self) -> None:
         """Cancel the attempts whose requests have already been answered."""
@@ -90,7 +89,7 @@
             exchange = RepeatedExchange(self, request, route, deadline_at_s)
         else:
             exchange = Exchange(self, request, route, deadline_at_s, deadline_at_s)
-        answer = await exchange.run()
+        answer = await self._run_if_admitted(exchange, request, route, time_limit_s)
         if exchange.may_have_run or isinstance(answer, EndpointResponse):
             self._usage.count_request(request.client_account, boot_now() - started_at_s)
         took_s = boot_now() - started_at_s
@@ -121,9 +120,33 @@
         exchange = Exchange(
             self, request, route, started_at_s + time_limit_s, started_at_s + left_s
         )
-        answer = await exchange.run()
+        answer = await self._run_if_admitted(exchange, request, route, time_limit_s)
         return SendResult(answer, exchange.may_have_run, exchange.endpoint_failures)
 
+    async def _run_if_admitted(
+        self,
+        exchange: Exchange | RepeatedExchange,
+        request: CallerRequest,
+        route: Route,
+        time_limit_s: float,
+    ) -> EndpointResponse | Refusal:
+        service = route.shares[0].service
+        refusal = await self._crash_suspects.admit(request, service, time_limit_s)
+        if refusal is not None:
+            return refusal
+        try:
+            return await exchange.run()
+        finally:
+            self._crash_suspects.exchange_ended(request)
+
+    def may_send(self, request: CallerRequest) -> bool:
+        """Whether a request may be sent to another endpoint, by the endpoints that it ended."""
+        return self._crash_suspects.may_send(request)
+
+    def may_hedge(self, request: CallerRequest) -> bool:
+        """Whether a request may be at two endpoints at the same time."""
+        return self._crash_suspects.standing(request) is Standing.CLEAR
+
     def choose_endpoint(
         self,
         service: str,
@@ -250,28 +273,13 @@
         except (aiohttp.ClientError, OSError):
             answer = FailedAttempt(Reason.ENDPOINT_FAILED, True)
             if await self._connections.is_refused(record.address, END_CHECK_TIMEOUT_S):
-                answer = replace(answer, endpoint_ended=True)
-                self._log_end(request, record)
+                in_flight = self._in_flight_by_endpoint[record.endpoint]
+                self._crash_suspects.record_end(request, record, in_flight)
         finally:
             self._in_flight_by_endpoint[record.endpoint] -= 1
         self._record_attempt(request, record, answer, boot_now() - started_at_s)
         return answer
 
-    def _log_end(self, request: CallerRequest, record: EndpointRecord) -> None:
-        """Log that an endpoint ended during an attempt, with all that identifies the request."""
-        self._counters.add("forward.endpoint_ended")
-        eliot.log_message(
-            "forward:endpoint_ended",
-            request=request.request_id,
-            identity=identity_of(request),
-            client_account=request.client_account,
-            method=request.method,
-            target=request.target[:MAX_LOGGED_TARGET_CHARS],
-            endpoint=record.endpoint,
-            incarnation=record.incarnation,
-            in_flight=self._in_flight_by_endpoint[record.endpoint],
-        )
-
     def _record_attempt(
         self,
         request: CallerRequest,
@@ -281,6 +289,7 @@
     ) -> None:
         self._counters.observe("try_seconds", took_s, _outcome_of(answer))
         if isinstance(answer, EndpointResponse):
+            self._crash_suspects.record_answer(request)
             self._router.record_success(record.endpoint, took_s)
             if answer.status >= ENDPOINT_FAILURE_STATUS:
                 self.suspects.mark(record.endpoint, boot_now())
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/repeated_exchange.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/repeated_exchange.py
@@ -34,6 +34,10 @@
     delays: HedgeDelays
     suspects: SuspectEndpoints
 
+    def may_send(self, request: CallerRequest) -> bool: ...
+
+    def may_hedge(self, request: CallerRequest) -> bool: ...
+
     def choose_among(
         self,
         service: str,
@@ -168,9 +172,14 @@
     def _start_due_attempt(self, now: float) -> bool:
         """Start the attempt that is due; return False where waiting for it is of no use."""
         plan = self._plan
+        if not self._sender.may_send(self._request):
+            return False
         silent = plan.silent
         for endpoint in silent:
             self._sender.suspects.mark(endpoint, now)
+        if silent and not self._sender.may_hedge(self._request):
+            plan.look_again(now)
+            return True
         record = self._choose_new()
         is_first_choice = record is not None and not silent
         if record is None:
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -107,12 +107,18 @@
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
     "ServiceTerms": {"cold_requests_per_s": 0.0},
-    "Snapshot": {"evacuations": ()},
+    "Snapshot": {"evacuations": (), "suspects": (), "suspect_change": 0},
     "TakeWork": {"held": (), "capacity": 0},
     "Tolerance": {"zones": 0},
     "Unchanged": {"cold_shares": {}},
     "VoteReply": {"is_idle": False, "last_index": 0, "last_term": 0},
-    "View": {"evacuated": (), "evacuation_change": 0, "cold_shares": {}},
+    "View": {
+        "evacuated": (),
+        "evacuation_change": 0,
+        "cold_shares": {},
+        "suspects": {},
+        "suspect_change": 0,
+    },
     "WireRoute": {"allowed_regions": []},
     "WireService": {"cold_per_s": 0.0},
     "WireTenant": {"allowed_regions": []},
@@ -122,7 +128,9 @@
 # Those of `ADDED_FIELDS` that the second form of their type lacks.
 LATER_FIELDS: dict[str, dict[str, Any]] = {
     "BootFile": {"limits": Limits()},
+    "Snapshot": {"suspects": (), "suspect_change": 0},
     "TakeWork": {"capacity": 0},
+    "View": {"suspects": {}, "suspect_change": 0},
 }
 # Fields that each form lacks.
 LACKING_BY_FORM: dict[int, dict[str, dict[str, Any]]] = {1: ADDED_FIELDS, 2: LATER_FIELDS, 3: {}}
--- /dev/null
+++ b/tests/unit/gateway/test_crash_suspects.py
@@ -0,0 +1,187 @@
+"""An entry's treatment of requests under which endpoints ended."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+from unit.gateway.test_forward import LOOKUP_ROUTE, REQUEST, forwarder_to, response_bytes
+
+from fakes.scripted_endpoint import scripted
+from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.messages.crash_suspects import (
+    ClearSuspect,
+    ReportEnd,
+    StartTrial,
+    SuspectsChanged,
+    SuspectSummary,
+    TrialStarted,
+)
+from ibisspring_gateway.attempts import EndpointResponse
+from ibisspring_gateway.request_identity import identity_of
+
+ROUTE = replace(LOOKUP_ROUTE, max_attempts=3)
+IDENTITY = identity_of(REQUEST)
+
+
+class Leader:
+    """Answers the entry's calls to the directory's leader and records them."""
+
+    def __init__(self, allows_trials: bool = True) -> None:
+        self.allows_trials = allows_trials
+        self.calls: list = []
+
+    async def call(self, message, timeout_s: float):
+        self.calls.append(message)
+        if isinstance(message, StartTrial):
+            return TrialStarted(self.allows_trials)
+        return SuspectsChanged(1)
+
+    def calls_of(self, message_type: type) -> list:
+        return [call for call in self.calls if isinstance(call, message_type)]
+
+
+@asynccontextmanager
+async def ending_endpoint():
+    """Run an endpoint that ends with its first request: it resets it and listens no more."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        server.close()
+        writer.transport.abort()
+
+    heads: list[bytes] = []
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield type("Ending", (), {"address": address, "heads": heads})
+    finally:
+        server.close()
+
+
+def know(forwarder, leader: Leader, ends: int, in_trial: bool = False) -> None:
+    """Give the entry a view with the request as a suspect."""
+    view = forwarder.view
+    view.call_leader = leader.call
+    if ends:
+        view.view = replace(view.view, suspects={IDENTITY: SuspectSummary(ends, in_trial)})
+    forwarder._crash_suspects._view_changed()
+
+
+@pytest.fixture(params=[False, True], ids=["once", "repeated"])
+def repeats(request) -> bool:
+    return request.param
+
+
+async def test_one_exchange_ends_two_endpoints_at_most(repeats) -> None:
+    leader = Leader()
+    async with ending_endpoint() as a, ending_endpoint() as b, ending_endpoint() as c:
+        async with forwarder_to(a, b, c) as forwarder:
+            forwarder._repeats = repeats
+            know(forwarder, leader, 0)
+            answer = await forwarder.forward(REQUEST, ROUTE)
+
+    assert (answer.reason, answer.not_run) == (Reason.ENDPOINT_FAILED, False)
+    assert sum(len(one.heads) for one in (a, b, c)) == 2
+    reported = [report.suspect.ends[0].endpoint for report in leader.calls_of(ReportEnd)]
+    assert len(set(reported)) == 2
+
+
+async def test_a_reset_by_a_living_endpoint_is_no_end(repeats) -> None:
+    # A grey endpoint resets connections and goes on. Its requests must not be suspected.
+    leader = Leader()
+    async with scripted(lambda head: [None]) as grey, scripted(lambda head: [None]) as other:
+        async with forwarder_to(grey, other) as forwarder:
+            forwarder._repeats = repeats
+            know(forwarder, leader, 0)
+            await forwarder.forward(REQUEST, ROUTE)
+
+    assert leader.calls == []
+
+
+async def test_a_request_in_quarantine_is_refused_at_once_as_not_run(repeats) -> None:
+    async with scripted(lambda head: [response_bytes()]) as endpoint:
+        async with forwarder_to(endpoint) as forwarder:
+            forwarder._repeats = repeats
+            know(forwarder, Leader(), 3, in_trial=True)
+            answer = await forwarder.forward(REQUEST, ROUTE)
+            other = await forwarder.forward(replace(REQUEST, body=b"other"), ROUTE)
+
+    assert isinstance(answer, Refusal)
+    assert (answer.reason, answer.not_run) == (Reason.CRASH_SUSPECT, True)
+    assert other.status == 200
+    assert len(endpoint.request_heads) == 1
+
+
+async def test_a_trial_sends_a_request_that_ends_its_endpoint_once(repeats) -> None:
+    leader = Leader()
+    async with ending_endpoint() as a, ending_endpoint() as b:
+        async with forwarder_to(a, b) as forwarder:
+            forwarder._repeats = repeats
+            know(forwarder, leader, 2)
+            first = await forwarder.forward(REQUEST, ROUTE)
+            second = await forwarder.forward(REQUEST, ROUTE)
+
+    assert (first.reason, first.not_run) == (Reason.ENDPOINT_FAILED, False)
+    assert (second.reason, second.not_run) == (Reason.CRASH_SUSPECT, True)
+    assert len(a.heads) + len(b.heads) == 1
+    assert [report.suspect.ends[0].in_trial for report in leader.calls_of(ReportEnd)] == [True]
+
+
+@pytest.mark.parametrize("leader", [Leader(allows_trials=False), None], ids=["busy", "no leader"])
+async def test_a_suspect_without_a_trial_is_refused(leader) -> None:
+    async with scripted(lambda head: [response_bytes()]) as endpoint:
+        async with forwarder_to(endpoint) as forwarder:
+            call_leader = forwarder.view.call_leader
+            know(forwarder, leader or Leader(), 2)
+            forwarder.view.call_leader = leader.call if leader is not None else call_leader
+            answer = await forwarder.forward(REQUEST, ROUTE)
+
+    assert (answer.reason, answer.not_run) == (Reason.CRASH_SUSPECT, True)
+    assert endpoint.request_heads == []
+
+
+@pytest.mark.parametrize("ends", [1, 2])
+async def test_an_answer_clears_a_suspect(ends) -> None:
+    leader = Leader()
+    async with scripted(lambda head: [response_bytes()]) as endpoint:
+        async with forwarder_to(endpoint) as forwarder:
+            know(forwarder, leader, ends)
+            answer = await forwarder.forward(REQUEST, ROUTE)
+            await asyncio.sleep(0.05)
+
+    assert isinstance(answer, EndpointResponse)
+    assert leader.calls_of(ClearSuspect) == [ClearSuspect(IDENTITY, ends)]
+
+
+async def test_a_suspect_is_not_hedged(repeats) -> None:
+    # With a hedged attempt, a request that ends its endpoints would end two at the same moment.
+    slow = [0.15, response_bytes()]
+    async with scripted(lambda head: slow) as first, scripted(lambda head: slow) as second:
+        async with forwarder_to(first, second) as forwarder:
+            forwarder._repeats = repeats
+            know(forwarder, Leader(), 1)
+            answer = await forwarder.forward(REQUEST, ROUTE)
+
+    assert answer.status == 200
+    assert len(first.request_heads) + len(second.request_heads) == 1
+
+
+async def test_an_end_is_reported_again_until_the_leader_has_it() -> None:
+    # The leader is lost in the same moment. The report must not be lost with it.
+    leader = Leader()
+    refusals = [Refusal(Reason.NO_LEADER, False), Refusal(Reason.CONFLICT, False)]
+
+    async def call(message, timeout_s: float):
+        return refusals.pop() if refusals else await leader.call(message, timeout_s)
+
+    async with ending_endpoint() as endpoint, forwarder_to(endpoint) as forwarder:
+        know(forwarder, leader, 0)
+        forwarder.view.call_leader = call
+        await forwarder.forward(REQUEST, ROUTE)
+        async with asyncio.timeout(5.0):
+            while not leader.calls_of(ReportEnd):
+                await asyncio.sleep(0.02)
+        assert refusals == []
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -16,6 +16,7 @@
 from ibisspring_core.routes import RepeatRule, Route, Share
 from ibisspring_core.settings.vm import ENTRY, VmSettings
 from ibisspring_gateway.attempts import EndpointResponse
+from ibisspring_gateway.crash_suspects import CrashSuspects
 from ibisspring_gateway.forward import Forwarder
 from ibisspring_gateway.send_gate import SendGate
 from ibisspring_gateway.wire import CallerRequest, ResponseKind
@@ -86,6 +87,11 @@
 REGIONS = {"derby": "midlands", "york": "north"}
 
 
+async def no_leader(message, timeout_s: float) -> Refusal:
+    """Answer a call to the directory's leader while there is none."""
+    return Refusal(Reason.NO_LEADER, False)
+
+
 @asynccontextmanager
 async def forwarder_to(*endpoints, index=None, wire=None, users=()):
     """Run a forwarder to scripted endpoints, and the services `users` that call it."""
@@ -99,6 +105,9 @@
         index=index,
         age_s=lambda: 0.0,
         is_cold=lambda endpoint: False,
+        wall_s=lambda: 0.0,
+        subscribe=lambda callback: None,
+        call_leader=no_leader,
     )
     usage = SimpleNamespace(
         name="usage_counts", count_request=lambda account, elapsed: counted_accounts.append(account)
@@ -110,15 +119,17 @@
         VmSettings("n", ENTRY, "derby", "10.0.0.1:1", (), region_by_data_centre=REGIONS)
     )
     services = (view, usage, Counters.from_config(None), wire or _Wire(), connections, forwarder)
-    for service in (*services, gate, *users):
+    suspects = CrashSuspects("n")
+    for service in (*services, gate, suspects, *users):
         kernel.register(service)
-    for service in (connections, gate, forwarder, *users):
+    for service in (connections, gate, suspects, forwarder, *users):
         await service.start(kernel)
     forwarder.counted_accounts = counted_accounts
     forwarder.view = view
     try:
         yield forwarder
     finally:
+        await suspects.stop()
         await forwarder.stop()
         await connections.stop()
 
