Pause an item that ends engine after engine before its first event

What callers would see: an item under which an engine ends was "broken", which nothing counts.

A run whose connection breaks and whose engine then refuses a new one says so in its outcome (endpoint_ended). From the second such run in a row without an event, the item pauses: 1, 2, then 4 s. Ends after an event do not count, as items that shared engines with such a one had made text.

The first new test fails without the change (the pauses of half a second stay).

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -22,6 +22,9 @@
 # Seconds to wait for a TCP connection to an endpoint. An endpoint on a powered-off VM does not
 # answer a SYN; another endpoint is tried after this time.
 CONNECT_TIMEOUT_S = 0.5
+# Seconds for the check whether an endpoint still accepts connections after one of them broke. A
+# process that ended is refused at once; the check must not delay the next attempt for long.
+END_CHECK_TIMEOUT_S = 0.1
 # Maximum number of connections from this daemon to one endpoint. Each endpoint limits its
 # connections over all daemons together.
 CONNECTIONS_PER_ENDPOINT = 16
--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -316,6 +316,7 @@
     :param score: score of a text that is `done`; empty if the item has no reward call.
     :param kept_s: seconds that the endpoint keeps the run's connection open for the next request;
         0.0 if it closes it or the run did not finish.
+    :param endpoint_ended: whether the endpoint's process ended during a run that is `broken`.
     """
 
     number: int
@@ -328,6 +329,7 @@
     whole: bool = False
     score: str = ""
     kept_s: float = 0.0
+    endpoint_ended: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
@@ -41,6 +41,11 @@
 TRIAL_RETRY_AFTER_S = 1.0
 # The same for a request in quarantine, which only an operator releases.
 QUARANTINE_RETRY_AFTER_S = 60.0
+# Pause of an item after its second end in a row without an event, in seconds; it doubles with each
+# further end. An item stays open until its time limit, so it is run again, but not at one engine
+# after the other. A healthy item that was at two ending engines still has most of its time left.
+FIRST_ITEM_PAUSE_S = 1.0
+MAX_ITEM_PAUSE_S = 4.0
 
 
 class Standing(enum.Enum):
@@ -73,6 +78,17 @@
     return Standing.SUSPECT if ends else Standing.CLEAR
 
 
+def item_pause_s(ends: int) -> float:
+    """
+    Return the seconds until an item of a job may run again.
+
+    :param ends: number of its last runs, in a row, whose endpoints ended before the first event.
+    """
+    if ends < TRIAL_ENDS:
+        return 0.0
+    return min(MAX_ITEM_PAUSE_S, FIRST_ITEM_PAUSE_S * 2 ** (ends - TRIAL_ENDS))
+
+
 @dataclass(frozen=True)
 class Suspicion:
     """
@@ -160,5 +176,6 @@
     "TRIAL_RETRY_AFTER_S",
     "Trials",
     "evicted",
+    "item_pause_s",
     "standing",
 ]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -10,7 +10,7 @@
 import eliot
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.connections import CONNECT_TIMEOUT_S, headers_of
+from ibisspring_core.connections import CONNECT_TIMEOUT_S, END_CHECK_TIMEOUT_S, headers_of
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.routes.model import RepeatRule
 from ibisspring_decisions.crash_suspects import Standing
@@ -31,10 +31,6 @@
     from ibisspring_gateway.attempts import ConnectTerms
     from ibisspring_gateway.wire import CallerRequest
 
-# Seconds for the check whether an endpoint still accepts connections after one of them broke. A
-# process that ended is refused at once; the check must not delay the next attempt for long.
-END_CHECK_TIMEOUT_S = 0.1
-
 
 class Forwarder:
     """The service `forwarder`: sends requests to endpoints, with retries and hedged attempts."""
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -10,7 +11,7 @@
 import aiohttp
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.connections import headers_of
+from ibisspring_core.connections import END_CHECK_TIMEOUT_S, headers_of
 from ibisspring_core.messages.jobs import Outcome
 from ibisspring_gateway.wire import ResponseKind
 
@@ -44,6 +45,7 @@
     :param first_event_s: seconds from the start of the run to its first event; 0.0 before it.
     :param keep_alive_s: seconds for which the engine keeps the idle connection open; 0.0 before the
         end of the stream.
+    :param endpoint_ended: the connection broke, and the engine accepts no new one.
     """
 
     data: list[str] = field(default_factory=list)
@@ -53,6 +55,7 @@
     complete: bool = False
     first_event_s: float = 0.0
     keep_alive_s: float = 0.0
+    endpoint_ended: bool = False
 
     def outcome(self, number: int, kind: str) -> Outcome:
         """
@@ -74,6 +77,7 @@
             self.first_event_s,
             after,
             kept_s=self.keep_alive_s,
+            endpoint_ended=self.endpoint_ended,
         )
 
 
@@ -91,9 +95,15 @@
     deadline_at_s = started_at_s + assignment.deadline_s
     try:
         kind = await _stream(assignment, connections, wire, progress, (started_at_s, deadline_at_s))
-    except (TimeoutError, aiohttp.ClientError, OSError, asyncio.CancelledError):
+    except (TimeoutError, aiohttp.ClientConnectorError, asyncio.CancelledError):
         # A cancelled run reports the events that it has received, like a run whose engine was lost.
         kind = "broken"
+    except (aiohttp.ClientError, OSError):
+        kind = "broken"
+        with contextlib.suppress(asyncio.CancelledError):
+            progress.endpoint_ended = await connections.is_refused(
+                assignment.address, END_CHECK_TIMEOUT_S
+            )
     if kind == "done" and not progress.complete:
         kind = "broken"
     return progress.outcome(assignment.number, kind)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
@@ -12,6 +12,7 @@
 import eliot
 
 from ibisspring_core.messages.jobs import PART, ItemResult, Outcome, TextPart
+from ibisspring_decisions.crash_suspects import item_pause_s
 from ibisspring_jobs.progress import ItemProgress, abandoned_result
 
 if TYPE_CHECKING:
@@ -161,12 +162,17 @@
             endpoint=run.endpoint,
             events=progress.events,
             whole=progress.complete,
+            endpoint_ended=outcome.endpoint_ended,
         )
         if outcome.kind in ("impossible", "unscored"):
             return run.job, abandoned_result(run.item)
         if run.moved or run.scoring:
             return None
         self._engines.pause(run.endpoint, job_record.job.model, outcome.kind, now)
+        if outcome.endpoint_ended:
+            has_events = outcome.after + outcome.events > 0
+            progress.ends = 0 if has_events else progress.ends + 1
+            progress.not_before_s = now + item_pause_s(progress.ends)
         if outcome.kind == "failed":
             progress.failures += 1
             progress.not_before_s = now + FAILED_RETRY_DELAY_S
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/progress.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/progress.py
@@ -25,6 +25,7 @@
     :param versions: weight versions that produced the text, in order.
     :param complete: the text has ended; at most the item's reward call is still to be made.
     :param failures: number of runs that the engine reported as failed.
+    :param ends: number of the last runs, in a row, whose engines ended before the first event.
     :param not_before_s: earliest start of the next run, in seconds since boot.
     """
 
@@ -33,6 +34,7 @@
     versions: list[int] = field(default_factory=list)
     complete: bool = False
     failures: int = 0
+    ends: int = 0
     not_before_s: float = 0.0
 
     @classmethod
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -104,6 +104,7 @@
     "JobStatus": {"held": False},
     "JobsSnapshot": {"hold_requests": ()},
     "Heartbeat": {"cold_left_ms": 0.0},
+    "Outcome": {"endpoint_ended": False},
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
     "ServiceTerms": {"cold_requests_per_s": 0.0},
--- a/tests/unit/gateway/test_item_run.py
+++ b/tests/unit/gateway/test_item_run.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from fakes.scripted_endpoint import scripted
@@ -143,3 +145,27 @@
         (4, 5),
         2,
     )
+
+
+async def test_only_a_run_whose_engine_listens_no_more_tells_its_end() -> None:
+    # A reset by an engine that goes on, or an engine that was gone before, is no end under the run.
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        server.close()
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    connections = Connections()
+    await connections.start(Kernel())
+    item = JobItem("i1", "/score/1", (), b"body", 900)
+    assignment = Assignment(5, "j", item, "a", "h", "s", "e", 1, address, 4, 0, 30.0)
+    try:
+        ended = await run_item(assignment, connections, _Wire(), RunProgress())
+        gone = await run_item(assignment, connections, _Wire(), RunProgress())
+    finally:
+        await connections.stop()
+    reset = await run([None])
+
+    assert [one.kind for one in (ended, gone, reset)] == ["broken"] * 3
+    assert [one.endpoint_ended for one in (ended, gone, reset)] == [True, False, False]
--- a/tests/unit/jobs/test_dispatcher.py
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 
 import pytest
 from unit.jobs.test_state import job_of
@@ -15,6 +16,7 @@
     text_digest,
 )
 from ibisspring_core.routes import ServiceTerms
+from ibisspring_decisions.crash_suspects import MAX_ITEM_PAUSE_S
 from ibisspring_decisions.dispatch import WaitingItem
 from ibisspring_decisions.paced_sends import WINDOW_S
 from ibisspring_jobs import items as items_module
@@ -258,6 +260,38 @@
     assert ended.state == "abandoned"
 
 
+def test_an_item_that_ends_its_engines_pauses_between_its_runs() -> None:
+    # The item went from engine to engine, and ended each of them within a tenth of a second.
+    harness = DispatcherHarness(ENGINE, dataclasses.replace(ENGINE, endpoint="engine-2"))
+    now = 0.0
+    starts = []
+    while now < 20.0:
+        for assignment in harness.poll(running=(), now=now):
+            if assignment.item.item != "i0":
+                continue
+            starts.append(now)
+            harness.end_run(assignment.number, "broken", now=now, endpoint_ended=True)
+        now += 0.5
+
+    pauses = [later - earlier for earlier, later in itertools.pairwise(starts)]
+    assert starts[0] == 0.0
+    assert pauses[1:] == sorted(pauses[1:])
+    assert pauses[-1] == MAX_ITEM_PAUSE_S
+    # Beyond these runs the item is due every `MAX_ITEM_PAUSE_S` seconds.
+    assert len(starts) <= 4 + 20.0 / MAX_ITEM_PAUSE_S
+
+
+def test_ends_after_events_do_not_delay_an_item(harness) -> None:
+    # The item shared two engines with one that ended them, and had made text at both.
+    for now in (0.0, 0.6):
+        assigned = harness.poll(running=(), now=now)
+        number = next(one.number for one in assigned if one.item.item == "i0")
+        text = {"output": "a", "events": 1, "versions": (4,)}
+        harness.end_run(number, "broken", now=now, endpoint_ended=True, **text)
+
+    assert "i0" in {one.item.item for one in harness.poll(running=(), now=1.2)}
+
+
 def test_impossible_item_is_abandoned_at_once(harness) -> None:
     assert harness.end_run(harness.poll()[0].number, "impossible").state == "abandoned"
 
