Wait for the leader's answer about an ended endpoint before the next attempt

Copies of a request that ends its endpoints arrived at several entries at once: each entry went on to a second endpoint 1 ms after the first had ended, before it had heard of the others.

The attempt now waits for the answer to its report (0.1 s at most without a leader); the answer says how many ends are known. The test with one end elsewhere sent the request to a second endpoint before and does not now. An innocent request pays one call to the leader, a few milliseconds, after its endpoint has ended.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/crash_suspects.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/crash_suspects.py
@@ -93,9 +93,11 @@
     Answer to `ReportEnd` and `ClearSuspect`: the suspects are durable as far as this change.
 
     :param change: number of the newest change of any suspect.
+    :param summary: what is known of the request now.
     """
 
     change: int
+    summary: SuspectSummary
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
@@ -54,7 +54,7 @@
         if isinstance(committed, Refusal):
             return committed
         self._trials.ended(suspect.identity)
-        known = self._find(suspect.identity) or suspect
+        found = self._summary(suspect.identity)
         self._context.counters.add("directory.endpoint_ended_under_request")
         eliot.log_message(
             "directory:crash_suspect",
@@ -67,10 +67,10 @@
             incarnation=suspect.ends[0].incarnation,
             reporter=suspect.ends[0].daemon,
             in_trial=suspect.ends[0].in_trial,
-            ends=len(known.ends),
-            standing=_standing(known).value,
+            ends=found.ends,
+            standing=standing(found.ends, found.in_trial).value,
         )
-        return SuspectsChanged(self._context.state.suspects.change)
+        return self._changed(suspect.identity)
 
     async def clear(self, message: ClearSuspect) -> Any:
         """Commit that a suspect was answered or released; an unknown one changes nothing."""
@@ -87,13 +87,13 @@
             known_ends=message.known_ends,
             removed=self._find(message.identity) is None,
         )
-        return SuspectsChanged(self._context.state.suspects.change)
+        return self._changed(message.identity)
 
     async def start_trial(self, message: StartTrial) -> Any:
         """Decide whether an entry may send a suspect once."""
         # The entry may know of an end whose report has not arrived yet.
         suspect = self._find(message.identity)
-        found = summary(suspect) if suspect is not None else SuspectSummary(0, False)
+        found = self._summary(message.identity)
         ends = suspect.ends if suspect is not None else ()
         since_end_s = min((wall_now() - end.wall_s for end in ends), default=0.0)
         others = self._unharmed_endpoints(message.service) - 1
@@ -128,6 +128,13 @@
     def _find(self, identity: str) -> CrashSuspect | None:
         return self._context.state.suspects.by_identity.get(identity)
 
+    def _summary(self, identity: str) -> SuspectSummary:
+        suspect = self._find(identity)
+        return summary(suspect) if suspect is not None else SuspectSummary(0, False)
+
+    def _changed(self, identity: str) -> SuspectsChanged:
+        return SuspectsChanged(self._context.state.suspects.change, self._summary(identity))
+
     def _unharmed_endpoints(self, service: str) -> int:
         """Count the serving endpoints, without those whose end the heartbeats do not show yet."""
         ended = {
@@ -144,9 +151,4 @@
         )
 
 
-def _standing(suspect: CrashSuspect) -> Standing:
-    found = summary(suspect)
-    return standing(found.ends, found.in_trial)
-
-
 __all__ = ["CrashSuspects"]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/crash_suspects.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/crash_suspects.py
@@ -48,6 +48,9 @@
 # that is cut off for longer has served no request with its own knowledge alone.
 REPORT_S = 60.0
 REPORT_PAUSE_S = 0.1
+# Longest time in seconds that an attempt waits for the answer to its report. A leader answers in a
+# few milliseconds; without one, the next attempt must not be late for it.
+REPORT_WAIT_S = 0.1
 # Seconds that a request waits for the leader's answer about its trial.
 TRIAL_TIMEOUT_S = 0.5
 
@@ -160,10 +163,15 @@
         if self._trials:
             self._trials.discard(identity_of(request))
 
-    def record_end(self, request: CallerRequest, record: EndpointRecord, in_flight: int) -> None:
+    async def record_end(
+        self, request: CallerRequest, record: EndpointRecord, in_flight: int
+    ) -> None:
         """
         Record that an endpoint ended while it ran a request, and report it to the leader.
 
+        Returns once the leader has answered, or after `REPORT_WAIT_S`: copies of the request may
+        have ended endpoints through other entries at the same moment.
+
         :param in_flight: requests of this entry that were there, this one included.
         """
         identity = identity_of(request)
@@ -196,7 +204,8 @@
             in_trial=in_trial,
             ends=self._summary(identity).ends,
         )
-        self._report(ReportEnd(suspect), identity)
+        report = self._report(ReportEnd(suspect), identity)
+        await asyncio.wait((report,), timeout=REPORT_WAIT_S)
 
     def _add_start(self, identity: str, start: tuple[str, int], in_trial: bool) -> None:
         known = self._summary(identity)
@@ -231,10 +240,11 @@
             max(known.ends, own.summary.ends), known.in_trial or own.summary.in_trial
         )
 
-    def _report(self, message: Any, identity: str) -> None:
+    def _report(self, message: Any, identity: str) -> asyncio.Task[None]:
         task = asyncio.create_task(self._send(message, identity))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
+        return task
 
     async def _send(self, message: Any, identity: str) -> None:
         end_s = boot_now() + REPORT_S
@@ -253,6 +263,7 @@
         own = self._own_by_identity.get(identity)
         if own is not None and isinstance(message, ReportEnd):
             own.change = answer.change
+            own.summary = answer.summary
             self._view_changed()
 
     def _view_changed(self) -> None:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -270,7 +270,7 @@
             answer = FailedAttempt(Reason.ENDPOINT_FAILED, True)
             if await self._connections.is_refused(record.address, END_CHECK_TIMEOUT_S):
                 in_flight = self._in_flight_by_endpoint[record.endpoint]
-                self._crash_suspects.record_end(request, record, in_flight)
+                await self._crash_suspects.record_end(request, record, in_flight)
         finally:
             self._in_flight_by_endpoint[record.endpoint] -= 1
         self._record_attempt(request, record, answer, boot_now() - started_at_s)
