Repeat a request that ends its endpoints in the soak, and measure what it costs a service

The soak's caller sends it to all entries beside kills, freezes, wipes, cuts and restarts. Afterwards the request must be known within three more ends and then reach no endpoint, and no other request may be in quarantine.

Own tests use the endpoints' ports: 32 in place of 8.

--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -126,7 +126,7 @@
         self.ports = {name: free_port() for name in ("peer", "control", "callers", "ready")}
         self.seeds = [f"127.1.1.{n}:{self.ports['control']}" for n in (1, 2, 3)]
         # Engines get ports of their own, as all processes share the machine's loopback addresses.
-        self.engine_ports = iter([free_port() for _ in range(8)])
+        self.engine_ports = iter([free_port() for _ in range(32)])
 
     def add(self, role: str, number: int, bootstrap: bool = True) -> Process:
         """
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,8 +6,9 @@
 daemons are reset or go silent for good, and jobs are held and released. Disks are wiped one
 at a time, each after the other daemons with disks have caught up, so that the system never loses
 more disks at once than it tolerates. Accepted jobs and configurations must exist afterwards,
-results that were read must not change, and no daemon may end except by a fault. Seeds that showed a
-defect are listed in `tests/soak/seeds.txt`.
+results that were read must not change, and no daemon may end except by a fault. One caller repeats
+a request that ends each endpoint that runs it: it must be stopped, and no other request with it.
+Seeds that showed a defect are listed in `tests/soak/seeds.txt`.
 """
 
 from __future__ import annotations
@@ -30,16 +31,24 @@
 import click
 
 from ibisspring_cli.jobs_leader import call_leader_of_jobs
+from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.leader_client import LeaderClient
+from ibisspring_core.messages.crash_suspects import CrashSuspect, ReadSuspects
 from ibisspring_core.messages.job_control import ChangeHold, HoldChanged, ReadJob
+from ibisspring_core.messages.peers import PEER_MESSAGES
 from ibisspring_core.messages.status import ReadJobsStatus
+from ibisspring_core.peer_rpc import PeerClient
 from ibisspring_core.request_ids import new_request_id
+from ibisspring_decisions.crash_suspects import Standing, standing
+from ibisspring_directory.suspect_state import summary
 from integration.platform_system import (
     LOOKUP,
     PlatformSystem,
     headers_of,
     job,
     platform_system,
+    request,
 )
 from integration.processes import wait_until
 from integration.proxy import Mode
@@ -55,6 +64,13 @@
 FAULTS = ("kill", "freeze", "stop", "wipe", "descriptors", "kill_all", "engine", "table")
 # A series with a random source of its own, so that the other faults of a seed stay the same.
 LINK_FAULTS = ("connections", "hold")
+# A request that ends the endpoint that runs it, and the time between two sendings of it. After the
+# faults it may reach as many endpoints as are needed to know it, and then none.
+CRASH_BODY = b"ends its endpoint"
+CRASH_PATH = f"{LOOKUP}marked"
+CRASH_PAUSE_S = (0.3, 1.5)
+MAX_CRASHES_AFTER_FAULTS = 3
+CRASH_CHECKS = 10
 SPARE_DESCRIPTORS = (0, 4)
 MAX_DESCRIPTORS = 4096
 SEEDS = Path(__file__).parent / "seeds.txt"
@@ -310,6 +326,54 @@
         if answer.status in (401, 404):
             self.findings.append(f"{path}: answered {answer.status} although the lookup is allowed")
 
+    async def crashing_requests(self, random_source: random.Random) -> None:
+        """Repeat a request that ends its endpoint, each time at another entry."""
+        number = 0
+        while self.running():
+            number += 1
+            await self._send_crashing(f"marked-{number}", random_source.randint(1, ENTRIES))
+            await asyncio.sleep(random_source.uniform(*CRASH_PAUSE_S))
+
+    async def _send_crashing(self, attempt: str, entry: int) -> int:
+        url = self.system.entry_url(entry) + CRASH_PATH
+        status, _ = await request("POST", url, CRASH_BODY, headers_of(attempt))
+        return status
+
+    async def check_crashing_request(self) -> None:
+        """Check that the request is stopped at every entry, and that no other one is."""
+        before = self._crashes()
+
+        async def quarantined() -> bool:
+            await self._send_crashing(f"late-{time.monotonic()}", self._entry())
+            answer = await self._ask_directory(ReadSuspects())
+            found = {one.target: _standing(one) for one in answer.suspects}
+            others = [target for target in found if target != CRASH_PATH]
+            if any(found[target] is Standing.QUARANTINED for target in others):
+                self.findings.append(f"requests in quarantine: {found}")
+            return found.get(CRASH_PATH) is Standing.QUARANTINED
+
+        await wait_until(quarantined, "the request that ends its endpoints to be known", 60.0)
+        if self._crashes() - before > MAX_CRASHES_AFTER_FAULTS:
+            self.findings.append(f"{self._crashes() - before} sendings until a request was known")
+        before = self._crashes()
+        for number in range(CRASH_CHECKS):
+            await self._send_crashing(f"last-{number}", number % ENTRIES + 1)
+        if self._crashes() != before:
+            self.findings.append("a request in quarantine was sent to an endpoint")
+
+    def _crashes(self) -> int:
+        return sum(len(engine.crash_calls_at) for engine in self.system.engines)
+
+    async def _ask_directory(self, message: Any) -> Any:
+        """Call the directory's leader until it answers."""
+        client = PeerClient(PEER_MESSAGES, Counters.from_config(None))
+        leader = LeaderClient(client, lambda: tuple(self.system.peer_seeds()))
+        answer: Any = None
+        while answer is None or isinstance(answer, Refusal):
+            answer = await leader.call(message, STOP_TIMEOUT_S, STOP_TIMEOUT_S)
+        await client.stop()
+        return answer
+
     async def check(self) -> None:
         """Check that the configuration and the job results that were read are still available."""
         status, document = await self.system.control("GET", "/v1/Config.Read")
@@ -330,6 +394,11 @@
                     self.findings.append(f"{name}: {result['id']} is {result['output']!r}")
 
 
+def _standing(suspect: CrashSuspect) -> Standing:
+    found = summary(suspect)
+    return standing(found.ends, found.in_trial)
+
+
 async def soak(seed: int, seconds: float) -> list[str]:
     """
     Run the faults of one seed.
@@ -339,15 +408,21 @@
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     async with platform_system(folder, ENTRIES, proxied=True) as system:
+        for _ in range(2):
+            await system.add_engine("archive")
+        for engine in system.engines:
+            engine.crash_body = CRASH_BODY
         run = Soak(system, random.Random(seed), time.monotonic() + seconds)
         work = [run.faults() for _ in range(FAULT_SERIES)]
         work.append(run.link_faults(random.Random(-seed)))
+        work.append(run.crashing_requests(random.Random(seed + 1)))
         work += [run.lookups(series) for series in range(LOOKUP_SERIES)]
         work += [run.jobs(series) for series in range(2)]
         ended = await asyncio.gather(run.watch(), *work, return_exceptions=True)
         run.findings.extend(repr(one) for one in ended if isinstance(one, Exception))
         if not run.findings:
             await run.check()
+            await run.check_crashing_request()
     print(f"seed {seed}: {len(run.results_by_job)} jobs read, version {run.version}")
     if run.findings:
         print(f"seed {seed}: the logs of all daemons are in {folder}")
