Show the incident's cause at the product's own interface with a failing test

Three tries without a token bound one request; the caller's repetition begins at zero. Three sendings of one prompt ended 8 of 8 engines.

--- a/tests/integration/test_requests_failures.py
+++ b/tests/integration/test_requests_failures.py
@@ -91,6 +91,21 @@
     assert not answer.is_complete()
 
 
+async def test_a_repeated_prompt_that_kills_engines_does_not_kill_them_all(system) -> None:
+    # The bound on tries belongs to one request. Its caller's repetition begins at zero and crashes
+    # three more engines; three of them are needed to know the prompt, and three more may follow.
+    for number in range(8):
+        await system.start_engine(f"scorer-{number}")
+        await system.fault(f"scorer-{number}", crash_after=0)
+
+    for _ in range(3):
+        answer = await system.generate(PROMPT, 40)
+        assert not answer.is_complete()
+
+    alive = [name for name, process in system.process_by_name.items() if process.alive()]
+    assert len(alive) - 1 >= 2
+
+
 async def test_crossed_answers_reach_nobody(system) -> None:
     # An endpoint swaps the answers of two requests. A caller used to receive another mill's
     # certificate as its own.
