Stop a prompt or call that ends its endpoints at the product's own interface

What callers saw: three sendings of one prompt ended 8 of 8 engines; each entry, and each request, began to count at zero.

The service that knows the suspects, the identity and the replicated state moved from the platform's gateway and directory to ibisspring-core, as both interfaces use them; what differs is how an entry identifies a request and reaches the leader (SuspectsLink). Control's state machine takes the same reports as commands; its trials are part of the state, by the log's clock; the ends take the log's time, since entries' clocks may be wrong. Entries get the suspects with the view of their lease. The check stands before the slot, after each broken try, and before a hedged one.

--- a/packages/ibisspring-cli/src/ibisspring_cli/options.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/options.py
@@ -55,14 +55,25 @@
 
 def with_seeds(command: Callable[..., Any]) -> Callable[..., Any]:
     """Add the option `--seeds` to a command; its value is passed as `seeds`."""
+    help_text = "Peer IP:port of control daemons; one running daemon is enough."
+    return _seeds_option(help_text, required=True)(command)
+
+
+def with_optional_seeds(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the option `--seeds` to a command that calls `--control` where it is not given."""
+    help_text = "Peer IP:port of control daemons that are found by seeds; else --control is used."
+    return _seeds_option(help_text, required=False)(command)
+
+
+def _seeds_option(help_text: str, required: bool) -> Callable[..., Any]:
     return click.option(
         "--seeds",
         "seeds",
         multiple=True,
-        required=True,
+        required=required,
         envvar="IBISSPRING_SEEDS",
-        help="Peer IP:port of control daemons; one running daemon is enough.",
-    )(command)
+        help=help_text,
+    )
 
 
 def with_options(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -83,4 +94,4 @@
     return run
 
 
-__all__ = ["Options", "split_addresses", "with_options", "with_seeds"]
+__all__ = ["Options", "split_addresses", "with_optional_seeds", "with_options", "with_seeds"]
--- a/packages/ibisspring-cli/src/ibisspring_cli/suspects.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/suspects.py
@@ -2,26 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import click
 import msgspec
 
 from ibisspring_cli.directory_leader import call_directory
-from ibisspring_cli.options import Options, split_addresses, with_options, with_seeds
-from ibisspring_cli.session import EXIT_FINDINGS, fail, show
+from ibisspring_cli.options import Options, split_addresses, with_optional_seeds, with_options
+from ibisspring_cli.session import EXIT_FINDINGS, fail, propose, read, show
 from ibisspring_core.errors import Reason
 from ibisspring_core.messages.crash_suspects import (
     ClearSuspect,
+    CrashSuspect,
     ReadSuspects,
     SuspectsChanged,
     SuspectsRead,
 )
+from ibisspring_core.request_ids import new_request_id
 from ibisspring_decisions.crash_suspects import standing
 
-if TYPE_CHECKING:
-    from ibisspring_core.messages.crash_suspects import CrashSuspect
-
 
 @click.group()
 def suspects() -> None:
@@ -29,36 +26,39 @@
 
 
 @suspects.command("list")
-@with_seeds
+@with_optional_seeds
 @with_options
 def list_suspects(options: Options, seeds: tuple[str, ...]) -> None:
     """List the requests, those with the most ends first, each with the endpoints that ended."""
-    read = _read(options, split_addresses(seeds))
-    lines = [line for suspect in read.suspects for line in _lines(suspect)]
-    found = [
-        {**msgspec.to_builtins(suspect), "standing": _standing(suspect)}
-        for suspect in read.suspects
-    ]
+    known = _read(options, split_addresses(seeds))
+    lines = [line for suspect in known for line in _lines(suspect)]
+    found = [{**msgspec.to_builtins(suspect), "standing": _standing(suspect)} for suspect in known]
     show(options, {"suspects": found}, lines or ["no request is suspected"])
 
 
 @suspects.command()
 @click.argument("identity")
-@with_seeds
+@with_optional_seeds
 @with_options
 def release(options: Options, identity: str, seeds: tuple[str, ...]) -> None:
     """Forget the ends under the request IDENTITY, so that it is sent again."""
     addresses = split_addresses(seeds)
-    known = {one.identity: one for one in _read(options, addresses).suspects}
+    known = {one.identity: one for one in _read(options, addresses)}
     if identity not in known:
         fail(options, EXIT_FINDINGS, Reason.BAD_REQUEST.value, "no request has this identity")
     message = ClearSuspect(identity, len(known[identity].ends))
-    call_directory(options, addresses, message, SuspectsChanged, changes=True)
+    if addresses:
+        call_directory(options, addresses, message, SuspectsChanged, changes=True)
+    else:
+        propose(options, message, new_request_id(), f"ibisspring suspects release {identity}")
     show(options, {"released": identity}, [f"{identity}: released"])
 
 
-def _read(options: Options, seeds: tuple[str, ...]) -> SuspectsRead:
-    return call_directory(options, seeds, ReadSuspects(), SuspectsRead, changes=False)
+def _read(options: Options, seeds: tuple[str, ...]) -> tuple[CrashSuspect, ...]:
+    if seeds:
+        answer = call_directory(options, seeds, ReadSuspects(), SuspectsRead, changes=False)
+        return answer.suspects
+    return msgspec.convert(read(options, "suspects")["suspects"], tuple[CrashSuspect, ...])
 
 
 def _standing(suspect: CrashSuspect) -> str:
--- a/packages/ibisspring-control/src/ibisspring_control/rpc/queries.py
+++ b/packages/ibisspring-control/src/ibisspring_control/rpc/queries.py
@@ -122,6 +122,10 @@
     return {"endpoints": endpoints}
 
 
+def _suspects(context: QueryContext, arguments: dict[str, Any]) -> dict[str, Any]:
+    return {"suspects": [asdict(suspect) for suspect in context.state.suspects.all()]}
+
+
 def _step(context: QueryContext, arguments: dict[str, Any]) -> dict[str, Any]:
     key = (str(arguments.get("trainer", "")), arguments.get("step"))
     step = context.state.steps.step_by_key.get(key)
@@ -164,6 +168,7 @@
     "rules": _rules,
     "status": _status,
     "step": _step,
+    "suspects": _suspects,
     "trainers": _trainers,
     "usage": _usage,
 }
--- a/packages/ibisspring-control/src/ibisspring_control/state/machine.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/machine.py
@@ -25,12 +25,19 @@
 )
 from ibisspring_control.state.rule_versions import RulesSnapshot, RuleVersions
 from ibisspring_control.state.steps import Steps, StepsSnapshot
+from ibisspring_control.state.suspects import Suspects, SuspectsSnapshot
 from ibisspring_control.state.trainers import Trainers, TrainersSnapshot
 from ibisspring_control.state.usage import Usage, UsageSnapshot, UsageWindow
 from ibisspring_core.errors import Reason
 from ibisspring_core.messages import commands
 from ibisspring_core.messages.codec import decode
 from ibisspring_core.messages.commands import COMMANDS, RESULTS, Envelope, Refused
+from ibisspring_core.messages.crash_suspects import (
+    ClearSuspect,
+    ReportEnd,
+    StartTrial,
+    SuspectsChanged,
+)
 from ibisspring_core.messages.views import EntryView
 
 if TYPE_CHECKING:
@@ -43,7 +50,13 @@
 # answered with the stored result of its first application.
 KEYED_BY_REQUEST_ID = (commands.ApplyRules, commands.DrainEndpoint)
 # Commands that change the view that is sent to entries.
-CHANGES_VIEW = (commands.ApplyRules, commands.DrainEndpoint, commands.PublishVersion)
+CHANGES_VIEW = (
+    commands.ApplyRules,
+    commands.DrainEndpoint,
+    commands.PublishVersion,
+    ReportEnd,
+    ClearSuspect,
+)
 _CANONICAL = msgspec.msgpack.Encoder(order="sorted")
 
 
@@ -61,6 +74,7 @@
     usage: UsageSnapshot = field(default_factory=UsageSnapshot)
     orders: OrdersSnapshot = field(default_factory=OrdersSnapshot)
     steps: StepsSnapshot = field(default_factory=StepsSnapshot)
+    crash_suspects: SuspectsSnapshot = field(default_factory=SuspectsSnapshot)
 
 
 class StateMachine:
@@ -88,6 +102,9 @@
             commands.DeliverBatch: self._deliver,
             commands.AckStep: lambda command, position: self.steps.acknowledge(command),
             commands.DaemonStarted: self._record_start,
+            ReportEnd: lambda command, position: self.suspects.report_end(command, position),
+            ClearSuspect: lambda command, position: self.suspects.clear(command),
+            StartTrial: lambda command, position: self.suspects.start_trial(command, position),
         }
 
     @classmethod
@@ -156,7 +173,7 @@
     def _execute(self, command: Any, position: LogPosition) -> Any:
         result = self._run_by_type[type(command)](command, position)
         if isinstance(command, CHANGES_VIEW) and isinstance(
-            result, commands.RulesApplied | commands.Done
+            result, commands.RulesApplied | commands.Done | SuspectsChanged
         ):
             self.view_index = position.index
             self._notify_view_changed()
@@ -234,6 +251,8 @@
             rules_text=self.rules.current.text,
             version_by_trainer={name: versions[name].version for name in sorted(versions)},
             draining=self.draining_endpoints(),
+            suspects=self.suspects.summaries(),
+            suspect_change=self.suspects.change,
         )
 
     def snapshot(self) -> bytes:
@@ -254,6 +273,7 @@
                 usage=self.usage.snapshot(),
                 orders=self.orders.snapshot(),
                 steps=self.steps.snapshot(),
+                crash_suspects=self.suspects.snapshot(),
             )
         )
 
@@ -277,6 +297,7 @@
         self.usage = Usage(snapshot.usage)
         self.orders = Orders(snapshot.orders)
         self.steps = Steps(snapshot.steps)
+        self.suspects = Suspects(snapshot.crash_suspects)
 
 
 __all__ = ["Snapshot", "StateMachine"]
--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -133,25 +133,6 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return NoAnswer(True, repr(error))
 
-    async def is_refused(self, address: str, timeout_s: float) -> bool:
-        """
-        Open a connection to find out whether a process still listens at an address.
-
-        :param address: IP:port of the endpoint.
-        :param timeout_s: seconds to wait for the connection.
-        :return: True if the connection was refused; False if it was opened, or if it stays unknown.
-        """
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (TimeoutError, OSError):
-            return False
-        writer.close()
-        return False
-
     def idle(self, address: str) -> bool:
         """Whether the pool holds an open, idle connection to an endpoint."""
         return self._kept.count_idle((address,), boot_now()) > 0
@@ -169,6 +150,26 @@
         return keep_s
 
 
+async def is_refused(address: str, timeout_s: float) -> bool:
+    """
+    Open a connection to find out whether a process still listens at an address.
+
+    :param address: IP:port of the endpoint.
+    :param timeout_s: seconds to wait for the connection.
+    :return: True if the connection was refused; False if it was opened, or if it stays unknown.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (TimeoutError, OSError):
+        return False
+    writer.close()
+    return False
+
+
 def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
--- a/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/commands.py
@@ -21,6 +21,13 @@
     SettleClaim,
 )
 from ibisspring_core.messages.codec import KindCodec
+from ibisspring_core.messages.crash_suspects import (
+    ClearSuspect,
+    ReportEnd,
+    StartTrial,
+    SuspectsChanged,
+    TrialStarted,
+)
 from ibisspring_core.messages.order_commands import (
     DaemonStarted,
     DrainEndpoint,
@@ -100,6 +107,9 @@
     DeliverBatch,
     AckStep,
     DaemonStarted,
+    ReportEnd,
+    ClearSuspect,
+    StartTrial,
 )
 
 RESULTS = KindCodec.from_types(
@@ -112,6 +122,8 @@
     BatchStale,
     Done,
     Refused,
+    SuspectsChanged,
+    TrialStarted,
 )
 
 __all__ = [
--- a/packages/ibisspring-core/src/ibisspring_core/messages/crash_suspects.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/crash_suspects.py
@@ -106,11 +106,14 @@
     An entry asks whether it may send a suspect with two ends once.
 
     :param time_limit_s: seconds until the request is over.
+    :param other_endpoints: serving endpoints of the service beside the one that the request may
+        end, as the entry knows them; None where the leader counts them itself.
     """
 
     identity: str
     service: str
     time_limit_s: float
+    other_endpoints: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-core/src/ibisspring_core/messages/views.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/views.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from ibisspring_core.messages.crash_suspects import SuspectSummary
+
 
 @dataclass(frozen=True)
 class PeerRecord:
@@ -36,6 +38,8 @@
     :param peers_complete: False while a new leader may not have received a renewal from every entry
         with a valid lease.
     :param usage_window_s: length of a usage window in seconds, from the leader's settings.
+    :param suspects: requests under which endpoints ended, by identity.
+    :param suspect_change: number of the newest change of the suspects.
     """
 
     index: int
@@ -46,6 +50,8 @@
     peer_by_daemon: dict[str, PeerRecord] = field(default_factory=dict)
     peers_complete: bool = True
     usage_window_s: float = 60.0
+    suspects: dict[str, SuspectSummary] = field(default_factory=dict)
+    suspect_change: int = 0
 
 
 __all__ = ["EntryView", "PeerRecord"]
--- a/packages/ibisspring-directory/src/ibisspring_directory/suspect_state.py
+++ b/packages/ibisspring-core/src/ibisspring_core/suspect_state.py
@@ -30,6 +30,11 @@
         """Return the suspects by identity, as they are sent to the entries."""
         return {identity: summary(one) for identity, one in self.by_identity.items()}
 
+    def summary(self, identity: str) -> SuspectSummary:
+        """Return what is known of a request, which need not be a suspect."""
+        suspect = self.by_identity.get(identity)
+        return summary(suspect) if suspect is not None else SuspectSummary(0, False)
+
     def record(self, reported: CrashSuspect) -> None:
         """Add one end of a request, unless it is known."""
         known = self.by_identity.get(reported.identity)
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
@@ -127,6 +127,24 @@
         self._until_by_service: dict[str, float] = {}
         self._allowed_from_s = 0.0
 
+    @classmethod
+    def from_trials(cls, trials: Iterable[tuple[str, str, float]]) -> Trials:
+        """
+        Restore the trials that `trials` returned.
+
+        :param trials: service, identity, and time at which the trial is over, of each one.
+        """
+        restored = cls()
+        for service, identity, until_s in trials:
+            restored._identity_by_service[service] = identity
+            restored._until_by_service[service] = until_s
+        return restored
+
+    def trials(self) -> tuple[tuple[str, str, float], ...]:
+        """Return service, identity, and time at which the trial is over, sorted by service."""
+        found = sorted(self._identity_by_service.items())
+        return tuple((one, identity, self._until_by_service[one]) for one, identity in found)
+
     def start_term(self, now: float) -> None:
         """Forget all trials; none is allowed until those of the previous leader are over."""
         self._identity_by_service.clear()
--- a/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
@@ -18,12 +18,10 @@
 from ibisspring_core.messages.crash_suspects import (
     SuspectsChanged,
     SuspectsRead,
-    SuspectSummary,
     TrialStarted,
 )
 from ibisspring_decisions.crash_suspects import Standing, Trials, standing
 from ibisspring_directory.commands import RecordEnd, RemoveSuspect
-from ibisspring_directory.suspect_state import summary
 
 if TYPE_CHECKING:
     from ibisspring_core.messages.crash_suspects import (
@@ -32,6 +30,7 @@
         ReadSuspects,
         ReportEnd,
         StartTrial,
+        SuspectSummary,
     )
     from ibisspring_directory.leader_context import LeaderContext
 
@@ -129,8 +128,7 @@
         return self._context.state.suspects.by_identity.get(identity)
 
     def _summary(self, identity: str) -> SuspectSummary:
-        suspect = self._find(identity)
-        return summary(suspect) if suspect is not None else SuspectSummary(0, False)
+        return self._context.state.suspects.summary(identity)
 
     def _changed(self, identity: str) -> SuspectsChanged:
         return SuspectsChanged(self._context.state.suspects.change, self._summary(identity))
--- a/packages/ibisspring-directory/src/ibisspring_directory/state.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/state.py
@@ -17,6 +17,7 @@
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.messages.evacuations import Evacuation
 from ibisspring_core.routes.model import RouteTable
+from ibisspring_core.suspect_state import SuspectState
 from ibisspring_directory.commands import (
     COMMANDS,
     CloseWindow,
@@ -32,7 +33,6 @@
     SetFleet,
     WindowReported,
 )
-from ibisspring_directory.suspect_state import SuspectState
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/endpoint_use.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/endpoint_use.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.clock import boot_now
+from ibisspring_decisions.crash_suspects import Standing
 from ibisspring_decisions.retries import RetryBudget
 from ibisspring_decisions.routing import Candidate, Router, prefix_digest
 
@@ -18,6 +19,7 @@
 
     from ibisspring_core.errors import Reason
     from ibisspring_core.messages.endpoints import EndpointRecord
+    from ibisspring_entry.proxy.messages import GenerateRequest, PlainRequest
 
 EndpointStart = tuple[str, int]
 """An endpoint's id and incarnation; a failure of one start says nothing about the next start."""
@@ -109,6 +111,25 @@
             if remaining == 0:
                 del self._in_flight_by_endpoint[endpoint]
 
+    async def check_end(
+        self, request: GenerateRequest | PlainRequest, record: EndpointRecord
+    ) -> None:
+        """
+        Report that an endpoint ended while it ran a request, if it did.
+
+        :param record: record of the endpoint; the connection to it broke during the request.
+        """
+        in_flight = self._in_flight_by_endpoint.get(record.endpoint, 0) + 1
+        await self._crash_suspects.check_end(request, record, in_flight)
+
+    def may_send(self, request: GenerateRequest | PlainRequest) -> bool:
+        """Whether a request may be sent to another endpoint, by the endpoints that it ended."""
+        return self._crash_suspects.may_send(request)
+
+    def may_hedge(self, request: GenerateRequest | PlainRequest) -> bool:
+        """Whether a request may be at two endpoints at the same time."""
+        return self._crash_suspects.standing(request) is Standing.CLEAR
+
     def record_failure(self, endpoint: str) -> None:
         """
         Record for the routing that an endpoint failed a request.
@@ -117,14 +138,17 @@
         """
         self._router.record_failure(endpoint, boot_now())
 
-    def record_answer(self, endpoint: str, unit_s: float) -> None:
+    def record_answer(
+        self, request: GenerateRequest | PlainRequest, endpoint: str, unit_s: float
+    ) -> None:
         """
-        Record for the routing that an endpoint gave a complete answer.
+        Record that an endpoint gave a complete answer, for the routing and the crash suspects.
 
         :param endpoint: the endpoint's id.
         :param unit_s: seconds that a token of the generation, or the plain call, took.
         """
         self._router.record_success(endpoint, unit_s)
+        self._crash_suspects.record_answer(request)
 
     def may_retry(self, reason: Reason, charged: bool = True) -> bool:
         """
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/generation.py
@@ -90,12 +90,16 @@
             outcome = engine_try.outcome
             if outcome.reason is None:
                 new_tokens = max(1, len(self._received) - tokens_before)
-                self._endpoints.record_answer(record.endpoint, (boot_now() - began) / new_tokens)
+                self._endpoints.record_answer(
+                    self._request, record.endpoint, (boot_now() - began) / new_tokens
+                )
                 yield GenerationEnd(
                     self._request.request_id, len(self._received), record.endpoint, self._tries
                 )
                 return
             self._record_failure(record, outcome, len(self._received) - tokens_before)
+            if outcome.reason is Reason.ENDPOINT_FAILED and not outcome.not_run:
+                await self._endpoints.check_end(self._request, record)
             if not self._may_try_again(outcome):
                 yield self._failed(outcome.reason)
                 return
@@ -158,6 +162,8 @@
             return False
         if self._tries >= MAX_TRIES or self._tries_without_tokens >= MAX_TRIES_WITHOUT_TOKENS:
             return False
+        if not self._endpoints.may_send(self._request):
+            return False
         # A lost engine or connection ends the previous try's work, so that a retry adds no work for
         # the engines. A retry is charged to the retry budget only if the engine of the previous try
         # may still be working, but slowly.
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -72,6 +72,8 @@
                 answer = await self._first_answer(running)
                 if answer is not None:
                     return answer
+                if running and not self._endpoints.may_hedge(self._request):
+                    break
                 reason = self._last_refusal.reason if not running else Reason.ENDPOINT_SILENT
                 if not self._may_try_again(Refusal(reason, False)):
                     break
@@ -124,16 +126,20 @@
                 self._endpoints.session, record, self._request, try_id, self._deadline
             )
         if isinstance(answer, CompleteAnswer):
-            self._endpoints.record_answer(record.endpoint, boot_now() - began)
+            self._endpoints.record_answer(self._request, record.endpoint, boot_now() - began)
         if isinstance(answer, Refusal):
             self._not_run = self._not_run and answer.not_run
             self._last_refusal = answer
             self._endpoints.record_failure(record.endpoint)
+            if answer.reason is Reason.ENDPOINT_FAILED and not answer.not_run:
+                await self._endpoints.check_end(self._request, record)
         return answer
 
     def _may_try_again(self, refusal: Refusal) -> bool:
         if self._tries >= MAX_TRIES or boot_now() >= self._deadline:
             return False
+        if not self._endpoints.may_send(self._request):
+            return False
         # If no endpoint was available, an immediate retry would find no endpoint either, and the
         # call would be retried in a loop without pause.
         if self._no_endpoint:
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -55,6 +55,7 @@
         """
         self._registry = kernel.find("registry")
         self._counters = kernel.find("counters")
+        self._crash_suspects = kernel.find("crash_suspects")
         await self._slot_allocator.start(kernel)
         self.session = open_session()
 
@@ -75,15 +76,21 @@
         :param request: the prompt with the model, the limits and the client account.
         :return: runs of tokens in order, then exactly one `GenerationEnd` or `GenerationFailed`.
         """
+        refusal = await self._admit(request, request.model)
+        if refusal is not None:
+            yield GenerationFailed(request.request_id, refusal)
+            return
         began = boot_now()
         slots = self._slot_allocator
         slot = await slots.acquire(
             request.model, request.client_account, request.max_tokens, request.deadline_s
         )
         if isinstance(slot, Refusal):
+            self._crash_suspects.exchange_ended(request)
             yield GenerationFailed(request.request_id, slot)
             return
         if not _is_still_allowed(request):
+            self._crash_suspects.exchange_ended(request)
             slots.release(request.model, slot, 1, 0.0, False)
             yield GenerationFailed(request.request_id, KEY_WITHDRAWN_REFUSAL)
             return
@@ -101,6 +108,7 @@
         finally:
             work_s = boot_now() - started
             slots.release(request.model, slot, request.max_tokens, work_s, complete)
+            self._crash_suspects.exchange_ended(request)
 
     async def call(self, request: PlainRequest) -> CompleteAnswer | Refusal:
         """
@@ -109,6 +117,19 @@
         :param request: the HTTP request with the service, the deadline and the client account.
         :return: the complete answer or a refusal.
         """
+        refusal = await self._admit(request, request.service)
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._call_admitted(request)
+        finally:
+            self._crash_suspects.exchange_ended(request)
+
+    async def _admit(self, request: GenerateRequest | PlainRequest, service: str) -> Refusal | None:
+        others = len(self._registry.available_endpoints(service)) - 1
+        return await self._crash_suspects.admit(request, service, request.deadline_s, others)
+
+    async def _call_admitted(self, request: PlainRequest) -> CompleteAnswer | Refusal:
         began = boot_now()
         slots = self._slot_allocator
         slot = await slots.acquire(request.service, request.client_account, 1, request.deadline_s)
--- a/packages/ibisspring-entry/src/ibisspring_entry/role.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/role.py
@@ -9,6 +9,7 @@
 from ibisspring_entry.http import HttpService
 from ibisspring_entry.lease import Lease
 from ibisspring_entry.proxy import Endpoints
+from ibisspring_entry.proxy.crash_suspects import crash_suspects
 from ibisspring_entry.registry import Registry
 from ibisspring_entry.rollouts import Rollouts
 from ibisspring_entry.usage_meter import UsageMeter
@@ -32,6 +33,7 @@
         Registry.from_config(settings),
         AdmissionService.from_config(settings),
         UsageMeter.from_config(settings),
+        crash_suspects(settings),
         Endpoints.from_config(settings),
         Claims.from_config(settings),
         Rollouts.from_config(settings),
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -10,7 +10,7 @@
 import eliot
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.connections import CONNECT_TIMEOUT_S, END_CHECK_TIMEOUT_S, headers_of
+from ibisspring_core.connections import CONNECT_TIMEOUT_S, headers_of
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.routes.model import RepeatRule
 from ibisspring_decisions.crash_suspects import Standing
@@ -268,9 +268,8 @@
             answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, sent=False)
         except (aiohttp.ClientError, OSError):
             answer = FailedAttempt(Reason.ENDPOINT_FAILED, True)
-            if await self._connections.is_refused(record.address, END_CHECK_TIMEOUT_S):
-                in_flight = self._in_flight_by_endpoint[record.endpoint]
-                await self._crash_suspects.record_end(request, record, in_flight)
+            in_flight = self._in_flight_by_endpoint[record.endpoint]
+            await self._crash_suspects.check_end(request, record, in_flight)
         finally:
             self._in_flight_by_endpoint[record.endpoint] -= 1
         self._record_attempt(request, record, answer, boot_now() - started_at_s)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
@@ -6,7 +6,7 @@
 
 from ibisspring_core.connections import Connections
 from ibisspring_core.directory_view import DirectoryView
-from ibisspring_gateway.crash_suspects import CrashSuspects
+from ibisspring_gateway.crash_suspects import crash_suspects
 from ibisspring_gateway.entry_limits import EntryLimits
 from ibisspring_gateway.forward import Forwarder
 from ibisspring_gateway.result_reads import ResultReads
@@ -34,7 +34,7 @@
         UsageCounts.from_config(settings),
         Connections(),
         SendGate.from_config(settings),
-        CrashSuspects.from_config(settings),
+        crash_suspects(settings.daemon),
         Forwarder.from_config(settings),
         RewardCalls(),
         Runner.from_config(settings),
--- a/tests/integration/lone_entry.py
+++ b/tests/integration/lone_entry.py
@@ -13,11 +13,15 @@
 from pathlib import Path
 from typing import Any
 
+from ibisspring_control.state.moment import LogPosition
+from ibisspring_control.state.suspects import Suspects, SuspectsSnapshot
+from ibisspring_core.clock import wall_now
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.logs import start_logging
 from ibisspring_core.messages.commands import ClaimKey, ClaimState, Done, SettleClaim
+from ibisspring_core.messages.crash_suspects import ClearSuspect, ReportEnd, StartTrial
 from ibisspring_core.messages.views import EntryView
 from ibisspring_core.rules import ClientAccount
 from ibisspring_core.settings import EntrySettings, Settings
@@ -26,6 +30,7 @@
 from ibisspring_entry.claims import Claims
 from ibisspring_entry.http import HttpService
 from ibisspring_entry.proxy import Endpoints
+from ibisspring_entry.proxy.crash_suspects import crash_suspects
 from ibisspring_entry.registry import Registry
 
 
@@ -54,8 +59,9 @@
     name = "lease"
     incarnation = 1
 
-    def __init__(self, services: list[str]) -> None:
+    def __init__(self, services: list[str], control: StandInControl) -> None:
         self._rules = PermissiveRules(services)
+        self._control = control
 
     async def start(self, kernel: Kernel) -> None:
         pass
@@ -64,7 +70,14 @@
         pass
 
     def view(self) -> EntryView | Refusal:
-        return EntryView(index=1, rules_version=1, rules_text="")
+        suspects = self._control.suspects
+        return EntryView(
+            index=1,
+            rules_version=1,
+            rules_text="",
+            suspects=suspects.summaries(),
+            suspect_change=suspects.change,
+        )
 
     def rules(self) -> Any:
         return self._rules
@@ -77,13 +90,14 @@
 
 
 class StandInControl:
-    """Stand-in for the control client that keeps the claims of one entry in memory."""
+    """Stand-in for the control client that keeps one entry's claims and suspects in memory."""
 
     name = "control_client"
 
     def __init__(self) -> None:
         self.claim_by_key: dict[tuple[str, str], ClaimState] = {}
         self.digest_by_key: dict[tuple[str, str], str] = {}
+        self.suspects = Suspects(SuspectsSnapshot())
 
     async def start(self, kernel: Kernel) -> None:
         pass
@@ -91,7 +105,14 @@
     async def stop(self) -> None:
         pass
 
-    async def propose(self, command: Any, request_id: str) -> Any:
+    async def propose(self, command: Any, request_id: str, total_s: float = 0.0) -> Any:
+        position = LogPosition(0, wall_now())
+        if isinstance(command, ReportEnd):
+            return self.suspects.report_end(command, position)
+        if isinstance(command, ClearSuspect):
+            return self.suspects.clear(command)
+        if isinstance(command, StartTrial):
+            return self.suspects.start_trial(command, position)
         claim_id = (command.client_account, command.key)
         if isinstance(command, ClaimKey):
             return self._claim(claim_id, command)
@@ -134,14 +155,16 @@
         roles=("entry",),
         entry=EntrySettings(**options["entry"]),
     )
+    control = StandInControl()
     kernel = Kernel.from_services(
         (
             TimerService(),
             Counters.from_config(None),
-            StandInControl(),
-            StandInLease(options["services"]),
+            control,
+            StandInLease(options["services"], control),
             Registry.from_config(settings),
             AdmissionService.from_config(settings),
+            crash_suspects(settings),
             Endpoints.from_config(settings),
             Claims.from_config(settings),
             HttpService.from_config(settings),
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,8 +40,8 @@
 from ibisspring_core.messages.status import ReadJobsStatus
 from ibisspring_core.peer_rpc import PeerClient
 from ibisspring_core.request_ids import new_request_id
+from ibisspring_core.suspect_state import summary
 from ibisspring_decisions.crash_suspects import Standing, standing
-from ibisspring_directory.suspect_state import summary
 from integration.platform_system import (
     LOOKUP,
     PlatformSystem,
--- a/tests/unit/directory/test_crash_suspects.py
+++ b/tests/unit/directory/test_crash_suspects.py
@@ -18,9 +18,9 @@
     SuspectSummary,
     TrialStarted,
 )
+from ibisspring_core.suspect_state import SuspectState
 from ibisspring_decisions.crash_suspects import MAX_SUSPECTS, SUSPICION_S
 from ibisspring_directory.state import DirectoryState
-from ibisspring_directory.suspect_state import SuspectState
 
 END = EndpointEnd("e1", 1, "entry-1", "r1", 1, 1000.0)
 SUSPECT = CrashSuspect("q", "archive", "forge", "POST", "/lookup/7", (END,))
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -28,6 +28,7 @@
 from ibisspring_consensus.messages import MESSAGES, SnapshotMeta
 from ibisspring_consensus.storage import LogRecord, SegmentStart, StoredHardState
 from ibisspring_control.state.machine import Snapshot as ControlSnapshot
+from ibisspring_control.state.suspects import SuspectsSnapshot
 from ibisspring_core.messages import commands, directory
 from ibisspring_core.messages.codec import KindCodec, decode, encode
 from ibisspring_core.messages.endpoints import EndpointRecord
@@ -108,7 +109,12 @@
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
     "ServiceTerms": {"cold_requests_per_s": 0.0},
-    "Snapshot": {"evacuations": (), "suspects": (), "suspect_change": 0},
+    "Snapshot": {
+        "evacuations": (),
+        "suspects": (),
+        "suspect_change": 0,
+        "crash_suspects": SuspectsSnapshot(),
+    },
     "TakeWork": {"held": (), "capacity": 0},
     "Tolerance": {"zones": 0},
     "Unchanged": {"cold_shares": {}},
@@ -129,7 +135,7 @@
 # Those of `ADDED_FIELDS` that the second form of their type lacks.
 LATER_FIELDS: dict[str, dict[str, Any]] = {
     "BootFile": {"limits": Limits()},
-    "Snapshot": {"suspects": (), "suspect_change": 0},
+    "Snapshot": {"suspects": (), "suspect_change": 0, "crash_suspects": SuspectsSnapshot()},
     "TakeWork": {"capacity": 0},
     "View": {"suspects": {}, "suspect_change": 0},
 }
--- a/tests/unit/gateway/test_crash_suspects.py
+++ b/tests/unit/gateway/test_crash_suspects.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from unit.gateway.test_forward import LOOKUP_ROUTE, REQUEST, forwarder_to, response_bytes
@@ -20,10 +21,10 @@
     TrialStarted,
 )
 from ibisspring_gateway.attempts import EndpointResponse
-from ibisspring_gateway.request_identity import identity_of
+from ibisspring_gateway.crash_suspects import identified
 
 ROUTE = replace(LOOKUP_ROUTE, max_attempts=3)
-IDENTITY = identity_of(REQUEST)
+IDENTITY = identified(REQUEST).identity()
 
 
 class Leader:
@@ -40,7 +41,7 @@
             return TrialStarted(self.allows_trials)
         ends = [report.suspect.ends[0] for report in self.calls_of(ReportEnd)]
         in_trial = any(end.in_trial for end in ends)
-        return SuspectsChanged(1, SuspectSummary(self.ends_elsewhere + len(ends), in_trial))
+        return SuspectsChanged(2, SuspectSummary(self.ends_elsewhere + len(ends), in_trial))
 
     def calls_of(self, message_type: type) -> list:
         return [call for call in self.calls if isinstance(call, message_type)]
@@ -59,7 +60,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     try:
-        yield type("Ending", (), {"address": address, "heads": heads})
+        yield SimpleNamespace(address=address, heads=heads)
     finally:
         server.close()
 
@@ -69,8 +70,9 @@
     view = forwarder.view
     view.call_leader = leader.call
     if ends:
-        view.view = replace(view.view, suspects={IDENTITY: SuspectSummary(ends, in_trial)})
-    forwarder._crash_suspects._view_changed()
+        view.view = replace(
+            view.view, suspects={IDENTITY: SuspectSummary(ends, in_trial)}, suspect_change=1
+        )
 
 
 @pytest.fixture(params=[False, True], ids=["once", "repeated"])
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -16,7 +16,7 @@
 from ibisspring_core.routes import RepeatRule, Route, Share
 from ibisspring_core.settings.vm import ENTRY, VmSettings
 from ibisspring_gateway.attempts import EndpointResponse
-from ibisspring_gateway.crash_suspects import CrashSuspects
+from ibisspring_gateway.crash_suspects import crash_suspects
 from ibisspring_gateway.forward import Forwarder
 from ibisspring_gateway.send_gate import SendGate
 from ibisspring_gateway.wire import CallerRequest, ResponseKind
@@ -106,7 +106,6 @@
         age_s=lambda: 0.0,
         is_cold=lambda endpoint: False,
         wall_s=lambda: 0.0,
-        subscribe=lambda callback: None,
         call_leader=no_leader,
     )
     usage = SimpleNamespace(
@@ -119,7 +118,7 @@
         VmSettings("n", ENTRY, "derby", "10.0.0.1:1", (), region_by_data_centre=REGIONS)
     )
     services = (view, usage, Counters.from_config(None), wire or _Wire(), connections, forwarder)
-    suspects = CrashSuspects("n")
+    suspects = crash_suspects("n")
     for service in (*services, gate, suspects, *users):
         kernel.register(service)
     for service in (connections, gate, suspects, forwarder, *users):
--- a/tests/unit/gateway/test_request_identity.py
+++ b/tests/unit/gateway/test_request_identity.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ibisspring_gateway.request_identity import identity_of
+from ibisspring_gateway.crash_suspects import identified
 from ibisspring_gateway.wire import CallerRequest
 
 REQUEST = CallerRequest("r1", "POST", "/lookup/7?a=1", (("Host", "a"),), b"body", "forge", 2.0)
@@ -16,7 +16,7 @@
     headers = (("Accept", "*/*"), *REQUEST.headers)
     repetition = replace(REQUEST, request_id="r2", remaining_s=0.5, headers=headers)
 
-    assert identity_of(repetition) == identity_of(REQUEST)
+    assert identified(repetition).identity() == identified(REQUEST).identity()
 
 
 @pytest.mark.parametrize(
@@ -32,4 +32,4 @@
     ],
 )
 def test_another_request_has_another_identity(change) -> None:
-    assert identity_of(replace(REQUEST, **change)) != identity_of(REQUEST)
+    assert identified(replace(REQUEST, **change)).identity() != identified(REQUEST).identity()
