See the end of an endpoint whose listening socket is closed last

A process that ends closes its descriptors one after the other. A new connection in between is accepted and closed at once, and the end was not counted: seen once in the test of two entries (the first engine's end was missing, the next try 10 ms later was refused). An end that is not counted costs one more endpoint.

The check now opens another connection when a new one is closed at once, within its 0.1 s. A connection that stays open for 10 ms shows a process that goes on; that much the attempt after a reset by a living endpoint waits longer. The new test had no report before.

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -25,6 +25,10 @@
 # Seconds for the check whether an endpoint still accepts connections after one of them broke. A
 # process that ended is refused at once; the check must not delay the next attempt for long.
 END_CHECK_TIMEOUT_S = 0.1
+# Seconds for which a new connection must stay open to show that its process goes on, and the pause
+# before another one is opened.
+STAYS_OPEN_S = 0.01
+REOPEN_PAUSE_S = 0.005
 # Maximum number of connections from this daemon to one endpoint. Each endpoint limits its
 # connections over all daemons together.
 CONNECTIONS_PER_ENDPOINT = 16
@@ -154,19 +158,37 @@
     """
     Open a connection to find out whether a process still listens at an address.
 
+    A process that ends closes its connections one after the other, so the listening one may be
+    closed last. A new connection that is closed at once is therefore followed by another one.
+
     :param address: IP:port of the endpoint.
-    :param timeout_s: seconds to wait for the connection.
-    :return: True if the connection was refused; False if it was opened, or if it stays unknown.
+    :param timeout_s: seconds until the answer must be known.
+    :return: True if a connection was refused; False if one stays open, or if it stays unknown.
     """
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(host, int(port))
+            while not await _stays_open(host, int(port)):
+                await asyncio.sleep(REOPEN_PAUSE_S)
     except ConnectionRefusedError:
         return True
     except (TimeoutError, OSError):
         return False
-    writer.close()
+    return False
+
+
+async def _stays_open(host: str, port: int) -> bool:
+    """Open a connection, and return whether the other side leaves it open for a moment."""
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        async with asyncio.timeout(STAYS_OPEN_S):
+            await reader.read(1)
+    except TimeoutError:
+        return True
+    except ConnectionError:
+        return False
+    finally:
+        writer.close()
     return False
 
 
--- a/tests/unit/gateway/test_crash_suspects.py
+++ b/tests/unit/gateway/test_crash_suspects.py
@@ -119,6 +119,24 @@
     assert leader.calls == []
 
 
+async def test_an_end_whose_listening_socket_is_closed_last_is_seen(repeats) -> None:
+    # A process that ends closes its connections before the socket that accepts new ones. In between
+    # a new connection is accepted, and closed at once.
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+        asyncio.get_running_loop().call_later(0.02, server.close)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    leader = Leader()
+    async with forwarder_to(SimpleNamespace(address=address)) as forwarder:
+        forwarder._repeats = repeats
+        know(forwarder, leader, 0)
+        await forwarder.forward(REQUEST, ROUTE)
+
+    assert len(leader.calls_of(ReportEnd)) == 1
+
+
 async def test_a_request_in_quarantine_is_refused_at_once_as_not_run(repeats) -> None:
     async with scripted(lambda head: [response_bytes()]) as endpoint:
         async with forwarder_to(endpoint) as forwarder:
