--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -168,13 +168,14 @@
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_s):
-            while not await _stays_open(host, int(port)):
+            while True:
+                if await _stays_open(host, int(port)):
+                    return False
                 await asyncio.sleep(REOPEN_PAUSE_S)
     except ConnectionRefusedError:
         return True
     except (TimeoutError, OSError):
         return False
-    return False
 
 
 async def _stays_open(host: str, port: int) -> bool:
