Keep pending reports over a planned stop, and name who releases a request

Read as a newcomer: a daemon that stops cancelled the reports of ends that were milliseconds old (now it waits 0.5 s for them); two reports under way could drop an entry's own count when the first was answered; the age of an end was taken by the leader's own wall clock, which may be wrong by seconds, in place of the agreed one; the log line of a release did not name its operator.

--- a/packages/ibisspring-cli/src/ibisspring_cli/suspects.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/suspects.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import getpass
+
 import click
 import msgspec
 
@@ -46,7 +48,7 @@
     known = {one.identity: one for one in _read(options, addresses)}
     if identity not in known:
         fail(options, EXIT_FINDINGS, Reason.BAD_REQUEST.value, "no request has this identity")
-    message = ClearSuspect(identity, len(known[identity].ends))
+    message = ClearSuspect(identity, len(known[identity].ends), getpass.getuser())
     if addresses:
         call_directory(options, addresses, message, SuspectsChanged, changes=True)
     else:
--- a/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
+++ b/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
@@ -46,9 +46,11 @@
 
 # Longest path and query that is stored of a request and logged.
 MAX_TARGET_CHARS = 200
-# Seconds for which a report is repeated. The leader is gone for less time in an election; an entry
-# that is cut off for longer has served no request with its own knowledge alone.
+# Seconds for which a report is repeated. An election takes less, and an entry that is cut off for
+# longer serves no callers.
 REPORT_S = 60.0
+# Seconds for which a daemon that stops still waits for the answers to its reports.
+STOP_WAIT_S = 0.5
 REPORT_PAUSE_S = 0.1
 # Longest time in seconds that an attempt waits for the answer to its report. A leader answers in a
 # few milliseconds; without one, the next attempt must not be late for it.
@@ -83,11 +85,13 @@
 
     :param starts: endpoints with their incarnations, as this entry saw them end.
     :param summary: all ends known here, those of the view included.
+    :param reports: number of reports that the leader has not answered.
     :param change: change of the view that contains all starts; None while the leader lacks one.
     """
 
     starts: set[tuple[str, int]]
     summary: SuspectSummary
+    reports: int = 0
     change: int | None = None
 
 
@@ -125,7 +129,9 @@
         self._counters = kernel.find("counters")
 
     async def stop(self) -> None:
-        """Cancel the reports that the leader has not confirmed."""
+        """Wait for the reports under way, and cancel those that the leader does not answer."""
+        if self._reports:
+            await asyncio.wait(self._reports, timeout=STOP_WAIT_S)
         for task in self._reports:
             task.cancel()
 
@@ -258,6 +264,7 @@
             # Another entry may have reported this start already. Until the leader has answered, one
             # end too many is counted rather than one too few.
             own.summary = SuspectSummary(known.ends + 1, known.in_trial or in_trial)
+        own.reports += 1
         own.change = None
         while len(self._own_by_identity) > MAX_SUSPECTS:
             del self._own_by_identity[next(iter(self._own_by_identity))]
@@ -304,7 +311,10 @@
             )
             return
         own = self._own_by_identity.get(identity)
-        if own is not None and isinstance(message, ReportEnd):
+        if own is None or not isinstance(message, ReportEnd):
+            return
+        own.reports -= 1
+        if not own.reports:
             own.change = answer.change
             own.summary = answer.summary
             self._view_changed()
--- a/packages/ibisspring-core/src/ibisspring_core/messages/crash_suspects.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/crash_suspects.py
@@ -81,10 +81,12 @@
     :param identity: identity of the request.
     :param known_ends: number of ends that the sender knows of. With more of them, nothing is
         changed: they are newer than the answer.
+    :param operator: name of the operator who releases the request; empty for an answer.
     """
 
     identity: str
     known_ends: int
+    operator: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
@@ -12,7 +12,7 @@
 
 import eliot
 
-from ibisspring_core.clock import boot_now, wall_now
+from ibisspring_core.clock import boot_now
 from ibisspring_core.endpoint_table import SERVING
 from ibisspring_core.errors import Refusal
 from ibisspring_core.messages.crash_suspects import (
@@ -84,6 +84,7 @@
             "directory:suspect_cleared",
             identity=message.identity,
             known_ends=message.known_ends,
+            operator=message.operator,
             removed=self._find(message.identity) is None,
         )
         return self._changed(message.identity)
@@ -94,7 +95,8 @@
         suspect = self._find(message.identity)
         found = self._summary(message.identity)
         ends = suspect.ends if suspect is not None else ()
-        since_end_s = min((wall_now() - end.wall_s for end in ends), default=0.0)
+        wall_s = self._context.agreed_wall_s()
+        since_end_s = min((wall_s - end.wall_s for end in ends), default=0.0)
         others = self._unharmed_endpoints(message.service) - 1
         is_quarantined = standing(found.ends, found.in_trial) is Standing.QUARANTINED
         allowed = not is_quarantined and self._trials.start(
--- a/packages/ibisspring-directory/src/ibisspring_directory/leader_context.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/leader_context.py
@@ -25,6 +25,7 @@
     :param confirm_read: returns a Refusal unless a quorum confirms that no newer state is
         committed.
     :param holds_lease: whether this daemon is the leader and no other one can be.
+    :param agreed_wall_s: the wall clock that most daemons agree on, in seconds since 1970.
     :param led_since: start of this daemon's term as the leader, in seconds on its boot clock.
     :param wait_until_applied: waits until a condition on the time, in seconds on the boot clock,
         holds for the daemons' sessions; returns whether it did within the time limit.
@@ -38,6 +39,7 @@
     propose: Callable[[Any], Awaitable[Any]]
     confirm_read: Callable[[], Awaitable[Any]]
     holds_lease: Callable[[], bool]
+    agreed_wall_s: Callable[[], float]
     led_since: Callable[[], float]
     wait_until_applied: Callable[[Callable[[float], bool]], Awaitable[bool]]
 
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -133,6 +133,7 @@
             propose=self.propose,
             confirm_read=self.consensus.confirm_read,
             holds_lease=self.holds_lease,
+            agreed_wall_s=self.agreed_wall_s,
             led_since=lambda: self.led_since,
             wait_until_applied=self._wait_until_applied,
         )
