Make three tests of the crash suspects fail without their guards

Without the suspects in the key of the entries' views a test passed, as another change of the view came within its second; without the wait for the leader's answer, as the fake leader answered at once; for the view of a lagging leader there was no test.

--- a/tests/unit/core/test_directory_view.py
+++ b/tests/unit/core/test_directory_view.py
@@ -5,6 +5,7 @@
 from ibisspring_core import directory_view
 from ibisspring_core.counters import Counters
 from ibisspring_core.directory_view import DirectoryView
+from ibisspring_core.messages.crash_suspects import SuspectSummary
 from ibisspring_core.messages.directory import AgedEndpoint, View
 from ibisspring_core.messages.endpoints import EndpointRecord
 from ibisspring_core.settings.vm import ENTRY, VmSettings
@@ -58,6 +59,19 @@
     assert view.view.evacuation_change == 1
 
 
+def test_suspects_are_kept_over_the_view_of_a_lagging_leader() -> None:
+    # A new leader answers a renewal before it has applied the last entries of its log. A request in
+    # quarantine would be sent again until the next view.
+    view = view_of_daemon()
+    suspects = {"q": SuspectSummary(3, True)}
+    view._apply(view_with(suspects=suspects, suspect_change=3))
+
+    view._apply(view_with(epoch=4, suspect_change=2))
+    assert (view.view.suspects, view.view.suspect_change) == (suspects, 3)
+    view._apply(view_with(epoch=4, suspect_change=4))
+    assert view.view.suspects == {}
+
+
 def test_a_cold_endpoint_is_warm_when_the_time_of_its_announcement_has_passed(monkeypatch) -> None:
     # The announcement was a second old when the view arrived. It is counted down on this daemon's
     # clock, whatever the endpoint's own clock says.
--- a/tests/unit/directory/test_crash_suspects.py
+++ b/tests/unit/directory/test_crash_suspects.py
@@ -18,10 +18,12 @@
     SuspectSummary,
     TrialStarted,
 )
+from ibisspring_core.messages.directory import Unchanged
 from ibisspring_core.suspect_state import SuspectState
 from ibisspring_decisions.crash_suspects import MAX_SUSPECTS, SUSPICION_S
 from ibisspring_directory.state import DirectoryState
 
+LEARNT_S = 60.0
 END = EndpointEnd("e1", 1, "entry-1", "r1", 1, 1000.0)
 SUSPECT = CrashSuspect("q", "archive", "forge", "POST", "/lookup/7", (END,))
 
@@ -38,10 +40,16 @@
 
 
 async def test_an_end_reaches_every_entry_that_waits_for_a_change(directory) -> None:
+    await directory.renew(renew("1"))
+    # The end of the time in which a new leader learns the endpoints is a change of the view too.
+    directory.endpoints.start_term(directory.led_since - LEARNT_S)
+    directory.mark_changed()
     view = await directory.renew(renew("1"))
+    held = renew("1", epoch=view.epoch, revision=view.revision)
+    assert isinstance(await directory.renew(held), Unchanged)
 
     reported = await directory.suspects.report_end(ReportEnd(SUSPECT))
-    newer = await directory.renew(renew("1", epoch=view.epoch, revision=view.revision, hold_s=5.0))
+    newer = await directory.renew(replace(held, hold_s=5.0))
 
     assert reported == SuspectsChanged(1, SuspectSummary(1, False))
     assert newer.suspects == {"q": SuspectSummary(1, False)}
--- a/tests/unit/gateway/test_crash_suspects.py
+++ b/tests/unit/gateway/test_crash_suspects.py
@@ -24,6 +24,8 @@
 from ibisspring_gateway.crash_suspects import identified
 
 ROUTE = replace(LOOKUP_ROUTE, max_attempts=3)
+# Seconds that the leader takes to answer: a round trip and a commit.
+LEADER_DELAY_S = 0.01
 IDENTITY = identified(REQUEST).identity()
 
 
@@ -36,6 +38,7 @@
         self.calls: list = []
 
     async def call(self, message, timeout_s: float):
+        await asyncio.sleep(LEADER_DELAY_S)
         self.calls.append(message)
         if isinstance(message, StartTrial):
             return TrialStarted(self.allows_trials)
