Ask again if a connection to an endpoint that may have ended fails in another way than by refusal

Seen once in test_requests_crashing (4 engines ended where 3 are allowed; the first try of a trial has no end in the log, and the next try came 8.6 ms later, less than an open connection is watched): by the code, only an error other than a refusal while the connection was opened ends the check that early. Not reproduced: 400 processes that ended under a request were all seen by the code before, 200 by this one. A reset at that moment now leads to another connection, within the same 0.1 s.

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -180,7 +180,12 @@
 
 async def _stays_open(host: str, port: int) -> bool:
     """Open a connection, and return whether the other side leaves it open for a moment."""
-    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        raise
+    except OSError:
+        return False
     try:
         async with asyncio.timeout(STAYS_OPEN_S):
             await reader.read(1)
