End a trial with its caller, and send no hedged attempt while an end is checked

Two faults of the new code, found by reading it as a newcomer and by a test that failed once.

A caller that left while the leader was asked for a trial, or at the product's own interface while it waited for a slot, left its request on trial at this entry: the entry refused it until its next start, and would have sent it without a trial. The trial now ends with the call in every case (test_a_caller_that_leaves_ends_its_trial failed before).

test_ends_through_other_entries_at_the_same_moment_count[once] sent the request to a second endpoint, once, beside three other workers: the check of the first end took longer than the delay of a hedged attempt, and the attempt looked silent. No attempt is hedged while one of the request is being checked; the test has a leader that answers after the hedge delay, with which it failed each time.

--- a/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
+++ b/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -122,6 +123,8 @@
         self._heads: set[str] = set()
         self._seen_change = 0
         self._reports: set[asyncio.Task[None]] = set()
+        # Requests with an attempt whose end is being checked, by identity of the object.
+        self._checked: Counter[int] = Counter()
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that connect this entry with the leader."""
@@ -185,11 +188,15 @@
         if message.identity in self._trials:
             return False
         self._trials.add(message.identity)
-        answer = await self._link.call(message, TRIAL_TIMEOUT_S)
-        if isinstance(answer, TrialStarted) and answer.allowed:
-            return True
-        self._trials.discard(message.identity)
-        return False
+        allowed = False
+        try:
+            answer = await self._link.call(message, TRIAL_TIMEOUT_S)
+            allowed = isinstance(answer, TrialStarted) and answer.allowed
+        finally:
+            # A caller that leaves cancels the call; its request must not count as on trial.
+            if not allowed:
+                self._trials.discard(message.identity)
+        return allowed
 
     def may_send(self, request: Any) -> bool:
         """Whether an admitted request may be sent to another endpoint."""
@@ -198,6 +205,10 @@
             return self._identify(request).identity() in self._trials
         return found is not Standing.QUARANTINED
 
+    def may_hedge(self, request: Any) -> bool:
+        """Whether a request may be at two endpoints at the same time."""
+        return not self._checked[id(request)] and self.standing(request) is Standing.CLEAR
+
     def exchange_ended(self, request: Any) -> None:
         """Record that an admitted exchange is over; its trial, if it was one, is too."""
         if self._trials:
@@ -213,8 +224,16 @@
 
         :param in_flight: requests of this entry that were there, this one included.
         """
-        if not await is_refused(record.address, END_CHECK_TIMEOUT_S):
-            return
+        self._checked[id(request)] += 1
+        try:
+            if await is_refused(record.address, END_CHECK_TIMEOUT_S):
+                await self._report_end(request, record, in_flight)
+        finally:
+            self._checked[id(request)] -= 1
+            if not self._checked[id(request)]:
+                del self._checked[id(request)]
+
+    async def _report_end(self, request: Any, record: EndpointRecord, in_flight: int) -> None:
         identified = self._identify(request)
         identity = identified.identity()
         in_trial = identity in self._trials
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/endpoint_use.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/endpoint_use.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.clock import boot_now
-from ibisspring_decisions.crash_suspects import Standing
 from ibisspring_decisions.retries import RetryBudget
 from ibisspring_decisions.routing import Candidate, Router, prefix_digest
 
@@ -128,7 +127,7 @@
 
     def may_hedge(self, request: GenerateRequest | PlainRequest) -> bool:
         """Whether a request may be at two endpoints at the same time."""
-        return self._crash_suspects.standing(request) is Standing.CLEAR
+        return self._crash_suspects.may_hedge(request)
 
     def record_failure(self, endpoint: str) -> None:
         """
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -80,17 +80,26 @@
         if refusal is not None:
             yield GenerationFailed(request.request_id, refusal)
             return
+        events = self._generate_admitted(request)
+        try:
+            async with aclosing(events):
+                async for event in events:
+                    yield event
+        finally:
+            self._crash_suspects.exchange_ended(request)
+
+    async def _generate_admitted(
+        self, request: GenerateRequest
+    ) -> AsyncGenerator[TokenRun | GenerationEnd | GenerationFailed, None]:
         began = boot_now()
         slots = self._slot_allocator
         slot = await slots.acquire(
             request.model, request.client_account, request.max_tokens, request.deadline_s
         )
         if isinstance(slot, Refusal):
-            self._crash_suspects.exchange_ended(request)
             yield GenerationFailed(request.request_id, slot)
             return
         if not _is_still_allowed(request):
-            self._crash_suspects.exchange_ended(request)
             slots.release(request.model, slot, 1, 0.0, False)
             yield GenerationFailed(request.request_id, KEY_WITHDRAWN_REFUSAL)
             return
@@ -108,7 +117,6 @@
         finally:
             work_s = boot_now() - started
             slots.release(request.model, slot, request.max_tokens, work_s, complete)
-            self._crash_suspects.exchange_ended(request)
 
     async def call(self, request: PlainRequest) -> CompleteAnswer | Refusal:
         """
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
@@ -141,6 +141,8 @@
                 self._last_reason = Reason.TIMEOUT
                 self.may_have_run = True
                 return self._final_answer()
+            # The attempt may be silent because it checks whether its endpoint has ended.
+            may_hedge = may_hedge and self._sender.may_hedge(self._request)
             self._hedged = True
             if may_hedge and self._start_attempt(attempts):
                 self._sender.count_hedge()
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -13,7 +13,6 @@
 from ibisspring_core.connections import CONNECT_TIMEOUT_S, headers_of
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.routes.model import RepeatRule
-from ibisspring_decisions.crash_suspects import Standing
 from ibisspring_decisions.hedging import HedgeDelays, SuspectEndpoints
 from ibisspring_decisions.routing import Candidate, Router
 from ibisspring_gateway.attempts import EndpointResponse, FailedAttempt, SendResult
@@ -141,7 +140,7 @@
 
     def may_hedge(self, request: CallerRequest) -> bool:
         """Whether a request may be at two endpoints at the same time."""
-        return self._crash_suspects.standing(request) is Standing.CLEAR
+        return self._crash_suspects.may_hedge(request)
 
     def choose_endpoint(
         self,
--- a/tests/unit/gateway/test_crash_suspects.py
+++ b/tests/unit/gateway/test_crash_suspects.py
@@ -11,6 +11,7 @@
 from unit.gateway.test_forward import LOOKUP_ROUTE, REQUEST, forwarder_to, response_bytes
 
 from fakes.scripted_endpoint import scripted
+from ibisspring_core.connections import is_refused
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.crash_suspects import (
     ClearSuspect,
@@ -26,19 +27,27 @@
 ROUTE = replace(LOOKUP_ROUTE, max_attempts=3)
 # Seconds that the leader takes to answer: a round trip and a commit.
 LEADER_DELAY_S = 0.01
+# Longer than until a request is hedged.
+SLOW_LEADER_DELAY_S = 0.08
 IDENTITY = identified(REQUEST).identity()
 
 
 class Leader:
     """Answers the entry's calls to the directory's leader and records them."""
 
-    def __init__(self, allows_trials: bool = True, ends_elsewhere: int = 0) -> None:
+    def __init__(
+        self,
+        allows_trials: bool = True,
+        ends_elsewhere: int = 0,
+        delay_s: float = LEADER_DELAY_S,
+    ) -> None:
+        self.delay_s = delay_s
         self.allows_trials = allows_trials
         self.ends_elsewhere = ends_elsewhere
         self.calls: list = []
 
     async def call(self, message, timeout_s: float):
-        await asyncio.sleep(LEADER_DELAY_S)
+        await asyncio.sleep(self.delay_s)
         self.calls.append(message)
         if isinstance(message, StartTrial):
             return TrialStarted(self.allows_trials)
@@ -97,10 +106,12 @@
     assert len(set(reported)) == 2
 
 
-async def test_ends_through_other_entries_at_the_same_moment_count(repeats) -> None:
+@pytest.mark.parametrize("delay_s", [LEADER_DELAY_S, SLOW_LEADER_DELAY_S])
+async def test_ends_through_other_entries_at_the_same_moment_count(repeats, delay_s) -> None:
     # Callers send copies of a request through several entries at once, and each ends an endpoint.
-    # Without the leader's answer, each entry would go on to a second one.
-    leader = Leader(ends_elsewhere=1)
+    # Without the leader's answer, each entry would go on to a second one; with a slow answer, it
+    # would send a hedged attempt there meanwhile.
+    leader = Leader(ends_elsewhere=1, delay_s=delay_s)
     async with ending_endpoint() as a, ending_endpoint() as b:
         async with forwarder_to(a, b) as forwarder:
             forwarder._repeats = repeats
@@ -140,6 +151,18 @@
     assert len(leader.calls_of(ReportEnd)) == 1
 
 
+async def test_a_reset_while_a_connection_is_opened_is_no_sign_of_life(monkeypatch) -> None:
+    # The process ended between the handshake and the moment at which the caller looks at it.
+    errors = [ConnectionResetError(), ConnectionRefusedError()]
+
+    async def open_connection(host: str, port: int) -> None:
+        raise errors.pop(0)
+
+    monkeypatch.setattr(asyncio, "open_connection", open_connection)
+
+    assert await is_refused("127.0.0.1:1", 1.0)
+
+
 async def test_a_request_in_quarantine_is_refused_at_once_as_not_run(repeats) -> None:
     async with scripted(lambda head: [response_bytes()]) as endpoint:
         async with forwarder_to(endpoint) as forwarder:
@@ -182,6 +205,22 @@
     assert endpoint.request_heads == []
 
 
+@pytest.mark.parametrize("leaves_after_s", [LEADER_DELAY_S / 2, 3 * LEADER_DELAY_S])
+async def test_a_caller_that_leaves_ends_its_trial(leaves_after_s) -> None:
+    # The caller leaves while the leader is asked for the trial, or while an endpoint works on it. A
+    # request that stayed on trial here would be refused by this entry until its next start.
+    async with scripted(lambda head: [0.1, response_bytes()]) as endpoint:
+        async with forwarder_to(endpoint) as forwarder:
+            know(forwarder, Leader(), 2)
+            leaving = asyncio.create_task(forwarder.forward(REQUEST, ROUTE))
+            await asyncio.sleep(leaves_after_s)
+            leaving.cancel()
+            await asyncio.wait((leaving,))
+            answer = await forwarder.forward(REQUEST, ROUTE)
+
+    assert isinstance(answer, EndpointResponse)
+
+
 @pytest.mark.parametrize("ends", [1, 2])
 async def test_an_answer_clears_a_suspect(ends) -> None:
     leader = Leader()
