Decide on trials and list suspects in one place for both logs

Both leaders computed the age of the newest end, refused what is in quarantine and sorted the suspects for themselves; the command line and the soak derived a request's standing again, and the soak called the directory with a client of its own. SuspectState now answers these, standing_of serves the readers, and call_leader_of_directory the soak. A trial is one record in place of two maps that had to be kept in step.

--- a/packages/ibisspring-cli/src/ibisspring_cli/directory_leader.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/directory_leader.py
@@ -36,7 +36,7 @@
     :param answer_type: type of the expected answer.
     :param changes: whether the message may change anything, so that a lost answer leaves it open.
     """
-    answer = asyncio.run(_call_leader(seeds, message, options.timeout_s))
+    answer = asyncio.run(call_leader_of_directory(seeds, message, options.timeout_s))
     if isinstance(answer, Refusal):
         _fail_refused(options, seeds, changes, answer)
     if not isinstance(answer, answer_type):
@@ -57,7 +57,14 @@
     fail(options, code, answer.reason.value, detail)
 
 
-async def _call_leader(seeds: tuple[str, ...], message: Any, timeout_s: float) -> Any:
+async def call_leader_of_directory(seeds: tuple[str, ...], message: Any, timeout_s: float) -> Any:
+    """
+    Call the directory's leader, in a running event loop.
+
+    :param message: an idempotent message.
+    :param timeout_s: time limit of the whole call, in seconds.
+    :return: the leader's answer; a `Refusal` with NO_LEADER if none came.
+    """
     client = PeerClient(PEER_MESSAGES, Counters.from_config(None))
     try:
         leader = LeaderClient(client, lambda: seeds)
@@ -66,4 +73,4 @@
         await client.stop()
 
 
-__all__ = ["call_directory"]
+__all__ = ["call_directory", "call_leader_of_directory"]
--- a/packages/ibisspring-cli/src/ibisspring_cli/suspects.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/suspects.py
@@ -19,7 +19,7 @@
     SuspectsRead,
 )
 from ibisspring_core.request_ids import new_request_id
-from ibisspring_decisions.crash_suspects import standing
+from ibisspring_core.suspect_state import standing_of
 
 
 @click.group()
@@ -34,7 +34,10 @@
     """List the requests, those with the most ends first, each with the endpoints that ended."""
     known = _read(options, split_addresses(seeds))
     lines = [line for suspect in known for line in _lines(suspect)]
-    found = [{**msgspec.to_builtins(suspect), "standing": _standing(suspect)} for suspect in known]
+    found = [
+        {**msgspec.to_builtins(suspect), "standing": standing_of(suspect).value}
+        for suspect in known
+    ]
     show(options, {"suspects": found}, lines or ["no request is suspected"])
 
 
@@ -63,14 +66,9 @@
     return msgspec.convert(read(options, "suspects")["suspects"], tuple[CrashSuspect, ...])
 
 
-def _standing(suspect: CrashSuspect) -> str:
-    in_trial = any(end.in_trial for end in suspect.ends)
-    return standing(len(suspect.ends), in_trial).value
-
-
 def _lines(suspect: CrashSuspect) -> list[str]:
     account = suspect.client_account or "a public route"
-    head = f"{suspect.identity}: {_standing(suspect)}, {suspect.method} {suspect.target}"
+    head = f"{suspect.identity}: {standing_of(suspect).value}, {suspect.method} {suspect.target}"
     lines = [f"{head} of {account} to {suspect.service}"]
     for end in suspect.ends:
         trial = ", in a trial" if end.in_trial else ""
--- a/packages/ibisspring-control/src/ibisspring_control/state/suspects.py
+++ b/packages/ibisspring-control/src/ibisspring_control/state/suspects.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from ibisspring_core.messages.crash_suspects import CrashSuspect, SuspectsChanged, TrialStarted
+from ibisspring_core.messages.crash_suspects import CrashSuspect, TrialStarted
 from ibisspring_core.suspect_state import SuspectState
-from ibisspring_decisions.crash_suspects import Standing, Trials, standing
+from ibisspring_decisions.crash_suspects import Trials
 
 if TYPE_CHECKING:
     from ibisspring_control.state.moment import LogPosition
@@ -15,6 +15,7 @@
         ClearSuspect,
         ReportEnd,
         StartTrial,
+        SuspectsChanged,
         SuspectSummary,
     )
 
@@ -53,13 +54,11 @@
 
     def all(self) -> tuple[CrashSuspect, ...]:
         """Return all suspects, those with the most ends first."""
-        suspects = self._state.by_identity.values()
-        return tuple(sorted(suspects, key=lambda one: (-len(one.ends), one.identity)))
+        return self._state.all()
 
     def summaries(self) -> dict[str, SuspectSummary]:
         """Return the suspects by identity, as they are sent to the entries."""
-        found = self._state.summaries()
-        return {identity: found[identity] for identity in sorted(found)}
+        return self._state.summaries()
 
     def report_end(self, command: ReportEnd, position: LogPosition) -> SuspectsChanged:
         """Add an end; its time is that of the log, as entries' wall clocks may be wrong."""
@@ -67,34 +66,19 @@
         ends = tuple(replace(end, wall_s=position.stamped_s) for end in reported.ends)
         self._state.record(replace(reported, ends=ends))
         self._trials.ended(reported.identity)
-        return self._changed(reported.identity)
+        return self._state.changed(reported.identity)
 
     def clear(self, command: ClearSuspect) -> SuspectsChanged:
         """Remove a suspect unless it has more ends than the sender knew."""
         self._state.clear(command.identity, command.known_ends)
         self._trials.ended(command.identity)
-        return self._changed(command.identity)
+        return self._state.changed(command.identity)
 
     def start_trial(self, command: StartTrial, position: LogPosition) -> TrialStarted:
         """Start a trial if it is allowed."""
-        found = self._state.summary(command.identity)
-        suspect = self._state.by_identity.get(command.identity)
-        ends = suspect.ends if suspect is not None else ()
-        since_end_s = min((position.stamped_s - end.wall_s for end in ends), default=0.0)
-        if standing(found.ends, found.in_trial) is Standing.QUARANTINED:
-            return TrialStarted(allowed=False)
-        allowed = self._trials.start(
-            command.service,
-            command.identity,
-            command.time_limit_s,
-            command.other_endpoints or 0,
-            since_end_s,
-            position.stamped_s,
-        )
-        return TrialStarted(allowed)
-
-    def _changed(self, identity: str) -> SuspectsChanged:
-        return SuspectsChanged(self._state.change, self._state.summary(identity))
+        now = position.stamped_s
+        others = command.other_endpoints or 0
+        return TrialStarted(self._state.start_trial(self._trials, command, others, now, now))
 
 
 __all__ = ["Suspects", "SuspectsSnapshot"]
--- a/packages/ibisspring-core/src/ibisspring_core/suspect_state.py
+++ b/packages/ibisspring-core/src/ibisspring_core/suspect_state.py
@@ -5,11 +5,19 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ibisspring_core.messages.crash_suspects import SuspectSummary
-from ibisspring_decisions.crash_suspects import QUARANTINE_ENDS, SUSPICION_S, Suspicion, evicted
+from ibisspring_core.messages.crash_suspects import SuspectsChanged, SuspectSummary
+from ibisspring_decisions.crash_suspects import (
+    QUARANTINE_ENDS,
+    SUSPICION_S,
+    Standing,
+    Suspicion,
+    evicted,
+    standing,
+)
 
 if TYPE_CHECKING:
-    from ibisspring_core.messages.crash_suspects import CrashSuspect
+    from ibisspring_core.messages.crash_suspects import CrashSuspect, StartTrial
+    from ibisspring_decisions.crash_suspects import Trials
 
 # Most ends that are stored of a request. Later ones change nothing for it.
 MAX_ENDS = 8
@@ -26,14 +34,58 @@
         self.by_identity = {one.identity: one for one in suspects}
         self.change = change
 
+    def all(self) -> tuple[CrashSuspect, ...]:
+        """Return all suspects, those with the most ends first."""
+        suspects = self.by_identity.values()
+        return tuple(sorted(suspects, key=lambda one: (-len(one.ends), one.identity)))
+
     def summaries(self) -> dict[str, SuspectSummary]:
-        """Return the suspects by identity, as they are sent to the entries."""
-        return {identity: summary(one) for identity, one in self.by_identity.items()}
+        """Return the suspects by identity, sorted, as they are sent to the entries."""
+        return {identity: _summary(one) for identity, one in sorted(self.by_identity.items())}
 
     def summary(self, identity: str) -> SuspectSummary:
         """Return what is known of a request, which need not be a suspect."""
         suspect = self.by_identity.get(identity)
-        return summary(suspect) if suspect is not None else SuspectSummary(0, False)
+        return _summary(suspect) if suspect is not None else SuspectSummary(0, False)
+
+    def changed(self, identity: str) -> SuspectsChanged:
+        """Build the answer to a report about a request, after it was applied."""
+        return SuspectsChanged(self.change, self.summary(identity))
+
+    def since_end_s(self, identity: str, wall_s: float) -> float:
+        """
+        Return the seconds since the newest end of a request; 0.0 if none is known.
+
+        An entry may know of an end whose report has not arrived yet.
+
+        :param wall_s: the present time, by the clock of the ends.
+        """
+        suspect = self.by_identity.get(identity)
+        ends = suspect.ends if suspect is not None else ()
+        return min((wall_s - end.wall_s for end in ends), default=0.0)
+
+    def start_trial(
+        self, trials: Trials, message: StartTrial, other_endpoints: int, wall_s: float, now: float
+    ) -> bool:
+        """
+        Start the trial of a request, and return whether it is allowed.
+
+        :param other_endpoints: serving endpoints of the service beside the one that it may end.
+        :param wall_s: the present time, by the clock of the ends.
+        :param now: the present time, by the clock of `trials`.
+        """
+        found = self.summary(message.identity)
+        if standing(found.ends, found.in_trial) is Standing.QUARANTINED:
+            return False
+        since_end_s = self.since_end_s(message.identity, wall_s)
+        return trials.start(
+            message.service,
+            message.identity,
+            message.time_limit_s,
+            other_endpoints,
+            since_end_s,
+            now,
+        )
 
     def record(self, reported: CrashSuspect) -> None:
         """Add one end of a request, unless it is known."""
@@ -61,8 +113,13 @@
         self.change += 1
 
 
-def summary(suspect: CrashSuspect) -> SuspectSummary:
-    """Summarize a suspect for the decisions about it."""
+def standing_of(suspect: CrashSuspect) -> Standing:
+    """Return what may be done with a suspect."""
+    found = _summary(suspect)
+    return standing(found.ends, found.in_trial)
+
+
+def _summary(suspect: CrashSuspect) -> SuspectSummary:
     return SuspectSummary(len(suspect.ends), any(end.in_trial for end in suspect.ends))
 
 
@@ -71,4 +128,4 @@
     return Suspicion(suspect.identity, len(suspect.ends), newest_s)
 
 
-__all__ = ["SuspectState", "summary"]
+__all__ = ["SuspectState", "standing_of"]
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
@@ -115,6 +115,14 @@
     return tuple(one.identity for one in ordered[: max(0, len(ordered) - MAX_SUSPECTS)])
 
 
+@dataclass(frozen=True)
+class _Trial:
+    """A trial that the leader has allowed; it is over at the time `until_s` at the latest."""
+
+    identity: str
+    until_s: float
+
+
 class Trials:
     """
     The trials that the leader has allowed, at most one of a service at a time.
@@ -123,8 +131,7 @@
     """
 
     def __init__(self) -> None:
-        self._identity_by_service: dict[str, str] = {}
-        self._until_by_service: dict[str, float] = {}
+        self._trial_by_service: dict[str, _Trial] = {}
         self._allowed_from_s = 0.0
 
     @classmethod
@@ -136,19 +143,17 @@
         """
         restored = cls()
         for service, identity, until_s in trials:
-            restored._identity_by_service[service] = identity
-            restored._until_by_service[service] = until_s
+            restored._trial_by_service[service] = _Trial(identity, until_s)
         return restored
 
     def trials(self) -> tuple[tuple[str, str, float], ...]:
         """Return service, identity, and time at which the trial is over, sorted by service."""
-        found = sorted(self._identity_by_service.items())
-        return tuple((one, identity, self._until_by_service[one]) for one, identity in found)
+        found = sorted(self._trial_by_service.items())
+        return tuple((service, trial.identity, trial.until_s) for service, trial in found)
 
     def start_term(self, now: float) -> None:
         """Forget all trials; none is allowed until those of the previous leader are over."""
-        self._identity_by_service.clear()
-        self._until_by_service.clear()
+        self._trial_by_service.clear()
         self._allowed_from_s = now + MAX_TRIAL_S
 
     def start(
@@ -167,20 +172,19 @@
         :param other_endpoints: serving endpoints of the service beside the one that it may end.
         :param since_end_s: seconds since the newest end that suspects the request.
         """
-        if now < self._allowed_from_s or now < self._until_by_service.get(service, 0.0):
+        under_way = self._trial_by_service.get(service)
+        if now < self._allowed_from_s or (under_way is not None and now < under_way.until_s):
             return False
         if other_endpoints < 1 and since_end_s < SINGLE_ENDPOINT_WAIT_S:
             return False
-        self._identity_by_service[service] = identity
-        self._until_by_service[service] = now + min(time_limit_s, MAX_TRIAL_S)
+        self._trial_by_service[service] = _Trial(identity, now + min(time_limit_s, MAX_TRIAL_S))
         return True
 
     def ended(self, identity: str) -> None:
         """Record that the trial of a request has a result: an answer, or an end."""
-        for service, known in list(self._identity_by_service.items()):
-            if known == identity:
-                del self._identity_by_service[service]
-                self._until_by_service.pop(service, None)
+        for service, trial in list(self._trial_by_service.items()):
+            if trial.identity == identity:
+                del self._trial_by_service[service]
 
 
 __all__ = [
--- a/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/crash_suspects.py
@@ -16,22 +16,20 @@
 from ibisspring_core.endpoint_table import SERVING
 from ibisspring_core.errors import Refusal
 from ibisspring_core.messages.crash_suspects import (
-    SuspectsChanged,
     SuspectsRead,
     TrialStarted,
 )
-from ibisspring_decisions.crash_suspects import Standing, Trials, standing
+from ibisspring_decisions.crash_suspects import Trials, standing
 from ibisspring_directory.commands import RecordEnd, RemoveSuspect
 
 if TYPE_CHECKING:
     from ibisspring_core.messages.crash_suspects import (
         ClearSuspect,
-        CrashSuspect,
         ReadSuspects,
         ReportEnd,
         StartTrial,
-        SuspectSummary,
     )
+    from ibisspring_core.suspect_state import SuspectState
     from ibisspring_directory.leader_context import LeaderContext
 
 
@@ -53,7 +51,7 @@
         if isinstance(committed, Refusal):
             return committed
         self._trials.ended(suspect.identity)
-        found = self._summary(suspect.identity)
+        found = self._suspects.summary(suspect.identity)
         self._context.counters.add("directory.endpoint_ended_under_request")
         eliot.log_message(
             "directory:crash_suspect",
@@ -69,11 +67,11 @@
             ends=found.ends,
             standing=standing(found.ends, found.in_trial).value,
         )
-        return self._changed(suspect.identity)
+        return self._suspects.changed(suspect.identity)
 
     async def clear(self, message: ClearSuspect) -> Any:
         """Commit that a suspect was answered or released; an unknown one changes nothing."""
-        if self._find(message.identity) is not None:
+        if message.identity in self._suspects.by_identity:
             committed = await self._context.propose(
                 RemoveSuspect(message.identity, message.known_ends)
             )
@@ -85,35 +83,23 @@
             identity=message.identity,
             known_ends=message.known_ends,
             operator=message.operator,
-            removed=self._find(message.identity) is None,
+            removed=message.identity not in self._suspects.by_identity,
         )
-        return self._changed(message.identity)
+        return self._suspects.changed(message.identity)
 
     async def start_trial(self, message: StartTrial) -> Any:
         """Decide whether an entry may send a suspect once."""
-        # The entry may know of an end whose report has not arrived yet.
-        suspect = self._find(message.identity)
-        found = self._summary(message.identity)
-        ends = suspect.ends if suspect is not None else ()
+        suspects = self._suspects
         wall_s = self._context.agreed_wall_s()
-        since_end_s = min((wall_s - end.wall_s for end in ends), default=0.0)
         others = self._unharmed_endpoints(message.service) - 1
-        is_quarantined = standing(found.ends, found.in_trial) is Standing.QUARANTINED
-        allowed = not is_quarantined and self._trials.start(
-            message.service,
-            message.identity,
-            message.time_limit_s,
-            others,
-            since_end_s,
-            boot_now(),
-        )
+        allowed = suspects.start_trial(self._trials, message, others, wall_s, boot_now())
         eliot.log_message(
             "directory:suspect_trial",
             identity=message.identity,
             service=message.service,
-            ends=found.ends,
+            ends=suspects.summary(message.identity).ends,
             other_endpoints=others,
-            since_end_s=round(since_end_s, 3),
+            since_end_s=round(suspects.since_end_s(message.identity, wall_s), 3),
             allowed=allowed,
         )
         return TrialStarted(allowed)
@@ -123,23 +109,18 @@
         confirmed = await self._context.confirm_read()
         if isinstance(confirmed, Refusal):
             return confirmed
-        suspects = self._context.state.suspects.by_identity.values()
-        return SuspectsRead(tuple(sorted(suspects, key=lambda one: -len(one.ends))))
-
-    def _find(self, identity: str) -> CrashSuspect | None:
-        return self._context.state.suspects.by_identity.get(identity)
-
-    def _summary(self, identity: str) -> SuspectSummary:
-        return self._context.state.suspects.summary(identity)
+        return SuspectsRead(self._suspects.all())
 
-    def _changed(self, identity: str) -> SuspectsChanged:
-        return SuspectsChanged(self._context.state.suspects.change, self._summary(identity))
+    @property
+    def _suspects(self) -> SuspectState:
+        # A snapshot replaces the object.
+        return self._context.state.suspects
 
     def _unharmed_endpoints(self, service: str) -> int:
         """Count the serving endpoints, without those whose end the heartbeats do not show yet."""
         ended = {
             (end.endpoint, end.incarnation)
-            for suspect in self._context.state.suspects.by_identity.values()
+            for suspect in self._suspects.by_identity.values()
             for end in suspect.ends
         }
         records = (one.record for one in self._context.endpoints.table.records())
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,18 +30,15 @@
 import aiohttp
 import click
 
+from ibisspring_cli.directory_leader import call_leader_of_directory
 from ibisspring_cli.jobs_leader import call_leader_of_jobs
-from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
-from ibisspring_core.leader_client import LeaderClient
-from ibisspring_core.messages.crash_suspects import CrashSuspect, ReadSuspects
+from ibisspring_core.messages.crash_suspects import ReadSuspects
 from ibisspring_core.messages.job_control import ChangeHold, HoldChanged, ReadJob
-from ibisspring_core.messages.peers import PEER_MESSAGES
 from ibisspring_core.messages.status import ReadJobsStatus
-from ibisspring_core.peer_rpc import PeerClient
 from ibisspring_core.request_ids import new_request_id
-from ibisspring_core.suspect_state import summary
-from ibisspring_decisions.crash_suspects import Standing, standing
+from ibisspring_core.suspect_state import standing_of
+from ibisspring_decisions.crash_suspects import Standing
 from integration.platform_system import (
     LOOKUP,
     PlatformSystem,
@@ -346,7 +343,7 @@
         async def quarantined() -> bool:
             await self._send_crashing(f"late-{time.monotonic()}", self._entry())
             answer = await self._ask_directory(ReadSuspects())
-            found = {one.target: _standing(one) for one in answer.suspects}
+            found = {one.target: standing_of(one) for one in answer.suspects}
             others = [target for target in found if target != CRASH_PATH]
             if any(found[target] is Standing.QUARANTINED for target in others):
                 self.findings.append(f"requests in quarantine: {found}")
@@ -366,13 +363,12 @@
 
     async def _ask_directory(self, message: Any) -> Any:
         """Call the directory's leader until it answers."""
-        client = PeerClient(PEER_MESSAGES, Counters.from_config(None))
-        leader = LeaderClient(client, lambda: tuple(self.system.peer_seeds()))
-        answer: Any = None
-        while answer is None or isinstance(answer, Refusal):
-            answer = await leader.call(message, STOP_TIMEOUT_S, STOP_TIMEOUT_S)
-        await client.stop()
-        return answer
+        while True:
+            answer = await call_leader_of_directory(
+                tuple(self.system.peer_seeds()), message, STOP_TIMEOUT_S
+            )
+            if not isinstance(answer, Refusal):
+                return answer
 
     async def check(self) -> None:
         """Check that the configuration and the job results that were read are still available."""
@@ -394,11 +390,6 @@
                     self.findings.append(f"{name}: {result['id']} is {result['output']!r}")
 
 
-def _standing(suspect: CrashSuspect) -> Standing:
-    found = summary(suspect)
-    return standing(found.ends, found.in_trial)
-
-
 async def soak(seed: int, seconds: float) -> list[str]:
     """
     Run the faults of one seed.
