Let the two protocols of the attempts' sender share their methods

RepeatingSender repeated five methods of AttemptSender, two of them added by the change on crash suspects; it now extends it and states what is beyond it.

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/exchange.py
@@ -228,6 +228,7 @@
 
 
 __all__ = [
+    "AttemptSender",
     "ENDPOINT_FAILURE_STATUS",
     "Exchange",
     "LASTING_RETRY_AFTER_S",
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/repeated_exchange.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/repeated_exchange.py
@@ -13,7 +13,7 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_decisions.attempt_plan import MAX_PAUSE_S, AttemptPlan
 from ibisspring_gateway.attempts import ConnectTerms, EndpointResponse, FailedAttempt
-from ibisspring_gateway.exchange import ENDPOINT_FAILURE_STATUS, final_refusal
+from ibisspring_gateway.exchange import ENDPOINT_FAILURE_STATUS, AttemptSender, final_refusal
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -28,16 +28,12 @@
 PASSING_REASONS = (Reason.NO_ENDPOINT, Reason.COLD)
 
 
-class RepeatingSender(Protocol):
-    """What an exchange needs of the forwarder; `Forwarder` documents the methods."""
+class RepeatingSender(AttemptSender, Protocol):
+    """What an exchange with repeated attempts needs beyond `AttemptSender`."""
 
     delays: HedgeDelays
     suspects: SuspectEndpoints
 
-    def may_send(self, request: CallerRequest) -> bool: ...
-
-    def may_hedge(self, request: CallerRequest) -> bool: ...
-
     def choose_among(
         self,
         service: str,
@@ -46,8 +42,6 @@
         regions: tuple[str, ...] | None,
     ) -> EndpointRecord | None: ...
 
-    def reason_without_endpoint(self, service: str, regions: tuple[str, ...] | None) -> Reason: ...
-
     def attempt(
         self,
         request: CallerRequest,
@@ -57,12 +51,6 @@
         connect: ConnectTerms | None = None,
     ) -> Coroutine[Any, Any, EndpointResponse | FailedAttempt]: ...
 
-    def finish_in_background(
-        self, attempts: set[asyncio.Task[EndpointResponse | FailedAttempt]]
-    ) -> None: ...
-
-    def count_hedge(self) -> None: ...
-
     def count_empty_budget(self) -> None: ...
 
 
