Add review case 2: requests that may run once run twice after a lost answer

Tried: non_idempotent requests with PUT, DELETE and POST at endpoints that reset a fifth of the connections without an answer, and at one that crashes.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if a request that may run once ran twice, 0 if none did, 2 if it could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
