Leave only cases as folders of the review, and let its scripts end cleanly

The shared modules of the scripts move from review/support to review. A run that is stopped by a signal ends all its processes, and an error outside of the check exits with 2 instead of 1.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,9 +12,8 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from support.endpoint import Endpoint, Request  # noqa: E402
-from support.http import COMPLETE, call, encode, reset  # noqa: E402
-from support.system import (  # noqa: E402
+from endpoint import Endpoint, Request  # noqa: E402
+from system import (  # noqa: E402
     BROKEN,
     HELD,
     CannotRun,
@@ -25,6 +24,7 @@
     run,
     wait_until,
 )
+from wire import COMPLETE, call, encode, reset  # noqa: E402
 
 CALLS, JOBS = "wuno96b", "huvo11a"
 LOOKUP, SCORE = "/lohu930/", "/pufi791/"
@@ -137,6 +137,7 @@
 async def send_calls(system: System) -> int:
     """Send calls; return how many were answered 2xx with another body than the engine's."""
     broken = []
+    served = []
 
     async def send(number: int) -> None:
         attempt = f"c{number:03d}"
@@ -147,6 +148,8 @@
         received = f"{answer.end} {answer.status}, {len(answer.body)} of {BODY_BYTES} bytes"
         system.record.answered(attempt, received)
         is_success = answer.end == COMPLETE and answer.status // 100 == 2
+        if is_success:
+            served.append(attempt)
         if is_success and answer.body != whole_body(attempt):
             broken.append(attempt)
             system.record.note(f"MIXED {attempt} {received}")
@@ -156,6 +159,8 @@
         tasks.append(asyncio.create_task(send(number)))
         await asyncio.sleep(0.02)
     await asyncio.gather(*tasks)
+    if not served:
+        raise CannotRun("no call was served")
     return len(broken)
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,9 +10,8 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from support.endpoint import Endpoint, Request  # noqa: E402
-from support.http import COMPLETE, call, reset  # noqa: E402
-from support.system import (  # noqa: E402
+from endpoint import Endpoint, Request  # noqa: E402
+from system import (  # noqa: E402
     BROKEN,
     HELD,
     CannotRun,
@@ -22,6 +21,7 @@
     has_trouble,
     run,
 )
+from wire import COMPLETE, call, reset  # noqa: E402
 
 SERVICE = "wuno96b"
 METHODS = ("PUT", "DELETE", "POST")
@@ -148,12 +148,16 @@
     record = system.record
     twice = [attempt for attempt in statuses if len(record.runs[attempt]) > 1]
     refused = [
-        attempt for attempt, status in statuses.items() if status in PROMISES and record.runs[attempt]
+        attempt
+        for attempt, status in statuses.items()
+        if status in PROMISES and record.runs[attempt]
     ]
     for attempt in twice:
         record.note(f"TWICE {attempt} ran at {record.runs[attempt]}, answered {statuses[attempt]}")
     for attempt in refused:
-        record.note(f"REFUSED {attempt} answered {statuses[attempt]}, ran at {record.runs[attempt]}")
+        record.note(
+            f"REFUSED {attempt} answered {statuses[attempt]}, ran at {record.runs[attempt]}"
+        )
     for method in METHODS:
         one = [attempt for attempt in statuses if attempt.endswith(method.lower())]
         record.note(
@@ -161,6 +165,8 @@
             f"{sum(a in refused for a in one)} refused though they ran, "
             f"{sum(statuses[a] == 200 for a in one)} served"
         )
+    if not any(status == 200 for status in statuses.values()):
+        raise CannotRun("no request was served")
     print(f"{len(statuses)} requests: {len(twice)} TWICE, {len(refused)} REFUSED")
     return BROKEN if twice or refused else HELD
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,9 +12,8 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from support.endpoint import Endpoint, Request  # noqa: E402
-from support.http import call, encode  # noqa: E402
-from support.system import (  # noqa: E402
+from endpoint import Endpoint, Request  # noqa: E402
+from system import (  # noqa: E402
     BROKEN,
     CATCH_UP_S,
     HELD,
@@ -27,6 +26,7 @@
     run,
     wait_until,
 )
+from wire import call, encode  # noqa: E402
 
 SERVICE, SCORE, MODEL = "huvo11a", "/pufi791/", "daka510000"
 JOB = "7c41e09b52d6a3f8"
@@ -153,7 +153,9 @@
     if "receiver" in lost:
         system.record.note(f"{receiver.name} is lost for good")
         receiver.lose()
-    answer = await system.operate("POST", f"/v1/Retire.Start/{first.name}", {"duration_s": RETIRE_S})
+    answer = await system.operate(
+        "POST", f"/v1/Retire.Start/{first.name}", {"duration_s": RETIRE_S}
+    )
     system.record.note(f"Retire.Start/{first.name} is answered {answer.status}")
     if answer.status != 200:
         raise CannotRun("the store is not emptied")
--- a/review/support/endpoint.py
+++ b/review/endpoint.py
@@ -9,8 +9,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from support.http import CUT, Message, call, encode, read_body, read_head, reset
-from support.record import Record
+from record import Record
+from wire import CUT, Message, call, encode, read_body, read_head, reset
 
 HEARTBEAT_S = 1.2
 KEEP_ALIVE_S = 30
@@ -123,9 +123,7 @@
             del self._connections[writer]
             writer.close()
 
-    async def _serve_one(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         head = await read_head(reader)
         body = await read_body(reader, head, until_end=False)
         method, path = head.start[0], head.start[1]
--- a/review/support/system.py
+++ b/review/system.py
@@ -24,11 +24,11 @@
 from pathlib import Path
 from typing import Any
 
-from support.endpoint import Endpoint, Handler
-from support.http import Answer, call
-from support.record import Record
+from endpoint import Endpoint, Handler
+from record import Record
+from wire import Answer, call, encode, read_body, read_head
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DATA_CENTRES = ("ljubljana", "maribor", "koper")
 REGION = "slovenija"
 ROLE_NUMBERS = {"control": 1, "store": 2, "entry": 3, "endpoint": 4, "platform": 5}
@@ -78,6 +78,8 @@
 CONTRACTS = ["base", "drain", "config", "cost", "recover", "samples", "stream", "engine"]
 CONTRACTS += ["batch", "tenants", "leader"]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Leaves time to end the processes within 120 s.
+TIME_LIMIT_S = 112
 
 
 class CannotRun(Exception):
@@ -241,8 +243,6 @@
     async def _serve_platform(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        from support.http import encode, read_body, read_head
-
         try:
             head = await read_head(reader)
             await read_body(reader, head, until_end=False)
@@ -272,7 +272,9 @@
         self.endpoints.append(endpoint)
         return endpoint
 
-    async def operate(self, method: str, path: str, body: Any = None, bound_s: float = 30) -> Answer:
+    async def operate(
+        self, method: str, path: str, body: Any = None, bound_s: float = 30
+    ) -> Answer:
         """Make an operator's call; it is sent again, to the next daemon, until it is answered."""
         data = json.dumps(body).encode() if body is not None else b""
         answer = Answer("")
@@ -363,17 +365,26 @@
 
 
 def run(case: Callable[[System], Awaitable[int]], folder: Path) -> None:
-    """Run a case within its time limit, write its record and exit with its result."""
+    """
+    Run a case within its time limit, write its record and exit with its result.
+
+    A signal to stop ends the case, and so do all processes that it started.
+    """
 
     async def main() -> int:
         record = Record(folder / "record.txt")
         record.note(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
         system = System(record)
+        task = asyncio.ensure_future(case(system))
+        for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            async with asyncio.timeout(114):
-                result = await case(system)
-        except (CannotRun, TimeoutError) as error:
+            async with asyncio.timeout(TIME_LIMIT_S):
+                result = await task
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever fails here is no broken rule.
             record.note(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
             result = NOT_RUN
         finally:
             await system.stop()
