Take a reset inside a body without a length for an error, not for its end

Cause: aiohttp's connection_lost tells its parser the end of input whatever the reason; for a body that ends with its connection the parser then completes it.

Change: http_sessions.open_session, used for all sessions, with a protocol that ends the body with an error if the connection broke. A regular close still completes it. try_failed and runner:ended now name the connection's error.

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -11,6 +11,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.guarded_http import HttpAnswer, NoAnswer
+from ibisspring_core.http_sessions import open_session
 from ibisspring_core.kept_connections import IdleConnections
 
 if TYPE_CHECKING:
@@ -199,11 +200,7 @@
 
 
 def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        skip_auto_headers=_SUPPRESSED_HEADERS,
-    )
+    return open_session(connector, auto_decompress=False, skip_auto_headers=_SUPPRESSED_HEADERS)
 
 
 def keep_alive_s(headers: Headers) -> float:
--- a/packages/ibisspring-core/src/ibisspring_core/guarded_http.py
+++ b/packages/ibisspring-core/src/ibisspring_core/guarded_http.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from ibisspring_core.clock import boot_now
+from ibisspring_core.http_sessions import open_session
 
 LEASE_POLL_S = 0.05
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -147,7 +148,7 @@
     if lease_left() < min_lease_left_s:
         return NoAnswer(False, "too little of the lease is left to send the order")
     connector = _GuardedConnector(lease_left, min_lease_left_s)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with open_session(connector) as session:
         exchange = asyncio.create_task(_exchange(session, request))
         try:
             cause = await _wait_until_done(exchange, lease_left, timeout_s)
--- /dev/null
+++ b/packages/ibisspring-core/src/ibisspring_core/http_sessions.py
@@ -0,0 +1,62 @@
+"""
+HTTP client sessions, which report whether a response arrived whole.
+
+All sessions of the project are opened here, so that all of them have the same guards.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+
+
+class _ResponseHandler(ResponseHandler):
+    """
+    Reports a broken connection as the end of a body whose length the response does not state.
+
+    Such a body ends with its connection. aiohttp takes every end of the connection for the end of
+    the body, also a reset, so that a truncated body would be read as a complete one.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the body in progress with an error, unless the other side closed the connection."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            error = aiohttp.ClientPayloadError(f"the connection broke inside the body: {exc!r}")
+            set_exception(payload, error, exc)
+        super().connection_lost(exc)
+
+
+def open_session(connector: aiohttp.TCPConnector, **options: Any) -> aiohttp.ClientSession:
+    """
+    Open an HTTP client session in which a broken connection never ends a body as a complete one.
+
+    :param connector: the session's connector, which the session closes.
+    :param options: further arguments of `aiohttp.ClientSession`.
+    :return: the session, to be closed by the caller.
+    """
+    # The attribute is private in aiohttp; test_http_sessions.py fails if it stops working.
+    connector._factory = partial(_ResponseHandler, loop=asyncio.get_running_loop())
+    return aiohttp.ClientSession(connector=connector, **options)
+
+
+def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """
+    Whether the body of a response ends with its connection, as it has no length and no chunks.
+
+    A reset ends such a body with an error, but the end of the other side's process may close the
+    connection as regularly as the end of the body does.
+    """
+    if response.method == "HEAD" or response.status in (204, 304):
+        return False
+    if "Content-Length" in response.headers:
+        return False
+    return "chunked" not in response.headers.get("Transfer-Encoding", "").lower()
+
+
+__all__ = ["ends_with_connection", "open_session"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/connections.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/connections.py
@@ -14,6 +14,8 @@
 
 import aiohttp
 
+from ibisspring_core import http_sessions
+
 CONNECT_TIMEOUT_S = 2.0
 """
 Time limit in seconds for a TCP handshake: the round trip between VMs takes milliseconds, and a lost
@@ -58,8 +60,8 @@
     :return: the session, to be closed by the caller.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_make_socket)
-    session = aiohttp.ClientSession(
-        connector=connector,
+    session = http_sessions.open_session(
+        connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         # With aiohttp's default Accept-Encoding, endpoints would compress answers for callers that
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_try.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_try.py
@@ -10,6 +10,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.http_sessions import ends_with_connection
 from ibisspring_entry.proxy.connections import CONNECT_FAILURES, request_timeout
 from ibisspring_entry.proxy.messages import CompleteAnswer, PlainRequest
 from ibisspring_entry.proxy.plain_wire import answer_headers
@@ -100,7 +101,8 @@
             RETRY_AFTER_S,
             "the endpoint refused the call and did not run it",
         )
-    if not _shows_truncation(request, response):
+    if ends_with_connection(response):
+        # Such a body also looks complete if the endpoint's process ended while it was sent.
         return Refusal(
             Reason.ENDPOINT_FAILED,
             False,
@@ -123,17 +125,4 @@
     )
 
 
-def _shows_truncation(request: PlainRequest, response: aiohttp.ClientResponse) -> bool:
-    """
-    Return whether a truncated body can be detected.
-
-    A body that is delimited only by the end of the connection looks complete when it is truncated.
-    """
-    if request.method == "HEAD" or response.status in (204, 304):
-        return True
-    if "Content-Length" in response.headers:
-        return True
-    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-
-
 __all__ = ["send_try"]
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ibisspring_core.errors import Reason
+from ibisspring_core.http_sessions import open_session
 from ibisspring_core.json_input import decode_json
 
 if TYPE_CHECKING:
@@ -178,7 +179,7 @@
     timeout = aiohttp.ClientTimeout(total=SCORE_TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            open_session(aiohttp.TCPConnector(), timeout=timeout) as session,
             session.post(f"http://{address}/score", data=msgspec.json.encode(body)) as response,
         ):
             if response.status != 200:
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
@@ -45,11 +45,13 @@
 
     :param may_have_run: the endpoint may have run the request.
     :param sent: a part of the request may have been sent to the endpoint.
+    :param error: the connection's error, for the log; empty if there was none.
     """
 
     reason: Reason
     may_have_run: bool
     sent: bool = True
+    error: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -12,6 +12,7 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.connections import CONNECT_TIMEOUT_S, headers_of
 from ibisspring_core.errors import Reason, Refusal
+from ibisspring_core.http_sessions import ends_with_connection
 from ibisspring_core.routes.model import RepeatRule
 from ibisspring_decisions.hedging import HedgeDelays, SuspectEndpoints
 from ibisspring_decisions.routing import Candidate, Router
@@ -256,17 +257,17 @@
         try:
             async with asyncio.timeout(deadline_at_s - started_at_s):
                 answer = await self._send_attempt(request, record, endpoint_deadline_at_s, connect)
-        except aiohttp.ConnectionTimeoutError:
+        except aiohttp.ConnectionTimeoutError as error:
             # No connection was opened, so nothing was sent.
-            answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, sent=False)
+            answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, False, repr(error))
             if not self._repeats:
                 answer = FailedAttempt(Reason.TIMEOUT, True)
         except TimeoutError:
             answer = FailedAttempt(Reason.TIMEOUT, True)
-        except aiohttp.ClientConnectorError:
-            answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, sent=False)
-        except (aiohttp.ClientError, OSError):
-            answer = FailedAttempt(Reason.ENDPOINT_FAILED, True)
+        except aiohttp.ClientConnectorError as error:
+            answer = FailedAttempt(Reason.ENDPOINT_FAILED, False, False, repr(error))
+        except (aiohttp.ClientError, OSError) as error:
+            answer = FailedAttempt(Reason.ENDPOINT_FAILED, True, error=repr(error))
             in_flight = self._in_flight_by_endpoint[record.endpoint]
             await self._crash_suspects.check_end(request, record, in_flight)
         finally:
@@ -301,6 +302,8 @@
             endpoint=record.endpoint,
             reason=answer.reason.value,
             ran=answer.may_have_run,
+            sent=answer.sent,
+            error=answer.error,
             after_s=round(took_s, 3),
         )
         self._router.record_failure(record.endpoint, boot_now())
@@ -338,6 +341,8 @@
                 # not be matched to their requests either, so it is closed.
                 response.close()
                 return FailedAttempt(Reason.MISMATCHED_ANSWER, True)
+            if ends_with_connection(response):
+                self._counters.add("forward.body_until_close")
             body = await response.read()
             if not is_new:
                 self._connections.record_idle(record.address, response_headers)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -12,6 +12,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.connections import headers_of, is_refused
+from ibisspring_core.http_sessions import ends_with_connection
 from ibisspring_core.messages.jobs import Outcome
 from ibisspring_gateway.wire import ResponseKind
 
@@ -46,6 +47,8 @@
     :param keep_alive_s: seconds for which the engine keeps the idle connection open; 0.0 before the
         end of the stream.
     :param endpoint_ended: the connection broke, and the engine accepts no new one.
+    :param until_close: the stream states no end of its own; it ends with its connection.
+    :param error: the connection's error, for the log; empty if there was none.
     """
 
     data: list[str] = field(default_factory=list)
@@ -56,6 +59,8 @@
     first_event_s: float = 0.0
     keep_alive_s: float = 0.0
     endpoint_ended: bool = False
+    until_close: bool = False
+    error: str = ""
 
     def outcome(self, number: int, kind: str) -> Outcome:
         """
@@ -95,11 +100,13 @@
     deadline_at_s = started_at_s + assignment.deadline_s
     try:
         kind = await _stream(assignment, connections, wire, progress, (started_at_s, deadline_at_s))
-    except (TimeoutError, aiohttp.ClientConnectorError, asyncio.CancelledError):
+    except (TimeoutError, aiohttp.ClientConnectorError, asyncio.CancelledError) as error:
         # A cancelled run reports the events that it has received, like a run whose engine was lost.
         kind = "broken"
-    except (aiohttp.ClientError, OSError):
+        progress.error = repr(error)
+    except (aiohttp.ClientError, OSError) as error:
         kind = "broken"
+        progress.error = repr(error)
         with contextlib.suppress(asyncio.CancelledError):
             progress.endpoint_ended = await is_refused(assignment.address)
     if kind == "done" and not progress.complete:
@@ -128,6 +135,7 @@
         if kind != "done":
             return kind
         progress.version = wire.initial_version(headers)
+        progress.until_close = ends_with_connection(response)
         await _read_events(assignment, response, wire, progress, *start_and_deadline_s)
         return "done"
     finally:
@@ -179,8 +187,8 @@
             timeout_s = EVENT_TIMEOUT_S
         if len(buffer) > MAX_EVENT_BYTES:
             return
-    # The body ended as its Content-Length or its last chunk says; otherwise the read would have
-    # raised an error.
+    # The body ended as its Content-Length or its last chunk says, or the engine closed the
+    # connection of a body without either; otherwise the read would have raised an error.
     progress.complete = not buffer.strip() and bool(progress.data)
 
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -343,6 +343,8 @@
             tokens=assignment.item.tokens,
             first_s=outcome.first_s,
             took_s=round(took_s, 3),
+            until_close=progress.until_close,
+            error=progress.error,
         )
         return outcome.kind
 
--- a/tests/fakes/scripted_endpoint.py
+++ b/tests/fakes/scripted_endpoint.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+RESET = "reset"
+_LINGER_RESET = struct.pack("ii", 1, 0)
+
 
 @dataclass
 class ScriptedEndpoint:
@@ -14,13 +19,13 @@
     A TCP server with scripted answers.
 
     :param script: returns the steps of an answer, given the head of its request: bytes to send, a
-        pause in seconds as float, or None to reset the connection.
+        pause in seconds as float, None to close the connection at once, or RESET to reset it.
     :param request_heads: heads of the received requests, in order.
     :param opened: number of accepted connections.
     :param closed: number of connections that the client closed or reset.
     """
 
-    script: Callable[[str], list[bytes | float | None]]
+    script: Callable[[str], list[bytes | float | str | None]]
     request_heads: list[str] = field(default_factory=list)
     address: str = ""
     opened: int = 0
@@ -36,7 +41,10 @@
                 if length:
                     await reader.readexactly(int(length[0].split(":")[1]))
                 for step in self.script(head):
-                    if step is None:
+                    if step is RESET:
+                        connection = writer.get_extra_info("socket")
+                        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+                    if step is None or step is RESET:
                         writer.transport.abort()
                         return
                     if isinstance(step, float):
@@ -51,7 +59,7 @@
 
 
 @asynccontextmanager
-async def scripted(script: Callable[[str], list[bytes | float | None]]):
+async def scripted(script: Callable[[str], list[bytes | float | str | None]]):
     """Run a `ScriptedEndpoint` on a free loopback port until the end of the block."""
     endpoint = ScriptedEndpoint(script)
     server = await asyncio.start_server(endpoint._serve, "127.0.0.1", 0)
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fakes.scripted_endpoint import scripted
+from fakes.scripted_endpoint import RESET, scripted
 from ibisspring_core.connections import Connections
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
@@ -176,6 +176,38 @@
                     assert (result.status, result.body) == (200, b"whole")
 
 
+UNTIL_CLOSE = b"HTTP/1.1 200 X\r\nId: r1\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize("received", [b"", b"w", b"whol", b"whole"])
+async def test_response_without_a_length_that_is_reset_is_not_returned(received) -> None:
+    # The endpoint states no length and its connection is reset inside the body. The caller got the
+    # part that had arrived, as a complete response.
+    def answer_and_reset(head: str) -> list:
+        return [UNTIL_CLOSE + received, 0.05, RESET]
+
+    async with scripted(answer_and_reset) as bad, scripted(lambda head: [response_bytes()]) as good:
+        async with forwarder_to(bad, good) as forwarder:
+            for _ in range(3):
+                result = await forwarder.forward(REQUEST, LOOKUP_ROUTE)
+                assert isinstance(result, EndpointResponse)
+                assert result.body == b"whole"
+        async with forwarder_to(bad) as forwarder:
+            result = await forwarder.forward(REQUEST, PAYMENT_ROUTE)
+            assert isinstance(result, Refusal)
+            assert not result.not_run
+
+
+async def test_response_without_a_length_is_returned_if_its_connection_is_closed() -> None:
+    async with (
+        scripted(lambda head: [UNTIL_CLOSE + b"whole", None]) as endpoint,
+        forwarder_to(endpoint) as forwarder,
+    ):
+        result = await forwarder.forward(REQUEST, LOOKUP_ROUTE)
+
+        assert (result.status, result.body) == (200, b"whole")
+
+
 async def test_an_extra_response_is_never_used_for_the_next_request() -> None:
     # An endpoint sends a second response after the first. If the entry took it for the response to
     # the next request on that connection, one caller would receive another caller's data.
--- a/tests/unit/gateway/test_item_run.py
+++ b/tests/unit/gateway/test_item_run.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fakes.scripted_endpoint import scripted
+from fakes.scripted_endpoint import RESET, scripted
 from ibisspring_core.connections import Connections
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.messages.jobs import Assignment, JobItem
@@ -82,6 +82,34 @@
     assert (outcome.kind, outcome.output, outcome.events) == ("broken", "a\nb", 2)
 
 
+UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\nVersion: 4\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("steps", "events"),
+    [
+        ([], 0),
+        ([b"1 a\n\n"], 1),
+        ([b"1 a\n\n2 b"], 1),
+        ([b"1 a\n\n2 b\n\n"], 2),
+        ([b"1 a\n\n", 0.05, b"2 b\n\n"], 2),
+    ],
+    ids=["no event", "one event", "inside an event", "all events", "all events, two packets"],
+)
+async def test_a_stream_without_a_length_that_is_reset_is_broken(steps, events) -> None:
+    # The reset was taken for the end of the stream, so a trainer learned from a truncated text as
+    # if it were complete.
+    outcome = await run([UNTIL_CLOSE, *steps, 0.05, RESET])
+
+    assert (outcome.kind, outcome.events) == ("broken", events)
+
+
+async def test_a_stream_without_a_length_is_done_if_its_connection_is_closed() -> None:
+    outcome = await run([UNTIL_CLOSE, b"1 a\n\n2 b\n\n", None])
+
+    assert (outcome.kind, outcome.output, outcome.events) == ("done", "a\nb", 2)
+
+
 async def test_a_resumed_run_starts_with_the_next_event() -> None:
     outcome = await run([HEAD, chunk(b"3 c\n\n"), LAST_CHUNK], resume_after=2)
     assert (outcome.kind, outcome.output) == ("done", "c")
