Check that a body without a length did not end with its endpoint's process

Callers could get, and items could be completed with, a part of an answer whose endpoint's process ended: the operating system closes its connections regularly.

Cause: for a body with neither a length nor chunks nothing in the stream differs; and _read_events took a run without events as broken even if it resumed behind the last.

Change: such a body is followed by one new connection; a refused one means that the process ended with it. A resumed run may have no events. Ruled out as a mend: refusing all answers without a length, which would deny service.

Before: test_response_without_a_length_is_not_returned_if_its_endpoint_ended, test_a_stream_without_a_length_is_broken_if_its_engine_ended and test_a_run_that_resumes_behind_the_last_event_is_done failed; after: pass.

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -11,7 +11,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.guarded_http import HttpAnswer, NoAnswer
-from ibisspring_core.http_sessions import open_session
+from ibisspring_core.http_sessions import ends_with_connection, open_session
 from ibisspring_core.kept_connections import IdleConnections
 
 if TYPE_CHECKING:
@@ -179,6 +179,21 @@
         return False
 
 
+async def check_end_of_body(response: aiohttp.ClientResponse, address: str) -> None:
+    """
+    Check that a body which ended with its connection was not truncated by the end of its process.
+
+    The operating system closes the connections of a process that ends as regularly as the process
+    itself would. Only a body that states its own end shows the difference.
+
+    :param response: a response whose body was read to its end.
+    :param address: IP:port of the endpoint.
+    :raises aiohttp.ClientPayloadError: if the endpoint's process has ended.
+    """
+    if ends_with_connection(response) and await is_refused(address):
+        raise aiohttp.ClientPayloadError("the endpoint's process ended with the body")
+
+
 async def _stays_open(host: str, port: int) -> bool:
     """Open a connection, and return whether the other side leaves it open for a moment."""
     try:
@@ -239,4 +254,11 @@
     )
 
 
-__all__ = ["Connections", "Headers", "headers_of", "keep_alive_s"]
+__all__ = [
+    "Connections",
+    "Headers",
+    "check_end_of_body",
+    "headers_of",
+    "is_refused",
+    "keep_alive_s",
+]
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -10,7 +10,7 @@
 import eliot
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.connections import CONNECT_TIMEOUT_S, headers_of
+from ibisspring_core.connections import CONNECT_TIMEOUT_S, check_end_of_body, headers_of
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.http_sessions import ends_with_connection
 from ibisspring_core.routes.model import RepeatRule
@@ -344,6 +344,7 @@
             if ends_with_connection(response):
                 self._counters.add("forward.body_until_close")
             body = await response.read()
+            await check_end_of_body(response, record.address)
             if not is_new:
                 self._connections.record_idle(record.address, response_headers)
             if response_kind in (ResponseKind.REJECTED, ResponseKind.OTHER_ENDPOINT):
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from ibisspring_core.clock import boot_now
-from ibisspring_core.connections import headers_of, is_refused
+from ibisspring_core.connections import check_end_of_body, headers_of, is_refused
 from ibisspring_core.http_sessions import ends_with_connection
 from ibisspring_core.messages.jobs import Outcome
 from ibisspring_gateway.wire import ResponseKind
@@ -189,7 +189,10 @@
             return
     # The body ended as its Content-Length or its last chunk says, or the engine closed the
     # connection of a body without either; otherwise the read would have raised an error.
-    progress.complete = not buffer.strip() and bool(progress.data)
+    await check_end_of_body(response, assignment.address)
+    # A run that resumes behind the last event has no event of its own.
+    has_events = bool(progress.data) or assignment.resume_after > 0
+    progress.complete = has_events and not buffer.strip()
 
 
 def _append_event(assignment: Assignment, event: object, progress: RunProgress) -> bool:
--- a/tests/fakes/scripted_endpoint.py
+++ b/tests/fakes/scripted_endpoint.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 RESET = "reset"
+EXIT = "exit"
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -19,7 +20,8 @@
     A TCP server with scripted answers.
 
     :param script: returns the steps of an answer, given the head of its request: bytes to send, a
-        pause in seconds as float, None to close the connection at once, or RESET to reset it.
+        pause in seconds as float, None to close the connection at once, RESET to reset it, or EXIT
+        to stop listening and close it, as the end of a process does.
     :param request_heads: heads of the received requests, in order.
     :param opened: number of accepted connections.
     :param closed: number of connections that the client closed or reset.
@@ -30,6 +32,7 @@
     address: str = ""
     opened: int = 0
     closed: int = 0
+    server: asyncio.Server | None = None
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
@@ -44,7 +47,9 @@
                     if step is RESET:
                         connection = writer.get_extra_info("socket")
                         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
-                    if step is None or step is RESET:
+                    if step is EXIT:
+                        self.server.close()
+                    if step is None or isinstance(step, str):
                         writer.transport.abort()
                         return
                     if isinstance(step, float):
@@ -63,6 +68,7 @@
     """Run a `ScriptedEndpoint` on a free loopback port until the end of the block."""
     endpoint = ScriptedEndpoint(script)
     server = await asyncio.start_server(endpoint._serve, "127.0.0.1", 0)
+    endpoint.server = server
     endpoint.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     try:
         yield endpoint
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fakes.scripted_endpoint import RESET, scripted
+from fakes.scripted_endpoint import EXIT, RESET, scripted
 from ibisspring_core.connections import Connections
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason, Refusal
@@ -198,6 +198,19 @@
             assert not result.not_run
 
 
+async def test_response_without_a_length_is_not_returned_if_its_endpoint_ended() -> None:
+    # The end of a process closes its connections regularly, in the middle of a response.
+    async with (
+        scripted(lambda head: [UNTIL_CLOSE + b"wh", 0.05, EXIT]) as bad,
+        scripted(lambda head: [response_bytes()]) as good,
+        forwarder_to(bad, good) as forwarder,
+    ):
+        for _ in range(3):
+            result = await forwarder.forward(REQUEST, LOOKUP_ROUTE)
+            assert isinstance(result, EndpointResponse)
+            assert result.body == b"whole"
+
+
 async def test_response_without_a_length_is_returned_if_its_connection_is_closed() -> None:
     async with (
         scripted(lambda head: [UNTIL_CLOSE + b"whole", None]) as endpoint,
--- a/tests/unit/gateway/test_item_run.py
+++ b/tests/unit/gateway/test_item_run.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fakes.scripted_endpoint import RESET, scripted
+from fakes.scripted_endpoint import EXIT, RESET, scripted
 from ibisspring_core.connections import Connections
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.messages.jobs import Assignment, JobItem
@@ -118,6 +118,22 @@
     assert (unexpected.kind, unexpected.events) == ("broken", 0)
 
 
+async def test_a_run_that_resumes_behind_the_last_event_is_done() -> None:
+    # A stream breaks between its last event and its end. The next run has nothing left to send; if
+    # it counted as broken, the item would run again until its time limit.
+    assert (await run([HEAD, LAST_CHUNK], resume_after=2)).kind == "done"
+    assert (await run([UNTIL_CLOSE, None], resume_after=2)).kind == "done"
+
+    assert (await run([HEAD, LAST_CHUNK])).kind == "broken"
+
+
+async def test_a_stream_without_a_length_is_broken_if_its_engine_ended() -> None:
+    # The end of a process closes its connections regularly, in the middle of a text.
+    outcome = await run([UNTIL_CLOSE, b"1 a\n\n", 0.05, EXIT])
+
+    assert (outcome.kind, outcome.output, outcome.endpoint_ended) == ("broken", "a", True)
+
+
 async def test_a_text_without_a_version_is_discarded() -> None:
     # An engine does not state its weight version, so weights of any age may have made the text. If
     # the version were guessed, a trainer might learn from text of the wrong version.
