Send each request once: the HTTP client resends none by itself

Cause: aiohttp resends GET, HEAD, OPTIONS, TRACE, PUT and DELETE once by itself, and the forwarder reads the refused second connection as a request that was never sent. Ruled out: our own retries and the callers (neither knows methods; POST never ran twice).

Change: http_sessions.open_session switches it off for all sessions and stores no cookies; the guards of the orders' connector and of the entry's session are gone.

--- a/packages/ibisspring-core/src/ibisspring_core/guarded_http.py
+++ b/packages/ibisspring-core/src/ibisspring_core/guarded_http.py
@@ -113,11 +113,6 @@
         return opened
 
     async def connect(self, *arguments: Any, **keywords: Any) -> Any:
-        # aiohttp repeats an idempotent request once if the connection closes without a response.
-        # That second order would have no committed `OrderIntent`, so the second connection is
-        # refused.
-        if self.transport is not None:
-            raise aiohttp.ClientConnectionError("the connection closed without a response")
         connection = await super().connect(*arguments, **keywords)
         self.transport = connection.transport
         return connection
--- a/packages/ibisspring-core/src/ibisspring_core/http_sessions.py
+++ b/packages/ibisspring-core/src/ibisspring_core/http_sessions.py
@@ -1,5 +1,5 @@
 """
-HTTP client sessions, which report whether a response arrived whole.
+HTTP client sessions, which send each request once and report whether its response arrived whole.
 
 All sessions of the project are opened here, so that all of them have the same guards.
 """
@@ -34,15 +34,27 @@
 
 def open_session(connector: aiohttp.TCPConnector, **options: Any) -> aiohttp.ClientSession:
     """
-    Open an HTTP client session in which a broken connection never ends a body as a complete one.
+    Open an HTTP client session that sends each request once.
+
+    Only the code that sends a request knows whether it may be repeated. A resent one may run twice;
+    and if its second connection is refused, a request that has run seems never to have been sent.
+    Callers pass `allow_redirects=False` with each request, for which sessions have no default.
+
+    A broken connection never ends a body as a complete one. Cookies are not stored, because a
+    cookie set for one client account would be sent with requests of other client accounts.
 
     :param connector: the session's connector, which the session closes.
     :param options: further arguments of `aiohttp.ClientSession`.
     :return: the session, to be closed by the caller.
     """
-    # The attribute is private in aiohttp; test_http_sessions.py fails if it stops working.
+    # Both attributes are private in aiohttp; test_http_sessions.py fails if one stops working.
     connector._factory = partial(_ResponseHandler, loop=asyncio.get_running_loop())
-    return aiohttp.ClientSession(connector=connector, **options)
+    session = aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar(), **options
+    )
+    # By default aiohttp resends GET, HEAD, OPTIONS, TRACE, PUT and DELETE if a connection breaks.
+    session._retry_connection = False
+    return session
 
 
 def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/connections.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/connections.py
@@ -54,27 +54,17 @@
     """
     Open the HTTP client session for all endpoints.
 
-    Cookies are not stored, because a cookie set for one client account would be sent with requests
-    of other client accounts.
-
     :return: the session, to be closed by the caller.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_make_socket)
-    session = http_sessions.open_session(
+    return http_sessions.open_session(
         connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         # With aiohttp's default Accept-Encoding, endpoints would compress answers for callers that
         # cannot decompress them.
         skip_auto_headers=("Accept-Encoding", "Content-Type", "User-Agent"),
         read_bufsize=MAX_LINE_BYTES,
     )
-    # By default aiohttp resends PUT, DELETE and other requests when a connection breaks, although
-    # they may have run. Here only `PlainCall` and `Generation` decide about a retry, since only
-    # they know whether a request may be repeated. The attribute is private in aiohttp;
-    # test_a_broken_connection_repeats_nothing fails if it stops working.
-    session._retry_connection = False
-    return session
 
 
 def request_timeout(read_timeout_s: float) -> aiohttp.ClientTimeout:
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
@@ -180,7 +180,9 @@
     try:
         async with (
             open_session(aiohttp.TCPConnector(), timeout=timeout) as session,
-            session.post(f"http://{address}/score", data=msgspec.json.encode(body)) as response,
+            session.post(
+                f"http://{address}/score", data=msgspec.json.encode(body), allow_redirects=False
+            ) as response,
         ):
             if response.status != 200:
                 return None
--- a/tests/unit/gateway/test_crash_suspects.py
+++ b/tests/unit/gateway/test_crash_suspects.py
@@ -92,13 +92,16 @@
     return request.param
 
 
-async def test_one_exchange_ends_two_endpoints_at_most(repeats) -> None:
+@pytest.mark.parametrize("method", ["POST", "PUT"])
+async def test_one_exchange_ends_two_endpoints_at_most(repeats, method) -> None:
+    # The HTTP client resent a PUT by itself, and the refused second connection hid the end.
     leader = Leader()
+    request = replace(REQUEST, method=method)
     async with ending_endpoint() as a, ending_endpoint() as b, ending_endpoint() as c:
         async with forwarder_to(a, b, c) as forwarder:
             forwarder._repeats = repeats
             know(forwarder, leader, 0)
-            answer = await forwarder.forward(REQUEST, ROUTE)
+            answer = await forwarder.forward(request, ROUTE)
 
     assert (answer.reason, answer.not_run) == (Reason.ENDPOINT_FAILED, False)
     assert sum(len(one.heads) for one in (a, b, c)) == 2
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -247,6 +248,23 @@
             assert len(first.request_heads) + len(second.request_heads) == 1
 
 
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE"])
+async def test_a_request_whose_endpoint_ends_counts_as_run(method) -> None:
+    # The HTTP client resent the request over a second connection, which was refused. The request
+    # seemed never to have been sent: it ran at another endpoint too, or was refused as not run.
+    request = replace(REQUEST, method=method)
+    async with (
+        scripted(lambda head: [EXIT]) as first,
+        scripted(lambda head: [EXIT]) as second,
+        forwarder_to(first, second) as forwarder,
+    ):
+        result = await forwarder.forward(request, PAYMENT_ROUTE)
+
+        assert isinstance(result, Refusal)
+        assert not result.not_run
+        assert len(first.request_heads) + len(second.request_heads) == 1
+
+
 async def test_a_request_that_may_run_once_goes_to_another_endpoint_after_a_rejection() -> None:
     rejected = response_bytes(b"", 503, "Id: r1\r\nTurned-Away: 1\r\n")
     async with (
