Log and count a change of a log's members that does not end

Change: MemberRepair, shared by the two logs, logs membership:waiting after 5 s and at each doubling of the age, with each learner's silence and match index, and counts membership.waiting_s. The rows of the two logs' decisions are one piece of code now.

No decision changes.

--- a/packages/ibisspring-directory/src/ibisspring_directory/membership.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/membership.py
@@ -12,9 +12,10 @@
 
 import eliot
 
+from ibisspring_consensus.member_repair import MemberRepair
 from ibisspring_consensus.messages import ReplicaId
 from ibisspring_consensus.own_member import own_member
-from ibisspring_consensus.repair import Placement, ReplacementCandidate, next_membership_change
+from ibisspring_consensus.repair import Placement, ReplacementCandidate
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.directory import Group, Renew
 from ibisspring_core.settings.vm import CONTROL
@@ -64,6 +65,7 @@
         self._consensus = kernel.find("consensus")
         self._directory = kernel.find("directory")
         self._current_settings = kernel.find("current_settings")
+        self._repair = MemberRepair("directory", self._consensus, kernel.find("counters"))
         self._leader = LeaderClient(kernel.find("peer_client"), self._addresses)
         timer = kernel.find("timer")
         self._timers = (
@@ -113,10 +115,7 @@
             self._settings.most_voters_per_data_centre,
             {member.address: member.data_centre for member in known},
         )
-        change = next_membership_change(self._consensus.core.state, candidates, (), placement)
-        if change is not None:
-            eliot.log_message("membership:change", log="directory", change=str(change))
-            self._consensus.dispatch(change)
+        self._repair.tick(candidates, (), placement)
 
     async def _bootstrap_jobs_log(self, now: float) -> None:
         """
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
@@ -13,9 +13,10 @@
 import eliot
 
 from ibisspring_consensus import events
+from ibisspring_consensus.member_repair import MemberRepair
 from ibisspring_consensus.messages import Members, ReplicaId
 from ibisspring_consensus.own_member import own_member
-from ibisspring_consensus.repair import Placement, ReplacementCandidate, next_membership_change
+from ibisspring_consensus.repair import Placement, ReplacementCandidate
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -58,6 +59,7 @@
         Subscribe to the directory view, and start to compare members with stores periodically.
         """
         self._consensus = kernel.find("consensus")
+        self._repair = MemberRepair("jobs", self._consensus, kernel.find("counters"))
         self._jobs = kernel.find("jobs")
         self._view = kernel.find("directory_view")
         self._view.add_renew_fields(self._describe)
@@ -114,12 +116,7 @@
             self._settings.most_voters_per_data_centre,
             self._data_centre_by_address,
         )
-        change = next_membership_change(
-            self._consensus.core.state, candidates, view.retiring, placement
-        )
-        if change is not None:
-            eliot.log_message("membership:change", log="jobs", change=str(change))
-            self._consensus.dispatch(change)
+        self._repair.tick(candidates, view.retiring, placement)
 
 
 __all__ = ["JobMembership"]
