Give up a replica that is lost while it takes over a log

Cause: no membership change begins while there is a learner, and a learner that is lost was never removed, so nothing was repaired after it. Shown by membership:waiting on the code of before (the same leader lists the same learner at 5.1 and 10.2 s, silent, match_index 0); this ruled out that no candidate is seen and that a new leader forgets the change.

Change: a learner is given up as a voter is replaced: silent for 3 s, or without progress for 10 s, and only if another replica can take its place; at once if an operator empties it. The removal is a committed entry; no quorum counts a learner. Silence counts from when the leader began to send the log. A replica that was given up is the last choice for 30 s.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/core.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/core.py
@@ -21,6 +21,7 @@
     Persisted,
     Propose,
     Received,
+    RemoveLearner,
     Replace,
     ReplicaSeen,
     Resign,
@@ -165,6 +166,8 @@
                 membership.on_replica_seen(state, event)
             case Replace():
                 membership.on_replace(state, event)
+            case RemoveLearner():
+                membership.on_remove_learner(state, event)
             case Bootstrap():
                 membership.on_bootstrap(state, event)
             case Resign():
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/events.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/events.py
@@ -110,6 +110,13 @@
     old: ReplicaId | None
 
 
+@dataclass(frozen=True)
+class RemoveLearner:
+    """Give up a learner that does not catch up, so that another replica can take its place."""
+
+    learner: ReplicaId
+
+
 @dataclass(frozen=True)
 class Bootstrap:
     """Bootstrap a cluster with these voters; ignored by a replica that already holds state."""
@@ -131,6 +138,7 @@
     | SnapshotTaken
     | ReplicaSeen
     | Replace
+    | RemoveLearner
     | Bootstrap
     | Resign
 )
@@ -275,6 +283,7 @@
     "ReadConfirmed",
     "ReadRefused",
     "Received",
+    "RemoveLearner",
     "Replace",
     "ReplicaSeen",
     "Resign",
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
@@ -28,7 +28,7 @@
 from ibisspring_core.messages.codec import encode
 
 if TYPE_CHECKING:
-    from ibisspring_consensus.events import Bootstrap, Replace, ReplicaSeen
+    from ibisspring_consensus.events import Bootstrap, RemoveLearner, Replace, ReplicaSeen
 
 
 def on_bootstrap(state: CoreState, event: Bootstrap) -> None:
@@ -83,15 +83,14 @@
         _change(state, replace(members, outgoing=()))
         return
     for learner in members.learners:
-        if not is_caught_up(state, learner.replica):
-            continue
-        _change(state, promote(members, learner))
-        return
+        if is_caught_up(state, learner.replica):
+            _change(state, promote(members, learner))
+            return
     for voter in members.voters:
         new_replica = state.non_member_by_daemon.pop(voter.daemon, None)
         if new_replica is None or new_replica.disk_id == voter.disk_id:
             continue
-        _change(state, with_learner(members, Learner(new_replica, replaces=voter)))
+        _add_learner(state, Learner(new_replica, replaces=voter))
         return
 
 
@@ -106,10 +105,25 @@
         return False
     if event.old is not None and event.old not in members.voters:
         return False
-    _change(state, with_learner(members, Learner(event.new, replaces=event.old)))
+    _add_learner(state, Learner(event.new, replaces=event.old))
     return True
 
 
+def on_remove_learner(state: CoreState, event: RemoveLearner) -> bool:
+    """
+    Start the removal of a learner; quorums do not change, since they do not count it.
+
+    :return: whether the removal was started.
+    """
+    if not may_change(state):
+        return False
+    for learner in state.log.members.learners:
+        if learner.replica == event.learner:
+            _remove_learner(state, learner)
+            return True
+    return False
+
+
 def is_caught_up(state: CoreState, replica: ReplicaId) -> bool:
     """
     Return whether a learner has synced all committed entries and replied recently.
@@ -148,6 +162,20 @@
     return replace(members, voters=voters, learners=kept, outgoing=members.voters)
 
 
+def _add_learner(state: CoreState, learner: Learner) -> None:
+    # What is known of the replica may date from an earlier time as a member.
+    state.progress_by_replica.pop(learner.replica, None)
+    _change(state, with_learner(state.log.members, learner))
+
+
+def _remove_learner(state: CoreState, learner: Learner) -> None:
+    members = state.log.members
+    kept = tuple(other for other in members.learners if other != learner)
+    _change(state, replace(members, learners=kept))
+    state.progress_by_replica.pop(learner.replica, None)
+    state.learner_removed_at[learner.replica] = state.now
+
+
 def _change(state: CoreState, members: Members) -> None:
     index = state.log.last_index + 1
     append(state, (Entry(index, state.hard_state.term, MEMBERS, encode(members)),))
@@ -157,6 +185,7 @@
     "is_caught_up",
     "may_change",
     "on_bootstrap",
+    "on_remove_learner",
     "on_replace",
     "on_replica_seen",
     "on_tick",
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/repair.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/repair.py
@@ -5,6 +5,10 @@
 loss of one more VM can stop the log. A voter is removed only if another replica is available to
 replace it, never for silence alone, so that a partition cannot shrink the majority.
 
+The replica that takes over the log may be lost as well. If it stayed a learner, no further change
+would begin. It is given up under the same conditions as a voter: it is silent, or makes no
+progress, and another replica is available. One that an operator removes is given up in any case.
+
 Where the loss of a data centre must be tolerated, no data centre may hold so many voters that the
 others lack a majority. Successive replacements of silent voters would otherwise gather them in the
 data centres that still respond.
@@ -16,7 +20,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ibisspring_consensus.events import Replace
+from ibisspring_consensus.events import RemoveLearner, Replace
 from ibisspring_consensus.membership import may_change
 from ibisspring_consensus.quorum import all_replicas
 
@@ -30,6 +34,12 @@
 # than the silence of a VM that is killed and restarted, or frozen for a moment: copying the log to
 # another VM costs more than waiting for such a VM.
 REPLACE_AFTER_SILENCE_S = 3.0
+# Seconds without any progress after which a learner that still replies is given up, for example
+# because its disk is full. Longer than a replica takes to restore a large snapshot.
+GIVE_UP_STALLED_AFTER_S = 10.0
+# Seconds for which a replica that was given up as a learner is the last choice. Without this, two
+# replicas that the leader cannot reach would be tried in turn although a third one is there.
+LAST_CHOICE_S = 30.0
 
 
 @dataclass(frozen=True)
@@ -66,7 +76,7 @@
     candidates: Sequence[ReplacementCandidate],
     leaving: Sequence[str],
     placement: Placement,
-) -> Replace | None:
+) -> Replace | RemoveLearner | None:
     """
     Return the next change of the log's members that restores the wanted voters and their placement.
 
@@ -77,9 +87,7 @@
     :return: the change to start; None if no change is needed or possible.
     """
     members = state.log.members
-    # One membership change at a time: a learner must have caught up with the log and become a voter
-    # before the next change starts.
-    if not may_change(state) or members.learners or members.outgoing:
+    if not may_change(state) or members.outgoing:
         return None
     member_daemons = {replica.daemon for replica in all_replicas(members)}
     non_members = [
@@ -88,8 +96,6 @@
         if candidate.replica.daemon not in member_daemons
         and candidate.replica.daemon not in leaving
     ]
-    if not non_members:
-        return None
     data_centre_by_daemon = dict(placement.data_centre_by_daemon)
     for candidate in candidates:
         data_centre_by_daemon[candidate.replica.daemon] = candidate.data_centre
@@ -97,14 +103,29 @@
     def replacement(voter: ReplicaId | None) -> Replace | None:
         remaining = [other for other in members.voters if other != voter]
         used = Counter(data_centre_by_daemon.get(other.daemon) for other in remaining)
-        chosen = min(non_members, key=lambda candidate: used[candidate.data_centre])
         limit = placement.most_per_data_centre
-        if limit is not None and used[chosen.data_centre] >= limit:
-            # The loss of this data centre would then stop the log, and a voter that is silent with
-            # its data centre usually returns with it.
+        # The loss of a data centre with more voters would stop the log, and a voter that is silent
+        # with its data centre usually returns with it.
+        allowed = [
+            candidate
+            for candidate in non_members
+            if limit is None or used[candidate.data_centre] < limit
+        ]
+        if not allowed:
             return None
+        chosen = min(
+            allowed,
+            key=lambda candidate: (
+                _recently_given_up_at(state, candidate.replica),
+                used[candidate.data_centre],
+            ),
+        )
         return Replace(chosen.replica, voter)
 
+    if members.learners:
+        # One membership change at a time: a learner must have become a voter, or be given up,
+        # before the next change starts.
+        return _learner_to_give_up(state, leaving, replacement)
     if len(members.voters) < placement.wanted_voters:
         return replacement(None)
     for voter in members.voters:
@@ -117,6 +138,39 @@
     return _from_crowded_data_centre(state, data_centre_by_daemon, placement, replacement)
 
 
+def _learner_to_give_up(
+    state: CoreState,
+    leaving: Sequence[str],
+    replacement: Callable[[ReplicaId | None], Replace | None],
+) -> RemoveLearner | None:
+    for learner in state.log.members.learners:
+        if learner.replica.daemon in leaving:
+            return RemoveLearner(learner.replica)
+        if replacement(learner.replaces) is None:
+            continue
+        is_silent = time_since_reply_s(state, learner.replica) > REPLACE_AFTER_SILENCE_S
+        if is_silent or _is_stalled(state, learner.replica):
+            return RemoveLearner(learner.replica)
+    return None
+
+
+def _is_stalled(state: CoreState, learner: ReplicaId) -> bool:
+    """Whether a learner lacks entries and has received none for a long time."""
+    progress = state.progress_by_replica.get(learner)
+    if progress is None or progress.match_index >= state.commit_index:
+        return False
+    since = max(progress.advanced_at, progress.added_at, state.leader_since)
+    return state.now - since > GIVE_UP_STALLED_AFTER_S
+
+
+def _recently_given_up_at(state: CoreState, replica: ReplicaId) -> float:
+    """Return when a replica was given up as a learner; 0.0 for never or long ago."""
+    removed_at = state.learner_removed_at.get(replica)
+    if removed_at is None or state.now - removed_at > LAST_CHOICE_S:
+        return 0.0
+    return removed_at
+
+
 def _from_crowded_data_centre(
     state: CoreState,
     data_centre_by_daemon: Mapping[str, str],
@@ -141,13 +195,15 @@
     """
     Return the time since a replica last replied to this leader.
 
-    :return: time in seconds; at most the time since this leader's election.
+    :return: time in seconds; at most the time since this leader's election, and since it began to
+        send the log to the replica.
     """
     if replica == state.replica:
         return 0.0
     progress = state.progress_by_replica.get(replica)
-    replied_at = progress.replied_at if progress is not None else 0.0
-    return state.now - max(replied_at, state.leader_since)
+    if progress is None:
+        return state.now - state.leader_since
+    return state.now - max(progress.replied_at, progress.added_at, state.leader_since)
 
 
 __all__ = [
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/replication.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/replication.py
@@ -64,7 +64,7 @@
     """
     progress = state.progress_by_replica.get(other)
     if progress is None:
-        progress = Progress(match_index=0, next_index=state.log.last_index + 1)
+        progress = Progress(match_index=0, next_index=state.log.last_index + 1, added_at=state.now)
         state.progress_by_replica[other] = progress
     return progress
 
@@ -164,7 +164,7 @@
     if progress is None:
         return
     if reply.success:
-        _advance_match(progress, reply.match_index)
+        _advance_match(state, progress, reply.match_index)
     elif progress.match_index < reply.previous_index:
         _probe_earlier(progress, reply)
     commit(state)
@@ -210,9 +210,10 @@
     return progress
 
 
-def _advance_match(progress: Progress, match_index: int) -> None:
+def _advance_match(state: CoreState, progress: Progress, match_index: int) -> None:
     if match_index > progress.match_index:
         progress.match_index = match_index
+        progress.advanced_at = state.now
         progress.in_flight = max(progress.in_flight - 1, 0)
         progress.probing = False
     progress.next_index = max(progress.next_index, progress.match_index + 1)
@@ -228,11 +229,13 @@
         return
     if reply.installed:
         progress.match_index = max(progress.match_index, reply.index)
+        progress.advanced_at = state.now
         progress.next_index = max(progress.match_index + 1, progress.next_index)
         progress.snapshot_index = 0
         send_next(state, sender, progress)
     elif _is_next_offset(state, progress, reply):
         progress.snapshot_offset = reply.offset
+        progress.advanced_at = state.now
         _send_chunk(state, sender, progress)
     commit(state)
     complete_reads(state)
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/state.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/state.py
@@ -103,7 +103,11 @@
     :param probing: whether the match index is not known, so that only one message with entries is
         sent at a time.
     :param acked_round: newest heartbeat round that the replica acknowledged.
+    :param added_at: time at which the leader began to send the log to the replica, in seconds on
+        the lease clock.
     :param replied_at: time of the replica's last reply, in seconds on the lease clock.
+    :param advanced_at: time at which the replica last reported a part of the log or of a snapshot
+        that it had not reported before, in seconds on the lease clock.
     :param chunk_sent_at: time at which the last snapshot chunk was sent, in seconds on the lease
         clock.
     :param snapshot_index: log index of the snapshot that is being sent; 0 for none.
@@ -115,7 +119,9 @@
     in_flight: int = 0
     probing: bool = True
     acked_round: int = 0
+    added_at: float = 0.0
     replied_at: float = 0.0
+    advanced_at: float = 0.0
     chunk_sent_at: float = 0.0
     snapshot_index: int = 0
     snapshot_offset: int = 0
@@ -172,6 +178,8 @@
     :param sequence: sequence number of the last persist effect.
     :param pending: effects that are not yet synced to disk, with the messages that wait for them.
     :param non_member_by_daemon: replica that last answered for a daemon and is not a member.
+    :param learner_removed_at: time at which this leader last gave up a replica as a learner, in
+        seconds on the lease clock.
     :param received_snapshot_data: bytes received so far of a snapshot from the leader.
     :param received_snapshot_index: log index of the snapshot that is being received; 0 for none.
     :param effects: effects of the event that is being processed.
@@ -204,6 +212,7 @@
     sequence: int = 0
     pending: list[PendingPersist] = field(default_factory=list)
     non_member_by_daemon: dict[str, ReplicaId] = field(default_factory=dict)
+    learner_removed_at: dict[ReplicaId, float] = field(default_factory=dict)
     received_snapshot_data: bytearray = field(default_factory=bytearray)
     received_snapshot_index: int = 0
     effects: list[Effect] = field(default_factory=list)
@@ -285,6 +294,7 @@
         state.effects.extend(ReadRefused(read.read) for read in state.reads)
         state.reads.clear()
         state.progress_by_replica.clear()
+        state.learner_removed_at.clear()
         state.round_sent_at.clear()
     if state.role != FOLLOWER:
         reset_election(state)
--- a/tests/unit/consensus/test_repair.py
+++ b/tests/unit/consensus/test_repair.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ibisspring_consensus.events import Replace
+from ibisspring_consensus.events import RemoveLearner, Replace
 from ibisspring_consensus.log import Log
 from ibisspring_consensus.messages import (
     MEMBERS,
@@ -17,6 +17,7 @@
     SnapshotMeta,
 )
 from ibisspring_consensus.repair import (
+    LAST_CHOICE_S,
     REPLACE_AFTER_SILENCE_S,
     Placement,
     ReplacementCandidate,
@@ -45,9 +46,10 @@
         synced_index=1,
         role=LEADER,
     )
-    for voter in members.voters[1:]:
-        replied_at = NOW - REPLACE_AFTER_SILENCE_S - 1 if voter.daemon in silent else NOW
-        state.progress_by_replica[voter] = Progress(1, 2, replied_at=replied_at)
+    learners = [learner.replica for learner in members.learners]
+    for other in (*members.voters[1:], *learners):
+        replied_at = NOW - REPLACE_AFTER_SILENCE_S - 1 if other.daemon in silent else NOW
+        state.progress_by_replica[other] = Progress(1, 2, replied_at=replied_at)
     return state
 
 
@@ -139,6 +141,78 @@
     )
 
 
+LEARNER = ReplicaId("l", "d")
+MEMBERS_WITH_LEARNER = replace(MEMBERS_OF_THREE, learners=(Learner(LEARNER, VOTERS[1]),))
+
+
+def test_silent_learner_is_given_up_for_a_spare_only() -> None:
+    # A store is lost while it takes over the data of another one. While it was a learner, no other
+    # change began, and later single losses stopped the log.
+    state = leader_state(MEMBERS_WITH_LEARNER, silent=("b", "l"))
+
+    assert next_membership_change(state, [SPARE], (), Placement(3)) == RemoveLearner(LEARNER)
+    assert next_membership_change(state, [], (), Placement(3)) is None
+
+
+def test_new_learner_is_not_silent_before_it_can_have_replied() -> None:
+    # The leader has led for long, and has just begun to send the log to the learner.
+    state = leader_state(MEMBERS_WITH_LEARNER, silent=("b",))
+    state.progress_by_replica[LEARNER] = Progress(0, 2, added_at=NOW - 1.0)
+
+    assert next_membership_change(state, [SPARE], (), Placement(3)) is None
+
+
+def test_new_leader_waits_before_it_gives_up_a_silent_learner() -> None:
+    state = leader_state(MEMBERS_WITH_LEARNER, silent=("b", "l"))
+    state.leader_since = NOW - 1.0
+
+    assert next_membership_change(state, [SPARE], (), Placement(3)) is None
+
+
+@pytest.mark.parametrize(
+    ("progress", "change"),
+    [
+        (Progress(0, 2, replied_at=NOW, advanced_at=NOW - 1.0), None),
+        (Progress(1, 2, replied_at=NOW, advanced_at=1.0), None),
+        (Progress(0, 2, replied_at=NOW, advanced_at=1.0), RemoveLearner(LEARNER)),
+    ],
+    ids=["receives a large snapshot", "has all entries", "makes no progress"],
+)
+def test_learner_that_replies_is_given_up_only_if_it_makes_no_progress(progress, change) -> None:
+    # The disk of the learner is full, so that it replies to heartbeats and never catches up.
+    state = leader_state(MEMBERS_WITH_LEARNER, silent=("b",))
+    state.progress_by_replica[LEARNER] = progress
+
+    assert next_membership_change(state, [SPARE], (), Placement(3)) == change
+
+
+def test_leaving_learner_is_given_up_without_a_spare() -> None:
+    # An operator empties the store that takes over the data of another one. It would become a voter
+    # in the moment in which its VM is taken away.
+    state = leader_state(MEMBERS_WITH_LEARNER)
+
+    assert next_membership_change(state, [], ("l",), Placement(3)) == RemoveLearner(LEARNER)
+
+
+def test_replica_that_was_given_up_is_the_last_choice() -> None:
+    # The leader alone cannot reach one of two spares, which both report to the directory. If it
+    # were tried again and again, the other one would never take over.
+    unreachable = ReplacementCandidate(LEARNER, "derby")
+    state = leader_state(MEMBERS_OF_THREE, silent=("b",))
+    state.learner_removed_at[LEARNER] = NOW - 1.0
+
+    assert next_membership_change(state, [unreachable, SPARE], (), Placement(3)) == Replace(
+        SPARE.replica, VOTERS[1]
+    )
+    assert next_membership_change(state, [unreachable], (), Placement(3)) == Replace(
+        LEARNER, VOTERS[1]
+    )
+    state.learner_removed_at[LEARNER] = NOW - LAST_CHOICE_S - 1.0
+    assert next_membership_change(state, [unreachable, SPARE], (), Placement(3)) == Replace(
+        LEARNER, VOTERS[1]
+    )
+
+
 def test_new_leader_waits_before_it_replaces_silent_voters() -> None:
     state = leader_state(MEMBERS_OF_THREE, silent=("b",))
     state.leader_since = NOW - 1.0
