Let a learner that returns with an empty disk begin anew

A VM that takes over a log and comes back with an empty disk at its address stayed a learner under its former disk, which nobody answers for. Without a further spare VM no repair went on.

Cause: only voters were looked up among the new disks that daemons report. Change: learners too; the new disk takes over for the same voter.

Before: 5 of 5 cases of test_replica_that_loses_its_disk_while_it_takes_over_begins_anew failed; after: pass.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
@@ -86,11 +86,13 @@
         if is_caught_up(state, learner.replica):
             _change(state, promote(members, learner))
             return
-    for voter in members.voters:
-        new_replica = state.non_member_by_daemon.pop(voter.daemon, None)
-        if new_replica is None or new_replica.disk_id == voter.disk_id:
+    replaced = [(voter, voter) for voter in members.voters]
+    replaced += [(learner.replica, learner.replaces) for learner in members.learners]
+    for lost, replaces in replaced:
+        new_replica = state.non_member_by_daemon.pop(lost.daemon, None)
+        if new_replica is None or new_replica.disk_id == lost.disk_id:
             continue
-        _add_learner(state, Learner(new_replica, replaces=voter))
+        _add_learner(state, Learner(new_replica, replaces))
         return
 
 
--- a/tests/unit/consensus/test_lost_learners.py
+++ b/tests/unit/consensus/test_lost_learners.py
@@ -150,6 +150,19 @@
     cluster.run_until_repaired(2 * REPAIRED_WITHIN_S)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_replica_that_loses_its_disk_while_it_takes_over_begins_anew(seed) -> None:
+    # The VM returns at its address with an empty disk. Its former disk never catches up, and no
+    # other VM is there to take its place.
+    cluster = RepairedRun(seed)
+    cluster.add_node()
+    cluster.lose("c2")
+    learner = cluster.run_until_learner()
+    cluster.wipe(cluster.node_by_daemon[learner])
+
+    cluster.run_until_repaired(REPAIRED_WITHIN_S)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_replica_that_is_frozen_while_it_takes_over_goes_on_if_it_is_the_only_one(seed) -> None:
     cluster = RepairedRun(seed)
