Remove a learner whose voter has been replaced by another one

A log of three could get a fourth voter: while a spare VM takes over for a frozen voter, that voter returns with an empty disk and is taken in as a learner as well; both were promoted. Four voters bear the loss of one, as three do, but need three for each write.

Cause: promote() does not ask whether the voter to be replaced still is one. Change: a learner whose voter is gone is removed by a committed change.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
@@ -83,6 +83,10 @@
         _change(state, replace(members, outgoing=()))
         return
     for learner in members.learners:
+        if learner.replaces is not None and learner.replaces not in members.voters:
+            # Another replica has replaced the voter. The learner would become a voter too many.
+            _remove_learner(state, learner)
+            return
         if is_caught_up(state, learner.replica):
             _change(state, promote(members, learner))
             return
--- a/tests/unit/consensus/test_lost_learners.py
+++ b/tests/unit/consensus/test_lost_learners.py
@@ -177,6 +177,26 @@
     assert {voter.daemon for voter in cluster.members.voters} == {"c1", learner, "c3"}
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_two_replicas_that_replace_the_same_voter_do_not_both_become_voters(seed) -> None:
+    # A frozen voter is being replaced by another VM when it returns with an empty disk. Its new
+    # disk takes over first; the other VM, frozen meanwhile, became a fourth voter.
+    cluster = RepairedRun(seed)
+    cluster.add_node()
+    returning = cluster.node_by_daemon["c2"]
+    returning.frozen = True
+    taking_over = cluster.node_by_daemon[cluster.run_until_learner()]
+    taking_over.frozen = True
+    returning.frozen = False
+    cluster.wipe(returning)
+    cluster.run_for(2.0)
+    taking_over.frozen = False
+    cluster.run_for(2.0)
+
+    assert {voter.daemon for voter in cluster.members.voters} == {"c1", "c2", "c3"}
+    assert cluster.is_repaired()
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_replica_lost_while_it_takes_over_is_given_up_by_the_next_leader(seed) -> None:
     # The next leader never heard of the learner; it counts the silence from its own election.
