Report a store as emptied only if no replica of its may be needed any more

An operator takes a VM away as soon as Retire.Read says completed. It said so for a store that was just taking over the log, for one whose removal was not committed, and before the jobs' leader knew of the retirement; the loss of that replica counts as none, and could come beside a loss that does.

Cause: completed meant not among the voters in force of the last renewal. Change: the jobs' leader reports learners and the members committed before as well, and its renewal must carry a view that contains the retirement.

Before: test_a_retirement_is_completed_once_the_jobs_leader_knows_of_it failed (completed at once); the fault was found by reading, no run of processes showed it. Open: a new leader of the jobs' log with an older view.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
@@ -143,6 +143,20 @@
     return state.now < progress.replied_at + state.config.election_timeout_s
 
 
+def holders(state: CoreState) -> tuple[str, ...]:
+    """
+    List the daemons whose disks the log needs, or may need.
+
+    The members in force may be uncommitted: the next leader can revert them, and the members before
+    are in force again.
+
+    :return: daemons of all voters and learners in force, and of those committed before.
+    """
+    committed = state.log.members_at(max(state.commit_index, state.log.snapshot.index))
+    replicas = (*all_replicas(state.log.members), *all_replicas(committed))
+    return tuple(dict.fromkeys(replica.daemon for replica in replicas))
+
+
 def with_learner(members: Members, learner: Learner) -> Members:
     """Return members with an added learner, which replaces any learner of the same daemon."""
     kept = tuple(
@@ -188,6 +202,7 @@
 
 
 __all__ = [
+    "holders",
     "is_caught_up",
     "may_change",
     "on_bootstrap",
--- a/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/directory.py
@@ -77,7 +77,8 @@
     :param member: the daemon with its disk, as a possible replica; None without a disk.
     :param usage: counts of the usage windows that are not closed yet.
     :param leads_jobs: whether the daemon is the leader of the jobs' log.
-    :param job_members: peer addresses of the replicas of that log; only from its leader.
+    :param job_members: peer addresses of the replicas of that log, learners included, and of those
+        that a change of its members may bring back; only from its leader.
     :param wall_s: the daemon's wall clock, in seconds since 1970.
     :param demand: pairs of service and recent maximum of items that could run at the same time;
         only from the jobs' leader.
--- a/packages/ibisspring-directory/src/ibisspring_directory/leader_context.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/leader_context.py
@@ -27,6 +27,7 @@
     :param holds_lease: whether this daemon is the leader and no other one can be.
     :param agreed_wall_s: the wall clock that most daemons agree on, in seconds since 1970.
     :param led_since: start of this daemon's term as the leader, in seconds on its boot clock.
+    :param view_revision: epoch and revision of the newest view.
     :param wait_until_applied: waits until a condition on the time, in seconds on the boot clock,
         holds for the daemons' sessions; returns whether it did within the time limit.
     """
@@ -41,6 +42,7 @@
     holds_lease: Callable[[], bool]
     agreed_wall_s: Callable[[], float]
     led_since: Callable[[], float]
+    view_revision: Callable[[], tuple[int, int]]
     wait_until_applied: Callable[[Callable[[float], bool]], Awaitable[bool]]
 
 
--- a/packages/ibisspring-directory/src/ibisspring_directory/retirements.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/retirements.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from ibisspring_core.messages.directory import Retire
     from ibisspring_directory.leader_context import LeaderContext
+    from ibisspring_directory.sessions import Session
 
 # Longest time, in seconds, until a store that was frozen or restarted renews its session again.
 STORE_RESTART_S = 4.0
@@ -25,12 +26,16 @@
 
     def __init__(self, context: LeaderContext) -> None:
         self._context = context
+        # The first view, by address of the store, that is known to contain its retirement.
+        self._view_by_address: dict[str, tuple[int, int]] = {}
 
     async def retire(self, message: Retire) -> Any:
         """
         Start the retirement of a store, or report its progress.
 
-        A store is retired when its replica of the jobs' log has moved to another store.
+        A store is retired when its replica of the jobs' log has moved to another store, and the
+        leader of that log knows of the retirement. Without the latter, this leader may be choosing
+        the store as a new replica at the moment.
         """
         now = boot_now()
         address = self._context.sessions.address_of(message.daemon)
@@ -54,7 +59,18 @@
             eliot.log_message("directory:retire", daemon=message.daemon, address=address)
         if address not in self._context.state.retiring or leader is None:
             return Retiring("active")
-        return Retiring("active" if address in leader.renew.job_members else "completed")
+        is_completed = self._is_known_to(leader, address)
+        is_completed = is_completed and address not in leader.renew.job_members
+        return Retiring("completed" if is_completed else "active")
+
+    def _is_known_to(self, leader: Session, address: str) -> bool:
+        """Whether the view of the jobs' leader contains a store's retirement."""
+        epoch, revision = self._context.view_revision()
+        known = self._view_by_address.get(address)
+        if known is None or known[0] != epoch:
+            known = (epoch, revision)
+            self._view_by_address[address] = known
+        return (leader.renew.epoch, leader.renew.revision) >= known
 
     def _retirement_refusal(self, address: str, now: float) -> Retiring | Refusal | None:
         """
--- a/packages/ibisspring-directory/src/ibisspring_directory/service.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/service.py
@@ -135,6 +135,7 @@
             holds_lease=self.holds_lease,
             agreed_wall_s=self.agreed_wall_s,
             led_since=lambda: self.led_since,
+            view_revision=lambda: (self._term, self.full_revision.number),
             wait_until_applied=self._wait_until_applied,
         )
         self._cold_engines = ColdEngines(context)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/membership.py
@@ -14,6 +14,7 @@
 
 from ibisspring_consensus import events
 from ibisspring_consensus.member_repair import MemberRepair
+from ibisspring_consensus.membership import holders
 from ibisspring_consensus.messages import Members, ReplicaId
 from ibisspring_consensus.own_member import own_member
 from ibisspring_consensus.repair import Placement, ReplacementCandidate
@@ -72,13 +73,11 @@
 
     def _describe(self, renew: Renew) -> Renew:
         consensus = self._consensus
-        members = consensus.core.members
-        replicas = (*members.voters, *members.outgoing)
         return replace(
             renew,
             member=own_member(self._settings, consensus),
             leads_jobs=consensus.is_leader,
-            job_members=tuple(replica.daemon for replica in replicas),
+            job_members=holders(consensus.core.state),
             demand=self._jobs.peak_demand() if consensus.is_leader else (),
             allowed=self._jobs.oldest_allowed_versions() if consensus.is_leader else (),
         )
--- a/tests/unit/consensus/test_repair.py
+++ b/tests/unit/consensus/test_repair.py
@@ -7,6 +7,7 @@
 
 from ibisspring_consensus.events import RemoveLearner, Replace
 from ibisspring_consensus.log import Log
+from ibisspring_consensus.membership import holders
 from ibisspring_consensus.messages import (
     MEMBERS,
     Entry,
@@ -194,6 +195,19 @@
     assert next_membership_change(state, [], ("l",), Placement(3)) == RemoveLearner(LEARNER)
 
 
+def test_disks_that_a_change_of_the_members_may_need_are_still_held() -> None:
+    # The operator takes a store's VM away once it holds no replica. A store that had just begun to
+    # take over, or whose removal the next leader could still revert, counted as emptied.
+    state = leader_state(MEMBERS_WITH_LEARNER)
+    assert holders(state) == ("a", "b", "c", "l")
+
+    without_b = Members((VOTERS[0], VOTERS[2], LEARNER), cluster="x")
+    state.log.append((Entry(2, 1, MEMBERS, encode(without_b)),))
+    assert set(holders(state)) == {"a", "b", "c", "l"}
+    state.commit_index = 2
+    assert holders(state) == ("a", "c", "l")
+
+
 def test_replica_that_was_given_up_is_the_last_choice() -> None:
     # The leader alone cannot reach one of two spares, which both report to the directory. If it
     # were tried again and again, the other one would never take over.
--- a/tests/unit/directory/test_service.py
+++ b/tests/unit/directory/test_service.py
@@ -329,6 +329,31 @@
     assert await directory.retirements.retire(Retire("1", begin=True)) == Retiring("active")
 
 
+async def test_a_retirement_is_completed_once_the_jobs_leader_knows_of_it(directory) -> None:
+    # The leader of the jobs' log has not heard of the retirement yet and may be choosing the store
+    # as a new replica. The operator would take the VM away together with that replica's disk.
+    async def lead_jobs(job_members: tuple[str, ...], **fields) -> View:
+        member = dataclasses.replace(REPLICA_HOLDER, address="10.0.1.2:1", daemon="2")
+        fields |= {"role": "store", "member": member, "leads_jobs": True}
+        return await directory.renew(
+            dataclasses.replace(renew("2"), job_members=job_members, **fields)
+        )
+
+    others = ("10.0.1.2:1", "10.0.1.3:1", "10.0.1.4:1")
+    await renew_stores(directory, "1", "2", "3", "4")
+    view = await lead_jobs(others)
+    assert await directory.retirements.retire(Retire("1", begin=True)) == Retiring("active")
+
+    view = await lead_jobs(others, epoch=view.epoch, revision=view.revision)
+    assert await directory.retirements.retire(Retire("1", begin=False)) == Retiring("active")
+    assert view.retiring == ("10.0.1.1:1",)
+    known = {"epoch": view.epoch, "revision": view.revision}
+    await lead_jobs((*others, "10.0.1.1:1"), **known)
+    assert await directory.retirements.retire(Retire("1", begin=False)) == Retiring("active")
+    await lead_jobs(others, **known)
+    assert await directory.retirements.retire(Retire("1", begin=False)) == Retiring("completed")
+
+
 async def test_a_store_without_renewals_past_the_restart_limit_counts_as_lost(
     directory, monkeypatch
 ) -> None:
