Forget a daemon's former disks when it begins to take over a log

A VM that takes over with a new disk could be exchanged at once for a disk that it had before and that the leader had seen then; the change would wait for a disk that is gone.

Change: what was seen before the daemon became a learner is dropped; a disk that it gets later is still taken in. Only a learner that was given up is the last choice, not one that was not needed any more.

Before: test_learner_is_not_exchanged_for_a_disk_that_its_daemon_had_before failed; after: passes.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/membership.py
@@ -126,6 +126,7 @@
     for learner in state.log.members.learners:
         if learner.replica == event.learner:
             _remove_learner(state, learner)
+            state.learner_removed_at[learner.replica] = state.now
             return True
     return False
 
@@ -183,8 +184,10 @@
 
 
 def _add_learner(state: CoreState, learner: Learner) -> None:
-    # What is known of the replica may date from an earlier time as a member.
+    # What is known of the replica, and of the daemon's disk, may date from an earlier time as a
+    # member.
     state.progress_by_replica.pop(learner.replica, None)
+    state.non_member_by_daemon.pop(learner.replica.daemon, None)
     _change(state, with_learner(state.log.members, learner))
 
 
@@ -193,7 +196,6 @@
     kept = tuple(other for other in members.learners if other != learner)
     _change(state, replace(members, learners=kept))
     state.progress_by_replica.pop(learner.replica, None)
-    state.learner_removed_at[learner.replica] = state.now
 
 
 def _change(state: CoreState, members: Members) -> None:
--- a/tests/unit/consensus/test_repair.py
+++ b/tests/unit/consensus/test_repair.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from ibisspring_consensus.events import RemoveLearner, Replace
+from ibisspring_consensus.events import RemoveLearner, Replace, ReplicaSeen
 from ibisspring_consensus.log import Log
-from ibisspring_consensus.membership import holders
+from ibisspring_consensus.membership import holders, on_replace, on_replica_seen, on_tick
 from ibisspring_consensus.messages import (
     MEMBERS,
     Entry,
@@ -195,6 +195,19 @@
     assert next_membership_change(state, [], ("l",), Placement(3)) == RemoveLearner(LEARNER)
 
 
+def test_learner_is_not_exchanged_for_a_disk_that_its_daemon_had_before() -> None:
+    # The leader once saw the former disk of a VM that now takes over with a new one. Without this,
+    # the learner would be exchanged for a disk that is gone.
+    state = leader_state(MEMBERS_OF_THREE, silent=("b",))
+    on_replica_seen(state, ReplicaSeen(ReplicaId("s", "former"), "x"))
+    assert on_replace(state, Replace(SPARE.replica, VOTERS[1]))
+    state.commit_index = state.log.last_index
+
+    on_tick(state)
+
+    assert state.log.members.learners == (Learner(SPARE.replica, VOTERS[1]),)
+
+
 def test_disks_that_a_change_of_the_members_may_need_are_still_held() -> None:
     # The operator takes a store's VM away once it holds no replica. A store that had just begun to
     # take over, or whose removal the next leader could still revert, counted as emptied.
