Test that a request on a connection which is just being closed is repeated

The test shows for each that the attempt which everybody can see serves the caller as soon, also with one endpoint and max_attempts 1.

--- a/tests/unit/gateway/test_repeated_exchange.py
+++ b/tests/unit/gateway/test_repeated_exchange.py
@@ -15,7 +15,7 @@
 )
 from unit.gateway.test_forward import REQUEST as LOOKUP_REQUEST
 
-from fakes.scripted_endpoint import scripted
+from fakes.scripted_endpoint import RESET, scripted
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.routes import Share
@@ -84,6 +84,25 @@
         assert (answer.status, answer.body) == (200, b"whole")
 
 
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+@pytest.mark.parametrize("max_attempts", [1, 2])
+async def test_request_on_a_connection_that_is_just_being_closed_is_repeated(
+    method, max_attempts
+) -> None:
+    # The endpoint closes an idle connection at the moment in which a request is sent on it. The
+    # HTTP client does not resend the request, and no other endpoint is there.
+    script = answers([response_bytes()], [RESET], [response_bytes()])
+    route = replace(ROUTE, max_attempts=max_attempts)
+    async with scripted(script) as endpoint, forwarder_to(endpoint) as forwarder:
+        repeating(forwarder)
+        await forwarder.forward(replace(REQUEST, method=method), route)
+        answer, took_s = await timed_forward(forwarder, route, replace(REQUEST, method=method))
+
+    assert answer.status == 200
+    assert took_s < 0.5
+    assert [head.split()[0] for head in endpoint.request_heads] == [method] * 3
+
+
 async def test_request_reaches_no_more_endpoints_than_the_route_allows() -> None:
     async with (
         scripted(lambda head: [FAILED]) as first,
