Let the soak lose stores for good and reset answers without a length

Stores are now lost for good, half of the time together with the one that takes over, and replaced at other addresses; every second endpoint answers without a length and resets a tenth of its answers. Both draw from sources of their own, so that the other faults of a seed stay.

--- a/tests/fakes/platform_engine.py
+++ b/tests/fakes/platform_engine.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import socket
+import struct
 import time
 from dataclasses import dataclass, field
 
@@ -11,6 +14,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.3
 EVENT_INTERVAL_S = 0.01
+_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 @dataclass
@@ -27,6 +31,8 @@
     :param answer_s: seconds until a call is answered.
     :param failing_attempts: attempt ids of the calls that are always answered 500.
     :param break_after: number of events after which the connection of a run is reset; None: never.
+    :param resets: decides which answers are reset on the way: a `reset_share` of them. Answers then
+        have no length and no chunks, and end with their connection; None: they have a length.
     :param crash_body: body of the calls that end the engine; empty for none.
     :param crash_after_s: seconds from the start of such a call to the end of the engine.
     :param restart_s: seconds from an end until the engine is started again, under another id.
@@ -55,6 +61,8 @@
     answer_s: float = 0.0
     failing_attempts: set[str] = field(default_factory=set)
     break_after: int | None = None
+    resets: random.Random | None = None
+    reset_share: float = 0.1
     crash_body: bytes = b""
     crash_after_s: float = 0.02
     restart_s: float = 1.0
@@ -172,6 +180,8 @@
         if not model:
             await asyncio.sleep(self.answer_s)
             status = 500 if request_headers["attempt-id"] in self.failing_attempts else 200
+            if self.resets is not None and status == 200:
+                await self._write_until_close(request, response_headers, [request.path.encode()])
             return web.Response(status=status, body=request.path.encode(), headers=response_headers)
         return await self._stream(
             request, request_headers, {**response_headers, "Weight-Versions": str(version)}
@@ -201,17 +211,42 @@
     async def _write_events(
         self, request: web.Request, request_headers: dict, headers: dict
     ) -> web.StreamResponse:
-        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        headers = {**headers, "Content-Type": "text/event-stream"}
+        numbers = range(int(request_headers.get("last-event-id", 0)) + 1, self.events + 1)
+        attempt = request_headers["attempt-id"]
+        events = [f"id: {number}\ndata: {attempt}-{number}\n\n".encode() for number in numbers]
+        if self.resets is not None:
+            await self._write_until_close(request, headers, events, self.event_s)
+        response = web.StreamResponse(headers=headers)
         await response.prepare(request)
-        for number in range(int(request_headers.get("last-event-id", 0)) + 1, self.events + 1):
+        for number, event in zip(numbers, events, strict=True):
             await asyncio.sleep(self.event_s)
             if self.break_after is not None and number > self.break_after:
                 request.transport.abort()
                 return response
-            text = f"{request_headers['attempt-id']}-{number}"
-            await response.write(f"id: {number}\ndata: {text}\n\n".encode())
+            await response.write(event)
         await response.write_eof()
         return response
 
+    async def _write_until_close(
+        self, request: web.Request, headers: dict, parts: list[bytes], part_s: float = 0.0
+    ) -> None:
+        """Write an answer that ends with its connection, or that is reset before its end."""
+        is_reset = self.resets.random() < self.reset_share
+        written = self.resets.randint(0, len(parts)) if is_reset else len(parts)
+        transport = request.transport
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers.items())]
+        transport.write("\r\n".join([*lines, "Connection: close", "", ""]).encode())
+        for part in parts[:written]:
+            await asyncio.sleep(part_s)
+            transport.write(part)
+        if is_reset:
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            connection = transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+            transport.abort()
+        transport.close()
+        raise ConnectionResetError
+
 
 __all__ = ["PlatformEngine"]
--- a/tests/integration/platform_system.py
+++ b/tests/integration/platform_system.py
@@ -197,9 +197,13 @@
     async def add_proxies(self) -> None:
         """Start the proxies of a proxied system."""
         for name in self.process_by_name:
-            address = self.peer_address(name)
-            proxy = await FaultProxy.in_front_of(listen_address(address), address)
-            self.proxy_by_name[name] = proxy
+            await self.add_proxy(name)
+
+    async def add_proxy(self, name: str) -> None:
+        """Start the proxy of one daemon of a proxied system."""
+        address = self.peer_address(name)
+        proxy = await FaultProxy.in_front_of(listen_address(address), address)
+        self.proxy_by_name[name] = proxy
 
     def restart(self, name: str, wipe: bool = False) -> None:
         """
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -12,7 +12,8 @@
 from integration.platform_system import platform_system
 
 SEED = 7
-SOAK_S = 8.0
+# Long enough for the loss of a store and of the one that takes over from it.
+SOAK_S = 30.0
 LONGER_THAN_THE_TEST_S = 60.0
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,7 +6,9 @@
 daemons are reset or go silent for good, and jobs are held and released. Disks are wiped one
 at a time, each after the other daemons with disks have caught up, so that the system never loses
 more disks at once than it tolerates. Accepted jobs and configurations must exist afterwards,
-results that were read must not change, and no daemon may end except by a fault. One caller repeats
+results that were read must not change, and no daemon may end except by a fault. Stores are lost for
+good and replaced by empty ones at other addresses, at times in the moment in which they take over.
+Some endpoints answer without a length and reset a part of their connections. One caller repeats
 a request that ends each endpoint that runs it: it must be stopped, and no other request with it.
 Seeds that showed a defect are listed in `tests/soak/seeds.txt`.
 """
@@ -68,6 +70,10 @@
 CRASH_PAUSE_S = (0.3, 1.5)
 MAX_CRASHES_AFTER_FAULTS = 3
 CRASH_CHECKS = 10
+# Addresses of stores that are lost for good one after the other, and the pause between two losses.
+SPARE_STORES = (4, 5, 6, 7, 8, 9)
+STORE_LOSS_PAUSE_S = (2.0, 8.0)
+TAKING_OVER_S = (3.0, 3.6)
 SPARE_DESCRIPTORS = (0, 4)
 MAX_DESCRIPTORS = 4096
 SEEDS = Path(__file__).parent / "seeds.txt"
@@ -158,6 +164,42 @@
             else:
                 await self._hit_connections(random_source)
 
+    async def store_losses(self, random_source: random.Random) -> None:
+        """Lose a store for good, and at times the empty one that takes over from it as well."""
+        spares = iter(SPARE_STORES)
+        for spare in spares:
+            await asyncio.sleep(random_source.uniform(*STORE_LOSS_PAUSE_S))
+            async with self.wiping:
+                await self._wait_for_replicas()
+                free = sorted(self._free_stores())
+                if not self.running() or not free:
+                    return
+                new = await self._add_store(spare)
+                await asyncio.sleep(random_source.uniform(0.0, 3.0))
+                await self._lose_store(random_source.choice(free))
+                if random_source.random() < 0.5:
+                    # After this time the lost store counts as silent, and the new one takes over.
+                    await asyncio.sleep(random_source.uniform(*TAKING_OVER_S))
+                    await self._lose_store(new)
+                    await self._add_store(next(spares))
+                self.disk_fault_end_s = time.monotonic()
+
+    async def _add_store(self, number: int) -> str:
+        name = f"store-{number}"
+        self.system.add("store", number, bootstrap=False).start()
+        await self.system.add_proxy(name)
+        return name
+
+    async def _lose_store(self, name: str) -> None:
+        while name in self.faulted:
+            await asyncio.sleep(POLL_S)
+        print(f"lose {name}", flush=True)
+        self.system.process_by_name.pop(name).kill()
+
+    def _free_stores(self) -> set[str]:
+        names = set(self.system.process_by_name) - self.faulted
+        return {name for name in names if name.startswith("store")}
+
     async def _hit_connections(self, random_source: random.Random) -> None:
         """Reset the open connections to some daemons, or silence them for good."""
         is_reset = random_source.random() < 0.5
@@ -203,7 +245,7 @@
         self.disk_fault_end_s = time.monotonic()
 
     async def _apply_to_daemon(self, fault: str, name: str, duration_s: float) -> None:
-        if name in self.faulted:
+        if name in self.faulted or name not in self.system.process_by_name:
             return
         self.faulted.add(name)
         try:
@@ -403,9 +445,13 @@
             await system.add_engine("archive")
         for engine in system.engines:
             engine.crash_body = CRASH_BODY
+        for number, engine in enumerate(system.engines):
+            # Some endpoints of each service answer with a length.
+            engine.resets = random.Random(seed + number) if number % 2 else None
         run = Soak(system, random.Random(seed), time.monotonic() + seconds)
         work = [run.faults() for _ in range(FAULT_SERIES)]
         work.append(run.link_faults(random.Random(-seed)))
+        work.append(run.store_losses(random.Random(seed + 2)))
         work.append(run.crashing_requests(random.Random(seed + 1)))
         work += [run.lookups(series) for series in range(LOOKUP_SERIES)]
         work += [run.jobs(series) for series in range(2)]
