Log and measure how much of its time the jobs' leader spends on decisions

Callers saw trainers' steps collapse. An entry's runner:not_sent told that an assignment came too late, not by how much, and nothing told whether the leader decided slowly, answered late, or the entry was slow.

jobs:busy gives the decisions of a second, their seconds and the runners' calls; dispatch_seconds and work_call_delay_seconds are the same as metrics; runner:not_sent has late_s.

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -195,6 +195,8 @@
                 continue
             if answer.epoch == self._epoch:
                 self._resume_runs(offered, answer.adopted)
+            delay_s = boot_now() - called_at_s - answer.held_s
+            self._counters.observe("work_call_delay_seconds", max(0.0, delay_s), "answered")
             # The leader assigned the items at the earliest when it had received the call and held
             # it for the stated time.
             self._apply_work(answer, called_at_s + answer.held_s + MAX_PACED_DELAY_S)
@@ -242,7 +244,7 @@
         assignment = run.assignment
         refusal = self._gate.item_refusal(assignment, begin_by_s) if assignment.endpoint else None
         if refusal is not None:
-            self._log_not_sent(assignment, refusal)
+            self._log_not_sent(assignment, refusal, begin_by_s)
             run.kind = TURNED_AWAY
         elif assignment.endpoint:
             kind = await self._generate_text(run)
@@ -264,7 +266,7 @@
                 return
         self._queue_outcome(outcome)
 
-    def _log_not_sent(self, assignment: Assignment, refusal: Reason) -> None:
+    def _log_not_sent(self, assignment: Assignment, refusal: Reason, begin_by_s: float) -> None:
         self._counters.add(f"runner.not_sent.{refusal.value}")
         eliot.log_message(
             "runner:not_sent",
@@ -275,6 +277,7 @@
             data_centre=assignment.data_centre,
             reason=refusal.value,
             view_age_s=round(self._view.age_s(), 3),
+            late_s=round(boot_now() - begin_by_s, 3),
         )
 
     def _queue_outcome(self, outcome: Outcome) -> None:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -41,6 +42,7 @@
     CloseJob,
     ForgetJobs,
 )
+from ibisspring_jobs.dispatch_load import DispatchLoad
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
 from ibisspring_jobs.job_reads import JobReads
 from ibisspring_jobs.peaks import Peaks
@@ -86,6 +88,7 @@
         self._state = kernel.find("jobs_state")
         self._view = kernel.find("directory_view")
         self._counters = kernel.find("counters")
+        self._load = DispatchLoad(self._counters)
         self._admission: Admission | None = None
         if self._settings.policy.admission:
             self._admission = Admission(
@@ -204,7 +207,12 @@
 
     def _match(self) -> None:
         if self.has_leader_lease():
-            self.dispatcher().assign_waiting_items(boot_now())
+            self._assign(self.dispatcher(), boot_now())
+
+    def _assign(self, dispatcher: Dispatcher, now: float) -> None:
+        started_s = time.perf_counter()
+        dispatcher.assign_waiting_items(now)
+        self._load.decided(time.perf_counter() - started_s)
 
     async def _tick(self, now: float) -> None:
         if not self.has_leader_lease():
@@ -224,7 +232,10 @@
         await self._keep_speeds(dispatcher, now)
         if self._admission is not None:
             await self._admission.tick(now, self._peaks.peak_by_service)
-        dispatcher.assign_waiting_items(now)
+        self._assign(dispatcher, now)
+        self._load.report(
+            now, len(dispatcher.runners.runner_by_address), len(dispatcher.run_by_number)
+        )
         dispatcher.move_stragglers(now)
         dispatcher.preempt(now)
         if self._settings.policy.shares:
@@ -310,7 +321,8 @@
         dispatcher.adopt(runner, call.held, called_at)
         runner.waiting = True
         runner.wake.clear()
-        dispatcher.assign_waiting_items(boot_now())
+        self._load.called()
+        self._assign(dispatcher, boot_now())
         if not (runner.outbox or runner.cancelled or runner.moved or call.held):
             try:
                 async with asyncio.timeout(call.hold_s):
@@ -362,7 +374,8 @@
                 job_and_result = dispatcher.outcomes.process(outcome, now)
                 if job_and_result is not None:
                     results_by_job.setdefault(job_and_result[0], []).append(job_and_result[1])
-        dispatcher.assign_waiting_items(now)
+        self._load.called()
+        self._assign(dispatcher, now)
         # A result without output refers to the parts in the log, so the parts are committed first.
         if not await self._results.commit_texts(
             parts_by_job
