Add a failing test: decisions take all of the time of the jobs' leader

The leader of the jobs' log makes one decision about all waiting items for each call and each report of a runner.

--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -195,3 +197,25 @@
     await jobs._tick(runner.received_at + RUNNER_TIMEOUT_S + 0.5)
 
     assert number in jobs.dispatcher().run_by_number
+
+
+async def test_decisions_leave_the_leader_time_to_answer_its_runners(jobs) -> None:
+    # With a decision for each call, the leader of a large fleet answers too late, its runners
+    # reject the late assignments, and each rejection leads to further calls.
+    service, _ = jobs
+    decision_s = 0.004
+    spent_s = 0.0
+
+    def decide(now: float) -> None:
+        nonlocal spent_s
+        time.sleep(decision_s)
+        spent_s += decision_s
+
+    service.dispatcher().assign_waiting_items = decide
+    began_at = boot_now()
+    calls = [TakeWork(f"e{n}", "derby", "x", 7, 1, (), 1, 0.2) for n in range(100)]
+    await asyncio.gather(*(service.take_work(call) for call in calls))
+    reports = [ReportWork(f"e{n}", 7, ()) for n in range(100)]
+    await asyncio.gather(*(service.report_work(report) for report in reports))
+
+    assert spent_s <= 0.5 * (boot_now() - began_at) + decision_s
