Make one decision of the jobs' leader for many events, within a part of its time

Cause: the leader of the jobs' log decided anew for each call and each report of each of 76 runners, each time comparing all waiting items with all engines. Where engines have a limit of requests a second, as here, a slot that may not be filled yet counts as free, so that no decision could be left out. Decisions took 0.47 to 0.61 s of each second, calls and reports most of the rest; answers came later than the 0.2 s that a paced assignment may take, runners rejected the items, and each rejection cost a report, a decision, a call and another decision. Nothing ended this circle when the trouble was over.

Change: a decision is requested by events and serves all since the one before. After each, the leader does other work for three times as long as it took, at most 0.1 s. The time of decisions is bounded by design and not by the number of runners, items or engines.

The charge of engine time is sampled at each check, since a decision may come later.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +44,7 @@
 from ibisspring_jobs.dispatch_load import DispatchLoad
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
 from ibisspring_jobs.job_reads import JobReads
+from ibisspring_jobs.paced_decisions import PacedDecisions
 from ibisspring_jobs.peaks import Peaks
 from ibisspring_jobs.result_commits import ResultCommits
 
@@ -89,6 +89,7 @@
         self._view = kernel.find("directory_view")
         self._counters = kernel.find("counters")
         self._load = DispatchLoad(self._counters)
+        self._decisions = PacedDecisions(self._decide, self._load.decided)
         self._admission: Admission | None = None
         if self._settings.policy.admission:
             self._admission = Admission(
@@ -104,7 +105,7 @@
         self._results = ResultCommits(self._state, self._propose)
         self.reads = JobReads(self._state, self._consensus, self.has_leader_lease)
         self._state.subscribe(self._on_job_changed)
-        self._view.subscribe(self._match)
+        self._view.subscribe(self._decisions.request)
         server = kernel.find("peer_server")
         handler_by_type = {
             SubmitJob: self.submit,
@@ -122,6 +123,7 @@
     async def stop(self) -> None:
         """Stop the checks of time limits and slow runs that take place every TICK_S seconds."""
         self._ticks.cancel()
+        self._decisions.stop()
 
     def has_leader_lease(self) -> bool:
         """
@@ -203,16 +205,11 @@
         self.reads.job_changed()
         if self._dispatcher is not None:
             self._dispatcher.cancel_finished_runs(job)
-        self._match()
+        self._decisions.request()
 
-    def _match(self) -> None:
+    def _decide(self) -> None:
         if self.has_leader_lease():
-            self._assign(self.dispatcher(), boot_now())
-
-    def _assign(self, dispatcher: Dispatcher, now: float) -> None:
-        started_s = time.perf_counter()
-        dispatcher.assign_waiting_items(now)
-        self._load.decided(time.perf_counter() - started_s)
+            self.dispatcher().assign_waiting_items(boot_now())
 
     async def _tick(self, now: float) -> None:
         if not self.has_leader_lease():
@@ -232,7 +229,8 @@
         await self._keep_speeds(dispatcher, now)
         if self._admission is not None:
             await self._admission.tick(now, self._peaks.peak_by_service)
-        self._assign(dispatcher, now)
+        dispatcher.sample_engine_time(now)
+        self._decisions.request()
         self._load.report(
             now, len(dispatcher.runners.runner_by_address), len(dispatcher.run_by_number)
         )
@@ -322,7 +320,7 @@
         runner.waiting = True
         runner.wake.clear()
         self._load.called()
-        self._assign(dispatcher, boot_now())
+        await self._decisions.wait()
         if not (runner.outbox or runner.cancelled or runner.moved or call.held):
             try:
                 async with asyncio.timeout(call.hold_s):
@@ -375,7 +373,7 @@
                 if job_and_result is not None:
                     results_by_job.setdefault(job_and_result[0], []).append(job_and_result[1])
         self._load.called()
-        self._assign(dispatcher, now)
+        self._decisions.request()
         # A result without output refers to the parts in the log, so the parts are committed first.
         if not await self._results.commit_texts(
             parts_by_job
