Accept later assignments after rejections, so that a busy leader's items still run

Cause: the time that an assignment may take was fixed. The limit of an engine holds for the time of sending, so a window of 1.2 s counts each assignment and runners reject what comes later. Rejections made the leader busier, and each of them paused an engine that had not even been asked, for 0.1 s.

Change: after a rejection the leader allows twice the time, up to 1.6 s, states it in the assignment (begin_within_s), and counts that assignment for one second longer than this time; after 5 s without a rejection it is halved. The engine's limit holds as before at every delay (property test with mixed delays, 200 examples). A busy leader costs paced engines a part of their rate instead of all of it. A late assignment is reported as late, which pauses no engine. A new leader waits 2.6 s instead of 1.2 s before it sends to cold engines, as its predecessor may have allowed the longest time.

Tests: test_items_run_although_each_assignment_comes_late fails for 0.3, 0.7 and 1.5 s with a fixed 0.2 s. Changed tests: the runner's test passes the time of the assignment instead of its end, with the same distance; the first window of a new sender is longer; the property test has mixed delays.

--- a/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
+++ b/packages/ibisspring-cli/src/ibisspring_cli/explanations.py
@@ -55,6 +55,7 @@
     "broken": "the engine's stream broke or stalled; the item continues on another engine",
     "failed": "the engine reported that this run failed; the item is retried",
     "stale": "the engine had another weight version than expected",
+    "late": "the assignment reached the entry too late; the item is assigned again",
     "turned_away": "the engine rejected the run without starting it",
     "unscored": "the item's reward call failed as often as permitted",
     "impossible": "the engine reported that no run can succeed: the item itself is invalid",
--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -12,7 +12,10 @@
 
 COMPLETED = "completed"
 PART = "part"
+LATE = "late"
 ABANDONED = "abandoned"
+# Seconds within which the runs of leaders begin that state no time of their own.
+DEFAULT_BEGIN_WITHIN_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -174,8 +177,9 @@
         abandoned.
     :param data_centre: data centre of the endpoint.
     :param paced: whether the endpoint bears only a limited number of requests per second, so that
-        the run must begin within MAX_PACED_DELAY_S seconds of its assignment or not at all.
+        the run must begin within `begin_within_s` seconds of its assignment or not at all.
     :param regions: regions in which the item and its reward call may run; None for all.
+    :param begin_within_s: seconds from the assignment until a paced run must have begun.
     """
 
     number: int
@@ -194,6 +198,7 @@
     data_centre: str = ""
     paced: bool = False
     regions: tuple[str, ...] | None = None
+    begin_within_s: float = DEFAULT_BEGIN_WITHIN_S
 
 
 @dataclass(frozen=True)
@@ -304,7 +309,8 @@
     :param kind: PART while the run continues; `done`; `failed` if the endpoint reported that this
         run failed; `impossible` if it reported that no run can succeed; `broken` if the stream
         broke or timed out; `turned_away` if the endpoint rejected the request before it started;
-        `stale` if the endpoint has another weight version; `returned` if the runner gave the run
+        `stale` if the endpoint has another weight version; LATE if the runner got the assignment
+        too late and sent no request; `returned` if the runner gave the run
         back because its VM is near a limit; `unscored` if the reward call failed
         the maximum number of times.
     :param output: data of the run's events since the last report, joined by line feeds.
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/paced_sends.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/paced_sends.py
@@ -11,7 +11,10 @@
 engine nothing while the limit is above the rate at which its slots become free.
 
 The limit holds for the time at which requests are sent. An assignment reaches its sender after some
-delay, so the window is longer than the second by the longest delay that a sender accepts.
+delay, so each one counts for a second longer than the longest delay that its sender accepts. Where
+a busy leader's assignments arrive later than that, they are rejected; with a fixed delay all of
+them would be, and nothing would run. `PacedDelay` therefore accepts longer delays after rejections,
+at the cost of fewer requests per second.
 """
 
 from __future__ import annotations
@@ -19,11 +22,19 @@
 import math
 from collections import deque
 
-# Longest time in seconds from an assignment until its request is sent. A sender that was frozen or
-# cut off in between rejects the assignment.
-MAX_PACED_DELAY_S = 0.2
-# Length of the sliding window in seconds: one second, and the longest delay.
-WINDOW_S = 1.0 + MAX_PACED_DELAY_S
+# Time span of the limit in seconds.
+LIMIT_SPAN_S = 1.0
+# Longest time in seconds from an assignment until its request is sent, as long as none came later.
+# A sender that was frozen or cut off in between rejects the assignment.
+PACED_DELAY_S = 0.2
+# The same after repeated rejections.
+MAX_PACED_DELAY_S = 1.6
+# Seconds without a rejection after which the accepted delay is halved.
+DELAY_CALM_S = 5.0
+# Seconds for which a request counts that is sent within the usual delay.
+WINDOW_S = LIMIT_SPAN_S + PACED_DELAY_S
+# The same for any request.
+MAX_WINDOW_S = LIMIT_SPAN_S + MAX_PACED_DELAY_S
 
 
 def requests_per_window(cold_requests_per_s: float, overshoot: float, slack: float) -> int | None:
@@ -50,19 +61,50 @@
     return limit // 2
 
 
+class PacedDelay:
+    """
+    The longest delay that senders accept, which follows the rejections of late assignments.
+
+    In all methods `now` is in seconds on one steady clock.
+    """
+
+    def __init__(self) -> None:
+        self._delay_s = PACED_DELAY_S
+        self._raised_at = float("-inf")
+        self._calm_since = float("-inf")
+
+    def current_s(self, now: float) -> float:
+        """Return the longest delay of an assignment that is made now, in seconds."""
+        if self._delay_s > PACED_DELAY_S and now - self._calm_since >= DELAY_CALM_S:
+            self._delay_s = max(PACED_DELAY_S, self._delay_s / 2)
+            self._calm_since = now
+        return self._delay_s
+
+    def rejected(self, now: float) -> None:
+        """
+        Record that a sender rejected an assignment because it came too late.
+
+        Assignments that were made before the delay was raised do not raise it again.
+        """
+        self._calm_since = now
+        if now - self._raised_at < 2 * self._delay_s:
+            return
+        self._delay_s = min(MAX_PACED_DELAY_S, 2 * self._delay_s)
+        self._raised_at = now
+
+
 class PacedSends:
     """
-    The requests that one sender has sent to each endpoint within the last window.
+    The requests that one sender has sent to each endpoint and that count against its limit.
 
     In all methods `now` is in seconds on one steady clock.
 
-    :param first_window_until: end of the first window of this sender, during which an earlier
-        sender's requests may still count against the limit.
+    :param first_window_until: time from which no request of an earlier sender counts any more.
     """
 
     def __init__(self, started_at: float) -> None:
-        self.first_window_until = started_at + WINDOW_S
-        self._sent_at_by_endpoint: dict[str, deque[float]] = {}
+        self.first_window_until = started_at + MAX_WINDOW_S
+        self._counted_until_by_endpoint: dict[str, deque[float]] = {}
 
     def free(self, endpoint: str, limit: int, is_cold: bool, now: float) -> int:
         """
@@ -76,23 +118,33 @@
         """
         if is_cold and now < self.first_window_until:
             return 0
-        sent_at = self._sent_at_by_endpoint.get(endpoint)
-        if sent_at is None:
+        counted_until = self._counted_until_by_endpoint.get(endpoint)
+        if counted_until is None:
             return limit
-        while sent_at and sent_at[0] <= now - WINDOW_S:
-            sent_at.popleft()
-        if not sent_at:
-            del self._sent_at_by_endpoint[endpoint]
+        while counted_until and counted_until[0] <= now:
+            counted_until.popleft()
+        if not counted_until:
+            del self._counted_until_by_endpoint[endpoint]
             return limit
-        return max(0, limit - len(sent_at))
+        return max(0, limit - len(counted_until))
 
-    def record(self, endpoint: str, now: float) -> None:
-        """Record a request that is sent to an endpoint."""
-        self._sent_at_by_endpoint.setdefault(endpoint, deque()).append(now)
+    def record(self, endpoint: str, now: float, delay_s: float = PACED_DELAY_S) -> None:
+        """
+        Record a request that is sent to an endpoint.
+
+        :param delay_s: longest time in seconds until it is sent.
+        """
+        counted_until = self._counted_until_by_endpoint.setdefault(endpoint, deque())
+        counted_until.append(now + LIMIT_SPAN_S + delay_s)
 
 
 __all__ = [
+    "DELAY_CALM_S",
+    "LIMIT_SPAN_S",
     "MAX_PACED_DELAY_S",
+    "MAX_WINDOW_S",
+    "PACED_DELAY_S",
+    "PacedDelay",
     "PacedSends",
     "WINDOW_S",
     "forwarded_part",
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -12,8 +12,7 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.leader_client import LeaderClient
-from ibisspring_core.messages.jobs import PART, Outcome, ReportWork, SubmitJob, TakeWork, Work
-from ibisspring_decisions.paced_sends import MAX_PACED_DELAY_S
+from ibisspring_core.messages.jobs import LATE, PART, Outcome, ReportWork, SubmitJob, TakeWork, Work
 from ibisspring_gateway.active_runs import ActiveRun, ActiveRuns
 from ibisspring_gateway.exchange import LASTING_RETRY_AFTER_S
 from ibisspring_gateway.item_run import run_item
@@ -199,7 +198,7 @@
             self._counters.observe("work_call_delay_seconds", max(0.0, delay_s), "answered")
             # The leader assigned the items at the earliest when it had received the call and held
             # it for the stated time.
-            self._apply_work(answer, called_at_s + answer.held_s + MAX_PACED_DELAY_S)
+            self._apply_work(answer, called_at_s + answer.held_s)
 
     def _free_streams(self) -> int:
         if self._limits is not None:
@@ -219,7 +218,7 @@
         if offered:
             eliot.log_message("runner:resumed", offered=len(offered), adopted=len(adopted))
 
-    def _apply_work(self, work: Work, begin_by_s: float) -> None:
+    def _apply_work(self, work: Work, assigned_at_s: float) -> None:
         if work.epoch != self._epoch:
             # Outcomes that are not confirmed are rebuilt from the held runs, if the new leader
             # adopts these.
@@ -238,6 +237,7 @@
         for assignment in work.assignments:
             run = ActiveRun(assignment, assignment.number)
             self._runs.add(run)
+            begin_by_s = assigned_at_s + assignment.begin_within_s
             run.start(self._run_assignment(run, begin_by_s))
 
     async def _run_assignment(self, run: ActiveRun, begin_by_s: float) -> None:
@@ -245,7 +245,7 @@
         refusal = self._gate.item_refusal(assignment, begin_by_s) if assignment.endpoint else None
         if refusal is not None:
             self._log_not_sent(assignment, refusal, begin_by_s)
-            run.kind = TURNED_AWAY
+            run.kind = LATE if refusal is Reason.STALE else TURNED_AWAY
         elif assignment.endpoint:
             kind = await self._generate_text(run)
             run.kind = RETURNED if run.returned and kind == "broken" else kind
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -363,6 +363,7 @@
             data_centre=record.data_centre if record is not None else "",
             paced=record is not None and self._context.paced_limit(job.service) is not None,
             regions=job.regions,
+            begin_within_s=self.engines.paced_delay.current_s(now),
         )
         run = Run(
             self._last_number,
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/engines.py
@@ -12,7 +12,7 @@
 
 from ibisspring_core.kept_connections import IdleConnections
 from ibisspring_decisions.dispatch import EngineCapacity
-from ibisspring_decisions.paced_sends import PacedSends
+from ibisspring_decisions.paced_sends import PacedDelay, PacedSends
 from ibisspring_jobs.paces import EnginePaces
 
 if TYPE_CHECKING:
@@ -27,7 +27,8 @@
 
 # Seconds for which an engine gets no new runs after one of its runs ended badly, by the kind of the
 # outcome: the stream broke, the engine rejected the run, or it had another weight version than
-# expected. After this time the daemon's directory view usually shows the cause.
+# expected. Other outcomes do not concern the engine. After this time the daemon's directory view
+# usually shows the cause.
 PAUSE_S = {"broken": 0.5, "turned_away": 0.1, "stale": 0.2, "failed": 0.0, "returned": 0.0}
 # Memory of an engine, in tokens, if its service states no limit: more than all items can take.
 UNLIMITED_MEMORY_TOKENS = 1 << 30
@@ -40,6 +41,7 @@
     In all methods `now` is in seconds since boot.
 
     :param paces: for each engine, the seconds that it takes per event of a stream.
+    :param paced_delay: the longest delay of assignments to engines with a limit of requests.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.paces = EnginePaces(recorder)
         self._recorder = recorder
         self._context = context
+        self.paced_delay = PacedDelay()
         self._paced = PacedSends(now)
         self._idle_by_runner = IdleConnections()
         self._idle = IdleConnections()
@@ -172,7 +175,7 @@
         :param runner: address of the runner.
         :param group: job id and group of the run's item; the items of a group share their prompt.
         """
-        self._paced.record(engine, now)
+        self._paced.record(engine, now, self.paced_delay.current_s(now))
         self._idle_by_runner.take_idle((runner, engine), now)
         self._idle.take_idle((engine,), now)
         self._groups_by_engine.setdefault(engine, set()).add(group)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
@@ -11,7 +11,7 @@
 
 import eliot
 
-from ibisspring_core.messages.jobs import PART, ItemResult, Outcome, TextPart
+from ibisspring_core.messages.jobs import LATE, PART, ItemResult, Outcome, TextPart
 from ibisspring_decisions.crash_suspects import item_pause_s
 from ibisspring_jobs.progress import ItemProgress, abandoned_result
 
@@ -166,6 +166,10 @@
         )
         if outcome.kind in ("impossible", "unscored"):
             return run.job, abandoned_result(run.item)
+        if outcome.kind == LATE:
+            # The engine has not been asked, so that it may get other runs at once.
+            self._engines.paced_delay.rejected(now)
+            return None
         if run.moved or run.scoring:
             return None
         self._engines.pause(run.endpoint, job_record.job.model, outcome.kind, now)
