Find the engines of each job once a decision, and the newest start of an address once a change

Decisions cost nine times as much as on in the first second of traffic: 1.9 ms each instead of 0.2 ms.

Change: the plan's jobs and the others share one look-up; the table of endpoints keeps the newest start by address until a record changes.

--- a/packages/ibisspring-core/src/ibisspring_core/endpoint_table.py
+++ b/packages/ibisspring-core/src/ibisspring_core/endpoint_table.py
@@ -61,6 +61,7 @@
     def __init__(self, ttl_s: float) -> None:
         self._ttl_s = ttl_s
         self._received_by_endpoint: dict[str, ReceivedRecord] = {}
+        self._newest_by_address: dict[str, int] | None = None
         self.changed: set[str] = set()
 
     def merge(self, record: EndpointRecord, received_at: float, direct: bool = True) -> str:
@@ -132,6 +133,7 @@
     def _put(self, received: ReceivedRecord, known: ReceivedRecord | None) -> None:
         endpoint = received.record.endpoint
         self._received_by_endpoint[endpoint] = received
+        self._newest_by_address = None
         if known is None or comparable_fields(received.record) != comparable_fields(known.record):
             self.changed.add(endpoint)
             return
@@ -152,6 +154,7 @@
             age_s = now - received.received_at
             if age_s > self._ttl_s * DELETE_AFTER_TTLS:
                 del self._received_by_endpoint[endpoint]
+                self._newest_by_address = None
                 self.changed.discard(endpoint)
                 continue
             if age_s <= self._ttl_s or received.record.state in (GONE, LEAVING):
@@ -189,11 +192,15 @@
 
         A delayed announcement may arrive after its endpoint has exited and another endpoint has
         started at the same address. Without this check both endpoints would count as serving there.
+        The result is kept until a record changes, since endpoints are listed far more often.
         """
+        if self._newest_by_address is not None:
+            return self._newest_by_address
         newest: dict[str, int] = {}
         for received in self._received_by_endpoint.values():
             record = received.record
             newest[record.address] = max(newest.get(record.address, 0), record.incarnation)
+        self._newest_by_address = newest
         return newest
 
     def records(self) -> tuple[ReceivedRecord, ...]:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -205,7 +205,10 @@
         if self.planner is not None:
             yield from self._waiting_by_plan(self.planner, service, engines, now)
             return
-        yield from self._waiting_by_rank(self._jobs_by_rank(service), engines, now)
+        for job_record in self._jobs_by_rank(service):
+            allowed = engines.allowed(job_record.job, now)
+            if allowed:
+                yield from self._waiting_items_of(job_record, allowed, now)
 
     def _jobs_by_rank(self, service: str) -> list[JobRecord]:
         jobs = [job_record for job_record in self._open_jobs() if job_record.job.service == service]
@@ -238,14 +241,6 @@
         job_record = self._state.job_by_id.get(key[0])
         return job_record is not None and key[1] in job_record.item_by_id
 
-    def _waiting_by_rank(
-        self, jobs: Iterable[JobRecord], engines: Engines, now: float
-    ) -> Iterator[WaitingItem]:
-        for job_record in jobs:
-            allowed = engines.allowed(job_record.job, now)
-            if allowed:
-                yield from self._waiting_items_of(job_record, allowed, now)
-
     def _waiting_by_plan(
         self,
         planner: ItemPlanner,
@@ -257,18 +252,16 @@
         allowed_by_job = self.startable_jobs(service, engines, now)
         jobs = self.records(allowed_by_job)
         planned = planner.item_order(service, jobs, now)
-        if planned.items is None:
-            yield from self._waiting_by_rank(jobs, engines, now)
-            return
         job_by_id = {job_record.job.job: job_record for job_record in jobs}
-        for job_id, item in planned.items:
+        for job_id, item in planned.items or ():
             job_record = job_by_id.get(job_id)
             if job_record is None or item.item not in job_record.item_by_id:
                 continue
             if self._may_start((job_id, item.item), now):
                 yield _waiting_item(job_record, item, allowed_by_job[job_id])
-        unplanned = [job_record for job_record in jobs if job_record.job.job not in planned.jobs]
-        yield from self._waiting_by_rank(unplanned, engines, now)
+        for job_id, job_record in job_by_id.items():
+            if planned.items is None or job_id not in planned.jobs:
+                yield from self._waiting_items_of(job_record, allowed_by_job[job_id], now)
 
     def _waiting_items_of(
         self, job_record: JobRecord, engines: frozenset[str], now: float
--- a/tests/unit/core/test_endpoint_table.py
+++ b/tests/unit/core/test_endpoint_table.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from ibisspring_core.endpoint_table import EndpointTable
+from ibisspring_core.endpoint_table import DELETE_AFTER_TTLS, EndpointTable
 from ibisspring_core.messages.endpoints import EndpointLoad, EndpointRecord
 from ibisspring_entry.registry.peer_sent import SentToPeer
 from ibisspring_entry.registry.peer_wire import encode_records, merge_records
@@ -146,3 +146,21 @@
     assert tables[0].digest() == tables[1].digest()
     tables[1].merge(after(after(FIRST), state="leaving"), 0.1)
     assert tables[0].digest() != tables[1].digest()
+
+
+def test_only_the_newest_start_at_an_address_serves_after_each_change_of_the_table() -> None:
+    table = EndpointTable(TTL_S)
+    newer = dataclasses.replace(FIRST, endpoint="scorer-2", incarnation=2)
+
+    def serving(now: float) -> list[str]:
+        return [record.endpoint for record in table.serving("scorer-lm", now)]
+
+    table.merge(FIRST, 0.0)
+    assert serving(0.0) == ["scorer-1"]
+    table.merge(newer, 0.0)
+    assert serving(0.0) == ["scorer-2"]
+    later = TTL_S * DELETE_AFTER_TTLS + 0.1
+    table.merge(after(FIRST), later)
+    assert serving(later) == []
+    table.expire(later)
+    assert serving(later) == ["scorer-1"]
