Never suspect accepted work of ending its endpoints

What callers saw (the users' report from a system like ours): after a burst of crashes some items of a batch or a step were never run again, although all was calm and the servers had room.

Cause: reward calls of items pass the callers' forwarder, and prompts of trainers' steps the service of callers' generations. Both were suspects like callers' requests: three ends, one of them in a trial, put sound work into quarantine for good. Items themselves were paused 1 to 4 s and run again.

Change: a request says whether it is accepted work. Items of jobs have the same pauses, at most 1 s instead of 4 s. Callers' own requests keep their quarantine.

--- a/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/crash_suspects.py
@@ -41,11 +41,12 @@
 TRIAL_RETRY_AFTER_S = 1.0
 # The same for a request in quarantine, which only an operator releases.
 QUARANTINE_RETRY_AFTER_S = 60.0
-# Pause of an item after its second end in a row without an event, in seconds; it doubles with each
-# further end. An item stays open until its time limit, so it is run again, but not at one engine
-# after the other. A healthy item that was at two ending engines still has most of its time left.
-FIRST_ITEM_PAUSE_S = 1.0
-MAX_ITEM_PAUSE_S = 4.0
+# Pause of accepted work after its second end in a row without an event or answer, in seconds; it
+# doubles with each further end. Such work stays open until its time limit, so it runs again, but
+# not at one engine after the other. Sound work that was at several ending engines still has most of
+# its time left after the longest pause.
+FIRST_ITEM_PAUSE_S = 0.25
+MAX_ITEM_PAUSE_S = 1.0
 
 
 class Standing(enum.Enum):
@@ -80,9 +81,10 @@
 
 def item_pause_s(ends: int) -> float:
     """
-    Return the seconds until an item of a job may run again.
+    Return the seconds until accepted work, such as an item of a job, may run again.
 
-    :param ends: number of its last runs, in a row, whose endpoints ended before the first event.
+    :param ends: number of its last runs, in a row, whose endpoints ended before the first event, or
+        before an answer.
     """
     if ends < TRIAL_ENDS:
         return 0.0
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/messages.py
@@ -32,6 +32,7 @@
         an engine that never returns a token.
     :param is_still_allowed: called when the request has got a slot; False rejects it, because its
         key may have been withdrawn while it waited.
+    :param accepted: the request is work that was accepted for later, and is repeated until done.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     excluded_endpoints: tuple[str, ...] = ()
     on_endpoint_chosen: Callable[[str], None] | None = None
     is_still_allowed: Callable[[], bool] | None = None
+    accepted: bool = False
 
 
 @dataclass(frozen=True)
@@ -113,6 +115,7 @@
     :param deadline_s: seconds from the call within which the complete answer is needed.
     :param is_still_allowed: called when the request has got a slot; False rejects it, because its
         key may have been withdrawn while it waited.
+    :param accepted: the request is work that was accepted for later, and is repeated until done.
     """
 
     request_id: str
@@ -126,6 +129,7 @@
     deadline_s: float = 60.0
     correlation_id: str = ""
     is_still_allowed: Callable[[], bool] | None = None
+    accepted: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/gathering.py
@@ -223,6 +223,7 @@
             + member.engines_in_use(),
             deadline_s=ATTEMPT_TIMEOUT_S,
             on_endpoint_chosen=engine.set_endpoint,
+            accepted=True,
         )
         return AttemptPlan(sample_id, group.group, member.member, group.prompt, request)
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/reward_calls.py
@@ -139,7 +139,8 @@
         rejected = False
         try:
             request = self._wire.reward_request(call, max(0.001, deadline_at_s - boot_now()))
-            request = replace(request, regions=common_regions(route.regions or None, regions))
+            allowed = common_regions(route.regions or None, regions)
+            request = replace(request, regions=allowed, accepted=True)
             time_limit_s = max(MIN_TIME_LIMIT_S, TIME_LIMIT_TARGETS * route.target_s)
             # The route's repeat rule is meant for callers' requests; a reward call may always be
             # repeated.
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
@@ -25,6 +25,7 @@
     :param remaining_s: seconds until the caller's deadline, counted from the arrival of the
         request; None where the caller sent no deadline.
     :param regions: regions in which the request may run; None for all.
+    :param accepted: the request is work that was accepted for later, and is repeated until done.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     client_account: str
     remaining_s: float | None
     regions: tuple[str, ...] | None = None
+    accepted: bool = False
 
 
 class ResponseKind(enum.Enum):
--- a/tests/unit/gateway/test_crash_suspects.py
+++ b/tests/unit/gateway/test_crash_suspects.py
@@ -8,9 +8,23 @@
 from types import SimpleNamespace
 
 import pytest
-from unit.gateway.test_forward import LOOKUP_ROUTE, REQUEST, forwarder_to, response_bytes
+from unit.gateway.test_forward import (
+    LOOKUP_ROUTE,
+    REQUEST,
+    forwarder_to,
+    records_of,
+    response_bytes,
+)
+from unit.gateway.test_reward_calls import (
+    LEDGER_ROUTE,
+    REWARD_CALL,
+    SCORED_RESPONSE,
+    _RewardWire,
+    route_index_of,
+)
 
 from fakes.scripted_endpoint import scripted
+from ibisspring_core.clock import boot_now
 from ibisspring_core.connections import is_refused
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.messages.crash_suspects import (
@@ -21,8 +35,10 @@
     SuspectSummary,
     TrialStarted,
 )
+from ibisspring_decisions.crash_suspects import MAX_ITEM_PAUSE_S, Standing
 from ibisspring_gateway.attempts import EndpointResponse
 from ibisspring_gateway.crash_suspects import identified
+from ibisspring_gateway.reward_calls import RewardCalls
 
 ROUTE = replace(LOOKUP_ROUTE, max_attempts=3)
 # Seconds that the leader takes to answer: a round trip and a commit.
@@ -266,3 +282,67 @@
             while not leader.calls_of(ReportEnd):
                 await asyncio.sleep(0.02)
         assert refusals == []
+
+
+async def test_a_reward_call_under_which_endpoints_ended_is_scored_after_the_crashes() -> None:
+    # Several endpoints crash for another reason while they run the same sound reward call. It was
+    # taken for a request that ends endpoints, and its item was never scored.
+    leader = Leader()
+    calls = RewardCalls()
+    wire = _RewardWire()
+    async with (
+        ending_endpoint() as a,
+        ending_endpoint() as b,
+        ending_endpoint() as c,
+        ending_endpoint() as d,
+        scripted(lambda head: [SCORED_RESPONSE]) as sound,
+        forwarder_to(
+            a, b, c, d, index=route_index_of(LEDGER_ROUTE), wire=wire, users=(calls,)
+        ) as forwarder,
+    ):
+        know(forwarder, leader, 0)
+        scored = asyncio.create_task(calls.score(REWARD_CALL, 3, boot_now() + 30.0))
+        while sum(len(one.heads) for one in (a, b, c, d)) < 4:
+            await asyncio.sleep(0.01)
+        forwarder.view.serving = lambda service: records_of([sound])
+        calm_at_s = boot_now()
+
+        assert await asyncio.wait_for(scored, 10.0) == "0.7"
+        assert boot_now() - calm_at_s < MAX_ITEM_PAUSE_S + 1.0
+
+    assert leader.calls_of(ReportEnd) == []
+
+
+async def test_a_reward_call_is_sent_although_a_callers_request_like_it_is_in_quarantine() -> None:
+    wire = _RewardWire()
+    request = replace(wire.reward_request(REWARD_CALL, 10.0), accepted=True)
+    callers = replace(request, accepted=False)
+    async with (
+        scripted(lambda head: [SCORED_RESPONSE]) as endpoint,
+        forwarder_to(endpoint, wire=wire) as forwarder,
+    ):
+        forwarder.view.view = replace(
+            forwarder.view.view,
+            suspects={identified(callers).identity(): SuspectSummary(3, True)},
+            suspect_change=1,
+        )
+        refused = await forwarder.forward(callers, LEDGER_ROUTE)
+        sent = await forwarder.send(request, LEDGER_ROUTE, 3.0)
+
+    assert refused.reason is Reason.CRASH_SUSPECT
+    assert isinstance(sent.answer, EndpointResponse)
+    assert len(endpoint.request_heads) == 1
+
+
+async def test_ends_under_a_reward_call_do_not_concern_a_callers_request_like_it() -> None:
+    leader = Leader()
+    request = replace(REQUEST, accepted=True)
+    async with ending_endpoint() as a, ending_endpoint() as b, forwarder_to(a, b) as forwarder:
+        know(forwarder, leader, 0)
+        for _ in range(2):
+            await forwarder.send(request, ROUTE, 3.0)
+        suspects = forwarder._crash_suspects
+
+        assert suspects.standing(REQUEST) is Standing.CLEAR
+        assert (await suspects.admit(request, "archive", 3.0)).retry_after_s <= MAX_ITEM_PAUSE_S
+        assert await suspects.admit(REQUEST, "archive", 3.0) is None
