Read each answer up to a limit, and all answers of a daemon up to a common one

What callers saw (the users' report): servers in trouble send bytes without end, in a head or a body, until the caller closes.

Cause: six places read an answer to its end without a limit; three more had limits of their own or none in total.

Change: response_bodies.py reads all bodies. An answer has max_answer_bytes (a setting, 16 MiB), an answer about state, orders, reports and scores 1 MiB; a Content-Length above it is an error at once. All bodies that a daemon reads take at most a quarter of its memory (64 MiB if unknown); beyond it the largest one is dropped, so that small answers are not lost. A dropped body is an error, not an end, also without a length. An item's stream counts in the same way. The HTTP client closes a connection that brings 1 MiB without a byte of a body (heads, informational responses, sizes and extensions of chunks, trailers). Tokens beyond max_tokens are a mismatched answer.

Tests: ten kinds of bytes without an end; with a plain read of the body six of them fail (body without a length, chunks, length of an exabyte, size and extension of a chunk, informational responses), the HTTP client ends the other four by itself. A test finds bodies that are read elsewhere.

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -13,10 +13,15 @@
 from ibisspring_core.guarded_http import HttpAnswer, NoAnswer
 from ibisspring_core.http_sessions import ends_with_connection, open_session
 from ibisspring_core.kept_connections import IdleConnections
+from ibisspring_core.response_bodies import DEFAULT_ANSWER_BYTES, ResponseMemory, read_body
 
 if TYPE_CHECKING:
+    from contextlib import AbstractContextManager
+
     from ibisspring_core.guarded_http import HttpRequest
     from ibisspring_core.kernel import Kernel
+    from ibisspring_core.response_bodies import BodyReading
+    from ibisspring_core.settings.vm import VmSettings
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -50,10 +55,24 @@
 
     name = "connections"
 
-    def __init__(self) -> None:
+    def __init__(
+        self, max_answer_bytes: int = DEFAULT_ANSWER_BYTES, memory: ResponseMemory | None = None
+    ) -> None:
         self._session: aiohttp.ClientSession | None = None
         self._new_session: aiohttp.ClientSession | None = None
         self._kept = IdleConnections()
+        self._max_answer_bytes = max_answer_bytes
+        self._memory = memory or ResponseMemory()
+
+    @classmethod
+    def from_config(cls, settings: VmSettings) -> Connections:
+        """
+        Build the pool of a daemon.
+
+        :param settings: validated settings, with the limit of an answer and the daemon's memory.
+        """
+        memory = ResponseMemory.from_memory_mb(settings.size.memory_mb)
+        return cls(settings.max_answer_bytes, memory)
 
     async def start(self, kernel: Kernel) -> None:
         """Create the pool; connections open with the first requests."""
@@ -105,6 +124,19 @@
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         )
 
+    async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        """
+        Read an endpoint's answer to its end.
+
+        :raises BodyTooLargeError: if it exceeds the limit of an answer, or all that this daemon
+            reads exceed theirs.
+        """
+        return await read_body(response, self._max_answer_bytes, self._memory)
+
+    def reading(self, response: aiohttp.ClientResponse) -> AbstractContextManager[BodyReading]:
+        """Count an endpoint's stream, which the caller reads, while the context is open."""
+        return self._memory.reading(response, self._max_answer_bytes)
+
     def _session_for(self, is_new: bool) -> aiohttp.ClientSession:
         if not is_new:
             return self._session
@@ -132,7 +164,7 @@
                     request.method, address, url.raw_path_qs, headers, request.body
                 ) as response,
             ):
-                body = await response.read()
+                body = await read_body(response, memory=self._memory)
                 self.record_idle(address, headers_of(response))
                 return HttpAnswer(response.status, body)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
--- a/packages/ibisspring-core/src/ibisspring_core/guarded_http.py
+++ b/packages/ibisspring-core/src/ibisspring_core/guarded_http.py
@@ -13,6 +13,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.http_sessions import open_session
+from ibisspring_core.response_bodies import read_body
 
 LEASE_POLL_S = 0.05
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -181,7 +182,7 @@
         headers=request.headers,
         allow_redirects=False,
     ) as response:
-        return HttpAnswer(response.status, await response.read())
+        return HttpAnswer(response.status, await read_body(response))
 
 
 __all__ = ["HttpAnswer", "HttpRequest", "RemainingLease", "NoAnswer", "send_guarded"]
--- a/packages/ibisspring-core/src/ibisspring_core/http_sessions.py
+++ b/packages/ibisspring-core/src/ibisspring_core/http_sessions.py
@@ -14,15 +14,39 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+# Most bytes in a row that a connection delivers without a byte of a body: a head, informational
+# responses, the framing of a chunk, trailers.
+MAX_FRAMING_BYTES = 1024 * 1024
+
 
 class _ResponseHandler(ResponseHandler):
     """
-    Reports a broken connection as the end of a body whose length the response does not state.
+    Reports a broken connection as the end of a body whose length the response does not state, and
+    closes a connection that delivers bytes without end that belong to no body.
 
-    Such a body ends with its connection. aiohttp takes every end of the connection for the end of
-    the body, also a reset, so that a truncated body would be read as a complete one.
+    A body without a length ends with its connection. aiohttp takes every end of the connection for
+    the end of the body, also a reset, so that a truncated body would be read as a complete one.
     """
 
+    _framing_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; end the response with an error if they bring no body for long."""
+        payload, body_bytes = self._payload, _body_bytes(self._payload)
+        super().data_received(data)
+        if self._payload is not payload or _body_bytes(self._payload) != body_bytes:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += len(data)
+        if self._framing_bytes <= MAX_FRAMING_BYTES:
+            return
+        error = aiohttp.ClientPayloadError(f"{self._framing_bytes} bytes without a body")
+        if payload is not None and not payload.is_eof():
+            set_exception(payload, error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the body in progress with an error, unless the other side closed the connection."""
         payload = self._payload
@@ -32,6 +56,10 @@
         super().connection_lost(exc)
 
 
+def _body_bytes(payload: Any) -> int:
+    return payload.total_bytes if payload is not None else 0
+
+
 def open_session(connector: aiohttp.TCPConnector, **options: Any) -> aiohttp.ClientSession:
     """
     Open an HTTP client session that sends each request once.
--- a/packages/ibisspring-core/src/ibisspring_core/settings/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/model.py
@@ -84,6 +84,7 @@
         the load balancer removes the entry first.
     :param drain_s: time limit for running requests to finish at shutdown.
     :param max_body_bytes: maximum size of a request's body, in bytes.
+    :param max_answer_bytes: maximum size of a plain service's answer, in bytes.
     """
 
     listen_http: str
@@ -97,6 +98,7 @@
     stop_wait_s: float = 1.0
     drain_s: float = 30.0
     max_body_bytes: int = 4_194_304
+    max_answer_bytes: int = 16_777_216
 
 
 @dataclass(frozen=True)
--- a/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ibisspring_core.response_bodies import DEFAULT_ANSWER_BYTES
 from ibisspring_core.settings.policy import LoadPolicy
 from ibisspring_decisions.entry_size import EntrySize
 
@@ -52,6 +53,7 @@
     :param cold_slack: requests that a cold engine may get in a second beyond that.
     :param policy: optional decisions about load that are in force.
     :param size: limits of this daemon's process; all unknown by default.
+    :param max_answer_bytes: maximum size of an endpoint's answer, or of an item's text, in bytes.
     """
 
     daemon: str
@@ -80,6 +82,7 @@
     cold_slack: float = 0.0
     policy: LoadPolicy = LoadPolicy()
     size: EntrySize = EntrySize()
+    max_answer_bytes: int = DEFAULT_ANSWER_BYTES
 
     def is_in_regions(self, data_centre: str, regions: tuple[str, ...] | None) -> bool:
         """
--- a/packages/ibisspring-directory/src/ibisspring_directory/role.py
+++ b/packages/ibisspring-directory/src/ibisspring_directory/role.py
@@ -53,7 +53,7 @@
         ControlMembership.from_config(settings),
         Duties.from_config(settings),
         UsageReports.from_config(settings),
-        Connections(),
+        Connections.from_config(settings),
         EngineLoads.from_config(settings),
         Fleet.from_config(settings),
         StatusService.from_config(settings),
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/endpoint_use.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/endpoint_use.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 from contextlib import contextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from ibisspring_core.clock import boot_now
+from ibisspring_core.response_bodies import ResponseMemory, read_body
 from ibisspring_decisions.retries import RetryBudget
 from ibisspring_decisions.routing import Candidate, Router, prefix_digest
 
@@ -27,8 +29,9 @@
 class EndpointClient:
     """This entry's state as client of the endpoints: routing, requests in flight, retry budget."""
 
-    def __init__(self, data_centre: str, silence_s: float) -> None:
+    def __init__(self, data_centre: str, silence_s: float, max_answer_bytes: int) -> None:
         self.silence_s = silence_s
+        self.read_body = partial(read_body, max_bytes=max_answer_bytes, memory=ResponseMemory())
         self.session: aiohttp.ClientSession | None = None
         self._router = Router.from_data_centre(data_centre, random.Random())
         self._budget = RetryBudget.from_defaults()
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/engine_try.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/engine_try.py
@@ -10,6 +10,7 @@
 
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason
+from ibisspring_core.response_bodies import read_body
 from ibisspring_entry.proxy import engine_wire
 from ibisspring_entry.proxy.connections import CONNECT_FAILURES, request_timeout
 from ibisspring_entry.proxy.messages import TokenRun
@@ -140,7 +141,7 @@
             return TryOutcome(Reason.ENDPOINT_FAILED)
         try:
             async with asyncio.timeout(self._silence_s):
-                body = await response.read()
+                body = await read_body(response)
         except (aiohttp.ClientError, OSError, TimeoutError):
             return TryOutcome(Reason.ENDPOINT_FAILED)
         return TryOutcome(Reason.ENDPOINT_REFUSED, not_run=engine_wire.says_not_run(body))
@@ -181,7 +182,8 @@
             complete = line.total == len(self._received)
             self.outcome = TryOutcome(None if complete else Reason.MISMATCHED_ANSWER)
             return None
-        if line.offset != len(self._received):
+        too_long = line.offset + len(line.tokens) > self._request.max_tokens
+        if line.offset != len(self._received) or too_long:
             self.outcome = TryOutcome(Reason.MISMATCHED_ANSWER)
             return None
         self._received.extend(line.tokens)
@@ -244,7 +246,7 @@
         try:
             async with asyncio.timeout(self._silence_s):
                 async with self._session.get(url, allow_redirects=False) as response:
-                    state = engine_wire.parse_state(await response.read())
+                    state = engine_wire.parse_state(await read_body(response))
         except (aiohttp.ClientError, OSError, TimeoutError):
             return None
         if state is None or state.request_id != self._try_id:
@@ -257,7 +259,7 @@
         try:
             async with asyncio.timeout(CANCEL_TIMEOUT_S):
                 async with self._session.post(url, allow_redirects=False) as response:
-                    await response.read()
+                    await read_body(response)
         except (aiohttp.ClientError, OSError, TimeoutError):
             # If the cancel request fails, the engine stops the work itself when its next write to
             # the closed connection fails.
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_call.py
@@ -123,7 +123,12 @@
         began = boot_now()
         with self._endpoints.count_in_flight(record):
             answer = await send_try(
-                self._endpoints.session, record, self._request, try_id, self._deadline
+                self._endpoints.session,
+                record,
+                self._request,
+                try_id,
+                self._deadline,
+                self._endpoints.read_body,
             )
         if isinstance(answer, CompleteAnswer):
             self._endpoints.record_answer(self._request, record.endpoint, boot_now() - began)
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_try.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/plain_try.py
@@ -11,15 +11,17 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.http_sessions import ends_with_connection
+from ibisspring_core.response_bodies import BodyTooLargeError
 from ibisspring_entry.proxy.connections import CONNECT_FAILURES, request_timeout
 from ibisspring_entry.proxy.messages import CompleteAnswer, PlainRequest
 from ibisspring_entry.proxy.plain_wire import answer_headers
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from ibisspring_core.messages.endpoints import EndpointRecord
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Largest answer body, in bytes, that is read from an endpoint."""
+    ReadBody = Callable[[aiohttp.ClientResponse], Awaitable[bytes]]
 
 RETRY_AFTER_S = 1.0
 """Seconds after which the caller should retry a call that has not been run."""
@@ -31,6 +33,7 @@
     request: PlainRequest,
     try_id: str,
     deadline: float,
+    read_body: ReadBody,
 ) -> CompleteAnswer | Refusal:
     """
     Send a call to one endpoint once.
@@ -40,6 +43,7 @@
     :param request: the call of the plain service.
     :param try_id: the id of this try, which the endpoint must echo.
     :param deadline: boot-clock time at which the try ends as timed out.
+    :param read_body: reads the body of the answer, up to its limits.
     :return: the complete answer, or a refusal whose `not_run` holds for this try only.
     """
     remaining_s = deadline - boot_now()
@@ -55,7 +59,7 @@
                 allow_redirects=False,
             ) as response,
         ):
-            return await _read_answer(record, request, try_id, response)
+            return await _read_answer(record, request, try_id, response, read_body)
     except CONNECT_FAILURES:
         return Refusal(
             Reason.ENDPOINT_FAILED, True, RETRY_AFTER_S, "could not connect to the endpoint"
@@ -86,7 +90,11 @@
 
 
 async def _read_answer(
-    record: EndpointRecord, request: PlainRequest, try_id: str, response: aiohttp.ClientResponse
+    record: EndpointRecord,
+    request: PlainRequest,
+    try_id: str,
+    response: aiohttp.ClientResponse,
+    read_body: ReadBody,
 ) -> CompleteAnswer | Refusal:
     # The echoed id is checked before anything else in the answer is used, including a refusal: an
     # answer that belongs to another call says nothing about this one.
@@ -109,17 +117,16 @@
             None,
             "the answer has no Content-Length and is not chunked",
         )
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body.extend(chunk)
-        if len(body) > MAX_ANSWER_BYTES:
-            return Refusal(
-                Reason.TOO_LARGE, False, None, "the endpoint's answer exceeds the size limit"
-            )
+    try:
+        body = await read_body(response)
+    except BodyTooLargeError:
+        return Refusal(
+            Reason.TOO_LARGE, False, None, "the endpoint's answer exceeds the size limit"
+        )
     return CompleteAnswer(
         request.request_id,
         response.status,
-        bytes(body),
+        body,
         answer_headers(response.headers.items()),
         record.endpoint,
     )
--- a/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/proxy/service.py
@@ -34,8 +34,8 @@
 
     name = "endpoints"
 
-    def __init__(self, data_centre: str, silence_s: float) -> None:
-        super().__init__(data_centre, silence_s)
+    def __init__(self, data_centre: str, silence_s: float, max_answer_bytes: int) -> None:
+        super().__init__(data_centre, silence_s, max_answer_bytes)
         self._slot_allocator = SlotAllocator()
 
     @classmethod
@@ -45,7 +45,8 @@
 
         :param settings: validated settings of a daemon with the entry role.
         """
-        return cls(settings.data_centre, settings.entry.silence_s)
+        entry = settings.entry
+        return cls(settings.data_centre, entry.silence_s, entry.max_answer_bytes)
 
     async def start(self, kernel: Kernel) -> None:
         """
--- a/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/rollouts/scoring.py
@@ -14,6 +14,7 @@
 from ibisspring_core.errors import Reason
 from ibisspring_core.http_sessions import open_session
 from ibisspring_core.json_input import decode_json
+from ibisspring_core.response_bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -186,7 +187,7 @@
         ):
             if response.status != 200:
                 return None
-            return decode_json(await response.read(), ScoreAnswer)
+            return decode_json(await read_body(response), ScoreAnswer)
     except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
         return None
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/forward.py
@@ -343,7 +343,7 @@
                 return FailedAttempt(Reason.MISMATCHED_ANSWER, True)
             if ends_with_connection(response):
                 self._counters.add("forward.body_until_close")
-            body = await response.read()
+            body = await self._connections.read_body(response)
             await check_end_of_body(response, record.address)
             if not is_new:
                 self._connections.record_idle(record.address, response_headers)
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from ibisspring_core.connections import Connections
     from ibisspring_core.messages.jobs import Assignment
+    from ibisspring_core.response_bodies import BodyReading
     from ibisspring_gateway.wire import EndpointAdapter
 
 # Longest wait for the response headers, and then again for the first event: the run may first have
@@ -136,7 +137,8 @@
             return kind
         progress.version = wire.initial_version(headers)
         progress.until_close = ends_with_connection(response)
-        await _read_events(assignment, response, wire, progress, *start_and_deadline_s)
+        with connections.reading(response) as reading:
+            await _read_events(assignment, reading, wire, progress, *start_and_deadline_s)
         return "done"
     finally:
         # A connection whose stream was not read to its end is closed: its unread bytes must not be
@@ -165,17 +167,19 @@
 
 async def _read_events(
     assignment: Assignment,
-    response: aiohttp.ClientResponse,
+    reading: BodyReading,
     wire: EndpointAdapter,
     progress: RunProgress,
     started_at_s: float,
     deadline_at_s: float,
 ) -> None:
+    response = reading.response
     buffer = b""
     timeout_s = FIRST_EVENT_TIMEOUT_S
     while True:
         async with asyncio.timeout(min(timeout_s, deadline_at_s - boot_now())):
             chunk = await response.content.readany()
+        reading.grow(len(chunk))
         if not chunk:
             break
         buffer += chunk
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/role.py
@@ -32,7 +32,7 @@
         *((EntryLimits.from_config(settings),) if sized else ()),
         DirectoryView.from_config(settings),
         UsageCounts.from_config(settings),
-        Connections(),
+        Connections.from_config(settings),
         SendGate.from_config(settings),
         crash_suspects(settings.daemon),
         Forwarder.from_config(settings),
--- a/tests/unit/gateway/test_forward.py
+++ b/tests/unit/gateway/test_forward.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from fakes.endless_endpoint import BLOCK, endless
 from fakes.scripted_endpoint import EXIT, RESET, scripted
 from ibisspring_core.connections import Connections
 from ibisspring_core.counters import Counters
@@ -318,3 +319,18 @@
 
     assert result.reason is Reason.TIMEOUT
     assert not result.not_run
+
+
+async def test_a_request_is_answered_although_an_endpoint_sends_a_body_without_an_end() -> None:
+    # The bytes were kept until the caller left or the entry was ended for its memory.
+    head = b"HTTP/1.1 200 OK\r\nId: r1\r\nConnection: close\r\n\r\n"
+    route = replace(LOOKUP_ROUTE, timeout_s=20.0, target_s=20.0)
+    async with endless(head, BLOCK) as bad, scripted(lambda head: [response_bytes()]) as good:
+        while not bad.sent:
+            # Each new forwarder chooses its first endpoint at random.
+            async with forwarder_to(bad, good) as forwarder:
+                result = await forwarder.forward(replace(REQUEST, remaining_s=20.0), route)
+
+    assert isinstance(result, EndpointResponse)
+    assert result.body == b"whole"
+    assert forwarder._connections._memory._used_bytes == 0
--- a/tests/unit/gateway/test_item_run.py
+++ b/tests/unit/gateway/test_item_run.py
@@ -41,9 +41,9 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-async def run(steps: list, resume_after: int = 0):
+async def run(steps: list, resume_after: int = 0, connections: Connections | None = None):
     item = JobItem("i1", "/score/1", (), b"body", 900)
-    connections = Connections()
+    connections = connections or Connections()
     await connections.start(Kernel())
     try:
         async with scripted(lambda head: steps) as endpoint:
@@ -213,3 +213,16 @@
 
     assert [one.kind for one in (ended, gone, reset)] == ["broken"] * 3
     assert [one.endpoint_ended for one in (ended, gone, reset)] == [True, False, False]
+
+
+@pytest.mark.parametrize(("events", "kind"), [(10, "done"), (40, "broken")])
+async def test_a_stream_of_valid_events_ends_at_the_limit_of_a_text(events, kind) -> None:
+    # The events of a faulty engine have no end; each of them is sound.
+    texts = [chunk(b"%d %s\n\n" % (n, b"x" * 60_000)) for n in range(1, events + 1)]
+    connections = Connections(max_answer_bytes=1_000_000)
+
+    outcome = await run([HEAD, *texts, LAST_CHUNK], connections=connections)
+
+    assert outcome.kind == kind
+    assert outcome.events <= 17
+    assert connections._memory._used_bytes == 0
