State in the answer to a runner when its first item was assigned

What callers would see: a cold engine gets more requests in a second than it bears (FAILBACK).

Cause: the answer stated the time until it left as held, and runners took only the rest for the time that an assignment had been on its way. A decision assigns items to many runners, whose answers leave one after the other, so the last assignments were older than their runners believed, by as much as the leader was busy.

Change: the time until the first assignment of an answer was made is stated. It is negative where the assignment was made between two calls.

Test: test_an_answer_that_leaves_late_states_when_its_items_were_assigned failed with the time of the answer.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -287,8 +287,9 @@
     :param cancelled: numbers of assignments to stop.
     :param moved: numbers of assignments to stop and to report, because their items continue at
         another endpoint.
-    :param held_s: seconds that the leader held the call before this answer. The rest of the time
-        that the call took is the longest time for which an assignment can have been on its way.
+    :param held_s: seconds from the call's arrival until its first assignment was made, negative for
+        one made before; without any, until the answer. The rest of the time that the call took is
+        the longest time for which an assignment can have been on its way.
     :param adopted: those of the call's held runs that go on; the runner stops the others.
     """
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -196,8 +196,8 @@
                 self._resume_runs(offered, answer.adopted)
             delay_s = boot_now() - called_at_s - answer.held_s
             self._counters.observe("work_call_delay_seconds", max(0.0, delay_s), "answered")
-            # The leader assigned the items at the earliest when it had received the call and held
-            # it for the stated time.
+            # The leader assigned the items at the earliest when it had received the call and the
+            # stated time had passed.
             self._apply_work(answer, called_at_s + answer.held_s)
 
     def _free_streams(self) -> int:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -383,7 +383,7 @@
         if record is not None:
             group = (job.job, item.group)
             self.engines.run_started(runner.address, record.endpoint, group, now)
-        runner.assign(assignment)
+        runner.assign(assignment, now)
 
     def _drop_lost_run(self, number: int, cause: str) -> None:
         run = self.run_by_number.get(number)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -42,6 +42,7 @@
     :param sequence_by_number: by assignment number, the sequence number of the call whose answer
         contains the assignment.
     :param outbox: assignments to be sent with the next answer.
+    :param first_assigned_at: when the first of these was made, in seconds since boot.
     :param cancelled: numbers of the assignments to stop, to be sent with the next answer.
     :param moved: numbers of the assignments to stop and report, to be sent with the next answer.
     :param adopted: runs of earlier epochs that go on, to be sent with the next answer.
@@ -59,6 +60,7 @@
     sequence: int = 0
     sequence_by_number: dict[int, int] = field(default_factory=dict)
     outbox: list[Assignment] = field(default_factory=list)
+    first_assigned_at: float = 0.0
     cancelled: list[int] = field(default_factory=list)
     moved: list[int] = field(default_factory=list)
     adopted: list[AdoptedRun] = field(default_factory=list)
@@ -79,8 +81,14 @@
         """
         return self.waiting or now - self.answered_at < NEXT_CALL_GRACE_S
 
-    def assign(self, assignment: Assignment) -> None:
-        """Add an assignment to the answer of the open call, or of the next call if none is open."""
+    def assign(self, assignment: Assignment, now: float) -> None:
+        """
+        Add an assignment to the answer of the open call, or of the next call if none is open.
+
+        :param now: when the assignment is made, in seconds since boot.
+        """
+        if not self.outbox:
+            self.first_assigned_at = now
         self.sequence_by_number[assignment.number] = self.sequence + (not self.waiting)
         self.free_slots -= 1
         self.outbox.append(assignment)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -331,12 +331,15 @@
             return Work(dispatcher.epoch)
         runner.waiting = False
         runner.answered_at = boot_now()
+        # Answers of one decision leave one after the other. Their assignments were made earlier,
+        # some even before this call.
+        held_until = runner.first_assigned_at if runner.outbox else runner.answered_at
         work = Work(
             dispatcher.epoch,
             tuple(runner.outbox),
             tuple(runner.cancelled),
             tuple(runner.moved),
-            runner.answered_at - called_at,
+            held_until - called_at,
             tuple(runner.adopted),
         )
         runner.outbox.clear()
--- a/tests/unit/jobs/test_runners.py
+++ b/tests/unit/jobs/test_runners.py
@@ -109,7 +109,7 @@
     runners = runners_of(1)
     runner = runners.choose("engine-0", "derby", 0.0)
     runner.waiting = False
-    runner.assign(SimpleNamespace(number=7))
+    runner.assign(SimpleNamespace(number=7), 0.0)
 
     _, lost = runners.register_call(TakeWork("e0", "derby", "x", 1, 2, (), 48, 0.4), 0.1)
     assert lost == ()
@@ -136,7 +136,7 @@
     for number in range(400):
         for _ in range(4):
             runners.choose(f"engine-{number}", "derby", 0.0).assign(
-                SimpleNamespace(number=(number, _))
+                SimpleNamespace(number=(number, _)), 0.0
             )
     runs = {
         capacity: sum(
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -219,3 +219,22 @@
     await asyncio.gather(*(service.report_work(report) for report in reports))
 
     assert spent_s <= 0.5 * (boot_now() - began_at) + decision_s
+
+
+async def test_an_answer_that_leaves_late_states_when_its_items_were_assigned(jobs) -> None:
+    # A decision assigns items to many runners, whose answers leave one after the other. If the time
+    # until an answer leaves counted as held, its runner would send items too late to a cold engine.
+    service, _ = jobs
+    busy_s = 0.1
+    first = TakeWork("e1", "derby", "x", 7, 1, (), 0, 1.0)
+    await service.take_work(replace(first, hold_s=0.0))
+    called_at = boot_now()
+    waiting = asyncio.create_task(service.take_work(replace(first, sequence=2, free=1)))
+    while not (runner := service.dispatcher().runners.runner_by_address["e1"]).outbox:
+        await asyncio.sleep(0)
+    time.sleep(busy_s)
+    answer = await waiting
+
+    assert len(answer.assignments) == 1
+    assert answer.held_s <= runner.first_assigned_at - called_at
+    assert boot_now() - called_at - answer.held_s >= busy_s
