--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -100,6 +100,7 @@
     "ClientAccount": {"regions": ()},
     "DirectoryStatus": {"evacuated": ()},
     "EndpointRecord": {"cold_s": 0.0},
+    "EntrySettings": {"max_answer_bytes": 16_777_216},
     "HoldJob": {"after": ""},
     "Job": {"regions": None},
     "JobStatus": {"held": False},
