--- a/tests/fakes/endless_endpoint.py
+++ b/tests/fakes/endless_endpoint.py
@@ -24,6 +24,7 @@
                 await writer.drain()
                 if not block:
                     await reader.read()
+                    break
         except (ConnectionError, asyncio.IncompleteReadError):
             endpoint.closed.set()
         finally:
