Keep the pauses of accepted work in one class; report a busy leader before decisions reach their limit

A body that is dropped while its reader is cancelled stays cancelled. Engine time is sampled where it is kept.

A test failed once in eleven runs: its second call met a decision that was due at once and was answered before the test looked (found by reading: the runner times out 1.5 s later, and the test reads its record). It now states when the next decision is due.

--- a/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
+++ b/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
@@ -132,7 +132,7 @@
         self._reports: set[asyncio.Task[None]] = set()
         # Requests with an attempt whose end is being checked, by identity of the object.
         self._checked: Counter[int] = Counter()
-        self._accepted = AcceptedWork()
+        self._accepted = AcceptedWork(identify)
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that connect this entry with the leader."""
@@ -180,7 +180,7 @@
         :return: the refusal of a request that must not be sent now; None if it may be sent.
         """
         if request.accepted:
-            return self._pause_refusal(request)
+            return self._accepted.refusal(request)
         identity = self._known_identity(request)
         found = self._standing_of(identity)
         if found in (Standing.CLEAR, Standing.SUSPECT):
@@ -203,16 +203,6 @@
         detail = f"{ends} endpoints ended while they ran this request"
         return Refusal(Reason.CRASH_SUSPECT, True, retry_after_s, detail)
 
-    def _pause_refusal(self, request: Any) -> Refusal | None:
-        if not self._accepted:
-            return None
-        identity = self._identify(request).identity()
-        pause_s = self._accepted.pause_left_s(identity, boot_now())
-        if not pause_s:
-            return None
-        detail = f"{self._accepted.ends(identity)} endpoints ended while they ran this work"
-        return Refusal(Reason.CRASH_SUSPECT, True, pause_s, detail)
-
     async def _start_trial(self, request: Any, message: StartTrial) -> bool:
         if message.identity in self._trial_by_request.values():
             return False
@@ -230,7 +220,7 @@
     def may_send(self, request: Any) -> bool:
         """Whether an admitted request may be sent to another endpoint."""
         if request.accepted:
-            return self._pause_refusal(request) is None
+            return self._accepted.refusal(request) is None
         identity = self._known_identity(request)
         found = self._standing_of(identity)
         if found is Standing.ON_TRIAL:
@@ -242,7 +232,7 @@
         if self._checked[id(request)]:
             return False
         if request.accepted:
-            return not self._accepted or not self._accepted.ends(self._identify(request).identity())
+            return not self._accepted.ends(request)
         return self.standing(request) is Standing.CLEAR
 
     def exchange_ended(self, request: Any) -> None:
@@ -269,13 +259,12 @@
                 del self._checked[id(request)]
 
     async def _report_end(self, request: Any, record: EndpointRecord, in_flight: int) -> None:
-        identified = self._identify(request)
-        identity = identified.identity()
         if request.accepted:
-            start = (record.endpoint, record.incarnation)
-            self._accepted.endpoint_ended(identity, start, boot_now())
-            self._log_work_end(identified, identity, record)
+            self._counters.add("crash_suspects.endpoint_ended")
+            self._accepted.endpoint_ended(request, record)
             return
+        identified = self._identify(request)
+        identity = identified.identity()
         in_trial = identity in self._trial_by_request.values()
         self._add_start(identity, (record.endpoint, record.incarnation), in_trial)
         end = EndpointEnd(
@@ -315,22 +304,6 @@
             ends=self._summary(suspect.identity).ends,
         )
 
-    def _log_work_end(
-        self, identified: IdentifiedRequest, identity: str, record: EndpointRecord
-    ) -> None:
-        self._counters.add("crash_suspects.endpoint_ended")
-        eliot.log_message(
-            "crash_suspects:work_ended",
-            request=identified.request_id,
-            identity=identity,
-            client_account=identified.client_account,
-            target=identified.target[:MAX_TARGET_CHARS],
-            endpoint=record.endpoint,
-            incarnation=record.incarnation,
-            ends=self._accepted.ends(identity),
-            pause_s=round(self._accepted.pause_left_s(identity, boot_now()), 3),
-        )
-
     def _add_start(self, identity: str, start: tuple[str, int], in_trial: bool) -> None:
         known = self._summary(identity)
         own = self._own_by_identity.setdefault(identity, _OwnSuspect(set(), known))
@@ -348,8 +321,7 @@
     def record_answer(self, request: Any) -> None:
         """Clear a request that an endpoint answered, here and at the leader."""
         if request.accepted:
-            if self._accepted:
-                self._accepted.answered(self._identify(request).identity())
+            self._accepted.answered(request)
             return
         identity = self._known_identity(request)
         if self._standing_of(identity) is Standing.CLEAR:
--- a/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
+++ b/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
@@ -139,8 +139,10 @@
             async for chunk in response.content.iter_any():
                 reading.grow(len(chunk))
                 chunks.append(chunk)
-        finally:
+        except aiohttp.ClientError:
             reading.check()
+            raise
+        reading.check()
         return b"".join(chunks)
 
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatch_load.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatch_load.py
@@ -1,4 +1,4 @@
-"""How much of its time the jobs' leader spends on decisions, and whether it falls behind."""
+"""How much of its time the jobs' leader spends on decisions."""
 
 from __future__ import annotations
 
@@ -6,14 +6,15 @@
 
 import eliot
 
+from ibisspring_decisions.decision_pacing import MAX_DECISION_SHARE
+
 if TYPE_CHECKING:
     from ibisspring_core.counters import Counters
 
 # Seconds over which the load is summed up.
 SPAN_S = 1.0
-# Part of a span from which the time that decisions take is reported: the leader also has to receive
-# and answer the calls that lead to them.
-BUSY_SHARE = 0.25
+# Part of a span from which the time that decisions take is reported: decisions wait for each other.
+BUSY_SHARE = 0.8 * MAX_DECISION_SHARE
 
 
 class DispatchLoad:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -249,7 +249,9 @@
 
     def assign_waiting_items(self, now: float) -> None:
         """Assign waiting items to engines with free slots, each through an available runner."""
-        self.sample_engine_time(now)
+        if self.plans is not None:
+            self.engine_time.sample(self.run_by_number.values(), now)
+            self.plans.end_overloads(now)
         if self.adoption.is_open(now):
             return
         if not any(runner.is_available(now) for runner in self.runners.runner_by_address.values()):
@@ -258,12 +260,6 @@
         for service in self.items.services():
             self._match_service(service, now)
 
-    def sample_engine_time(self, now: float) -> None:
-        """Charge the engine time of the runs in progress, and end overloads that are over."""
-        if self.plans is not None:
-            self.engine_time.sample(self.run_by_number.values(), now)
-            self.plans.end_overloads(now)
-
     def _assign_unscored(self, now: float) -> None:
         """
         Assign the reward calls of complete texts that no runner is scoring.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -229,7 +229,6 @@
         await self._keep_speeds(dispatcher, now)
         if self._admission is not None:
             await self._admission.tick(now, self._peaks.peak_by_service)
-        dispatcher.sample_engine_time(now)
         self._decisions.request()
         self._load.report(
             now, len(dispatcher.runners.runner_by_address), len(dispatcher.run_by_number)
@@ -240,6 +239,7 @@
             await self._keep_usage(dispatcher, now)
 
     async def _keep_usage(self, dispatcher: Dispatcher, now: float) -> None:
+        dispatcher.engine_time.sample(dispatcher.run_by_number.values(), now)
         usage = dispatcher.engine_time.usage_to_keep(now)
         if usage is not None:
             await self._propose(usage)
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -229,6 +229,8 @@
     first = TakeWork("e1", "derby", "x", 7, 1, (), 0, 1.0)
     await service.take_work(replace(first, hold_s=0.0))
     called_at = boot_now()
+    # The next decision is made while the call is held.
+    service._decisions._pacing.decided(called_at - 0.02, called_at)
     waiting = asyncio.create_task(service.take_work(replace(first, sequence=2, free=1)))
     while not (runner := service.dispatcher().runners.runner_by_address["e1"]).outbox:
         await asyncio.sleep(0)
