Let the soak allow the end of a daemon that lacked descriptors at its start, also if it is seen later

Traced by entry-1's log, kept: it was restarted while the fault 'descriptors' had its descriptors limited, and ended in the creation of its event loop with OSError 24, before it logged its start. The soak allows this end, but only if it looks while the limit stands; on a busy machine the limit was lifted before the next look.

Change: a daemon whose limit is lifted before it has logged its start may still end with code 1 before its start, if it logged that it had too many open files. All other ends are reported as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -92,6 +92,8 @@
     :param faulted: daemons with an active fault, on which no other fault starts.
     :param ending: daemons that an active fault ends.
     :param without_descriptors: daemons that are kept from opening descriptors.
+    :param limited_at_start: process id of daemons whose limit of descriptors was lifted before they
+        had started.
     :param log_size_by_name: size of a daemon's log at its last restart, in bytes.
     :param disk_fault_end_s: monotonic time at which the last fault on a daemon with a disk ended.
     :param wiping: held during a wipe, so that only one disk is wiped at a time.
@@ -107,6 +109,7 @@
     faulted: set[str] = field(default_factory=set)
     ending: set[str] = field(default_factory=set)
     without_descriptors: set[str] = field(default_factory=set)
+    limited_at_start: dict[str, int] = field(default_factory=dict)
     log_size_by_name: dict[str, int] = field(default_factory=dict)
     disk_fault_end_s: float = 0.0
     wiping: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -279,6 +282,9 @@
         resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, MAX_DESCRIPTORS))
         self.without_descriptors.add(name)
         await asyncio.sleep(duration_s)
+        if not self._started(name):
+            # It may have failed to open a descriptor already, and end only now.
+            self.limited_at_start[name] = pid
         self.without_descriptors.discard(name)
         if process.alive() and process.popen.pid == pid:
             resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
@@ -301,8 +307,11 @@
         self.system.restart(name, wipe)
 
     def _started(self, name: str) -> bool:
+        return b'"daemon:started"' in self._new_log(name)
+
+    def _new_log(self, name: str) -> bytes:
         log = self.system.process_by_name[name].log.read_bytes()
-        return b'"daemon:started"' in log[self.log_size_by_name.get(name, 0) :]
+        return log[self.log_size_by_name.get(name, 0) :]
 
     async def watch(self) -> None:
         """Record a finding for each daemon that ends without a fault."""
@@ -313,7 +322,11 @@
                     continue
                 code = process.popen.poll()
                 # Without a free descriptor the interpreter can't import modules and exits with 1.
-                if name in self.without_descriptors and code == 1 and not self._started(name):
+                limited = name in self.without_descriptors or (
+                    self.limited_at_start.get(name) == process.popen.pid
+                    and b"Too many open files" in self._new_log(name)
+                )
+                if limited and code == 1 and not self._started(name):
                     self._restart(name)
                     continue
                 ended.add(name)
