Keep the HTTP client out of the settings; remove a check that no caller reaches

CrashSuspects asked twice whether a request is accepted work: all public methods answer that before they look for an identity. A replay in a test used a heap for times that are in order. No behaviour changes.

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -13,7 +13,8 @@
 from ibisspring_core.guarded_http import HttpAnswer, NoAnswer
 from ibisspring_core.http_sessions import ends_with_connection, open_session
 from ibisspring_core.kept_connections import IdleConnections
-from ibisspring_core.response_bodies import DEFAULT_ANSWER_BYTES, ResponseMemory, read_body
+from ibisspring_core.response_bodies import ResponseMemory, read_body
+from ibisspring_core.settings.model import DEFAULT_ANSWER_BYTES
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
--- a/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
+++ b/packages/ibisspring-core/src/ibisspring_core/crash_suspects.py
@@ -152,8 +152,6 @@
 
     def _known_identity(self, request: Any) -> str | None:
         """Return the identity of a request that may be a suspect; None if its head is unknown."""
-        if request.accepted:
-            return None
         if self._link.change() != self._seen_change:
             self._view_changed()
         if not self._heads:
--- a/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
+++ b/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
@@ -15,8 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-# Largest answer of an endpoint to a request, in bytes, unless the settings state another limit.
-DEFAULT_ANSWER_BYTES = 16 * 1024 * 1024
 # Largest answer about the state of an endpoint, to an order, to a report, or with scores, in bytes.
 METADATA_BYTES = 1024 * 1024
 # Most bytes of all bodies that a process of unknown size reads at the same time.
@@ -147,7 +145,6 @@
 
 
 __all__ = [
-    "DEFAULT_ANSWER_BYTES",
     "METADATA_BYTES",
     "BodyReading",
     "BodyTooLargeError",
--- a/packages/ibisspring-core/src/ibisspring_core/settings/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/model.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 ROLES = ("control", "entry")
+# Largest answer of an endpoint in bytes, unless the settings state another limit.
+DEFAULT_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -98,7 +100,7 @@
     stop_wait_s: float = 1.0
     drain_s: float = 30.0
     max_body_bytes: int = 4_194_304
-    max_answer_bytes: int = 16_777_216
+    max_answer_bytes: int = DEFAULT_ANSWER_BYTES
 
 
 @dataclass(frozen=True)
@@ -130,4 +132,11 @@
     metrics_listen: str = ""
 
 
-__all__ = ["ROLES", "ControlSettings", "EntrySettings", "Settings", "StatsdSettings"]
+__all__ = [
+    "DEFAULT_ANSWER_BYTES",
+    "ROLES",
+    "ControlSettings",
+    "EntrySettings",
+    "Settings",
+    "StatsdSettings",
+]
--- a/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
+++ b/packages/ibisspring-core/src/ibisspring_core/settings/vm.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ibisspring_core.response_bodies import DEFAULT_ANSWER_BYTES
+from ibisspring_core.settings.model import DEFAULT_ANSWER_BYTES
 from ibisspring_core.settings.policy import LoadPolicy
 from ibisspring_decisions.entry_size import EntrySize
 
--- a/tests/unit/decisions/test_decision_pacing.py
+++ b/tests/unit/decisions/test_decision_pacing.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-import heapq
+from collections import deque
 
 import pytest
 
@@ -46,14 +46,13 @@
     """
     pacing = DecisionPacing()
     call_s, decision_s = 0.001, 0.0025
-    arrivals = [n / 400 for n in range(4000)]
-    heapq.heapify(arrivals)
+    arrivals = deque(n / 400 for n in range(4000))
     now, longest_s = 0.0, 0.0
     undecided: list[float] = []
     while arrivals or undecided:
         now = max(now, arrivals[0]) if arrivals and not undecided else now
         if arrivals and arrivals[0] <= now:
-            undecided.append(heapq.heappop(arrivals))
+            undecided.append(arrivals.popleft())
             now += call_s
         if undecided and (not paced or pacing.due_in_s(now) == 0.0):
             pacing.decided(now, now + decision_s)
