Count the bytes of a body, not the length that its answer states

What callers would see: a HEAD request whose answer states a length above the limit of an answer fails, though it has no body.

Change: the limit is checked as bytes arrive, by the one check that bodies without a length need anyway.

Test: test_answer_to_head_states_a_length_above_the_limit_and_has_no_body failed before.

--- a/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
+++ b/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
@@ -129,9 +129,6 @@
     :raises BodyTooLargeError: if the body exceeds a limit; the connection is closed.
     """
     with (memory or ResponseMemory()).reading(response, max_bytes) as reading:
-        if (response.content_length or 0) > max_bytes:
-            reading.drop()
-            reading.check()
         chunks = []
         try:
             async for chunk in response.content.iter_any():
--- a/tests/unit/core/test_response_bodies.py
+++ b/tests/unit/core/test_response_bodies.py
@@ -11,6 +11,7 @@
 from unit.core.test_http_sessions import _calls
 
 from fakes.endless_endpoint import BLOCK, endless
+from fakes.scripted_endpoint import scripted
 from ibisspring_core.http_sessions import open_session
 from ibisspring_core.response_bodies import BodyTooLargeError, ResponseMemory, read_body
 
@@ -64,6 +65,14 @@
             assert await read_body(response, LIMIT) == b"x" * size
 
 
+async def test_answer_to_head_states_a_length_above_the_limit_and_has_no_body() -> None:
+    head = HEAD + f"Content-Length: {2 * LIMIT}\r\n\r\n".encode()
+    async with scripted(lambda request: [head]) as endpoint:
+        async with open_session(aiohttp.TCPConnector()) as session:
+            async with session.head(f"http://{endpoint.address}/") as response:
+                assert await read_body(response, LIMIT) == b""
+
+
 async def test_the_largest_body_is_dropped_when_all_together_exceed_their_limit() -> None:
     # A body without an end must not take the memory in which small answers are read.
     memory = ResponseMemory(LIMIT)
