--- a/review/stage2.py
+++ b/review/stage2.py
@@ -186,7 +186,8 @@
         self.running += 1
         self.record.write(
             f"run begins at {self.id}: {request.path} id {item} target {request.raw_path}"
-            f" after event {request.headers.get('Last-Event-Id', '0')}"
+            f" after event {request.headers.get('Last-Event-Id', '0')},"
+            f" tenant {request.headers.get('Tenant')!r}"
         )
         try:
             if item in self.failing:
