--- a/review/stage2.py
+++ b/review/stage2.py
@@ -41,6 +41,8 @@
 HELD = 0
 BROKEN = 1
 NOT_RUN = 2
+# A case runs for two minutes at most, with the end of its processes.
+LIMIT_S = 110.0
 
 
 class NotRunError(Exception):
@@ -414,7 +416,7 @@
     async def submit(
         self, job: str, body: dict, entries: tuple[int, ...] = (0, 1), deadline_ms: int = 4000
     ) -> int:
-        """Submit a batch job, again at another entry after no or no final answer; return the status."""
+        """Submit a batch job, again at another entry if it is not accepted; return the status."""
         status = 0
         data = json.dumps(body).encode()
         for entry in entries:
@@ -611,9 +613,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {trouble}")
     try:
-        code = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
-    except (NotRunError, TimeoutError) as error:
+        code = asyncio.run(_play_within(case(record, trouble), LIMIT_S))
+    except (NotRunError, TimeoutError, asyncio.CancelledError) as error:
         record.write(f"not run: {error!r}")
         code = NOT_RUN
     record.write({HELD: "held", BROKEN: "BROKEN", NOT_RUN: "could not run"}[code])
     return code
+
+
+async def _play_within(case: Awaitable[int], limit_s: float) -> int:
+    """Run a case for a time; SIGTERM ends it, with the processes that it started."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(case, limit_s)
