--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,8 +3,8 @@
 
 The operator sends a new configuration in which the route of the batch jobs is `public`. A trainer
 submits a step on it with its key, as all calls of batch jobs carry one, and reads it with the same
-key. The check is the rule LOST of the part "Batch jobs": no 404 for an accepted batch job later than
-`settle_ms` after it was accepted.
+key. The check is the rule LOST of the part "Batch jobs": no 404 for an accepted batch job later
+than `settle_ms` after it was accepted.
 """
 
 from __future__ import annotations
@@ -57,8 +57,8 @@
         unknown = sum(status in (404, 410) for status in statuses)
         runs = sum(len(engine.runs) for engine in stage.engines[1:])
         record.write(
-            f"step accepted; {runs} runs of its items; {unknown} of {len(statuses)} reads later than"
-            f" {SETTLE_S} s were answered 404 or 410; last status {status}, {len(results)} results"
+            f"step accepted; {runs} runs of its items; {unknown} of {len(statuses)} reads later"
+            f" than {SETTLE_S} s were answered 404 or 410; last status {status}, {len(results)} results"
         )
         return BROKEN if unknown else HELD
     finally:
