--- a/review/7/case.py
+++ b/review/7/case.py
@@ -58,7 +58,8 @@
         runs = sum(len(engine.runs) for engine in stage.engines[1:])
         record.write(
             f"step accepted; {runs} runs of its items; {unknown} of {len(statuses)} reads later"
-            f" than {SETTLE_S} s were answered 404 or 410; last status {status}, {len(results)} results"
+            f" than {SETTLE_S} s were answered 404 or 410; last status {status},"
+            f" {len(results)} results"
         )
         return BROKEN if unknown else HELD
     finally:
