Commit large jobs in chunks: one job within the limits stopped the jobs' log

Cause: a job was one entry of the log, and an entry is one message between replicas. Counters of the leader in a play with 20 MB: deliver_failed.resource_exhausted 1, 5, 8, 11 … 25, commits stay at 8. With 12 and 15 MB: deadline_exceeded once, then committed; with 15 MB the leader steps down for it ("no quorum answers"). So both the size and the time limit of the call bind; raising the limit of a message alone is ruled out. The disk is ruled out: the leader's own entry is synced.

Change: the log refuses a command over 8 MiB before it appends it (TOO_LARGE, not run). A job over 1 MiB is committed in chunks of 256 KiB, four at a time, and exists with the command behind the last; its items are cut anywhere, as one may be as large as the body. Chunks without that command are removed by the next leader. Calls gather messages up to 1 MiB, not until 4 MiB are exceeded; their time limit grows with their size; messages over 1 MiB are not gzipped (34 ms of the event loop a MiB, measured). New lines consensus:stalled, consensus:not_delivered; new counters.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
@@ -19,20 +19,24 @@
 from ibisspring_consensus.peers import Peers
 from ibisspring_consensus.proposals import Committed, PendingResults, copy_result
 from ibisspring_consensus.snapshots import snapshot_job
+from ibisspring_consensus.stalls import StallWatch
 from ibisspring_consensus.storage import Storage
 from ibisspring_consensus.writer import Writer, retry_while_refused
 from ibisspring_core.clock import boot_now
+from ibisspring_core.errors import Reason, Refusal
 
 if TYPE_CHECKING:
     from ibisspring_consensus.messages import SnapshotMeta
     from ibisspring_consensus.peer import Identity
-    from ibisspring_core.errors import Refusal
     from ibisspring_core.kernel import Kernel
     from ibisspring_core.settings import Settings
 
 # Number of heartbeats that a replica misses before it checks its connections. With the time limits
 # of the check this is less than the shortest election timeout.
 MISSED_HEARTBEATS = 2
+# Largest command that a log accepts, in bytes. An entry is replicated in one message, so one that
+# exceeds the limit of a message would never be committed, nor would any entry after it.
+MAX_COMMAND_BYTES = 8 * 1024 * 1024
 
 
 class ConsensusNode:
@@ -47,6 +51,7 @@
         self.applied_index = 0
         self.failed = False
         self._checked_contact_at: float | None = None
+        self._stall = StallWatch()
         self.group_commit = True
         self.pending_results = PendingResults(retry_after_s=replica.core.election_timeout_s)
         self._snapshot_in_progress = False
@@ -167,8 +172,18 @@
         :param data: the encoded command for the state machine.
         :return: the command's log index and result; a refusal with NO_LEADER and `not_run` if the
             command was not appended to any log; with MAY_HAVE_RUN if the leader changed before the
-            command was committed.
+            command was committed; with TOO_LARGE and `not_run` if it exceeds MAX_COMMAND_BYTES.
         """
+        if len(data) > MAX_COMMAND_BYTES:
+            self._counters.add("consensus.command_too_large")
+            eliot.log_message(
+                "consensus:command_too_large",
+                reason=Reason.TOO_LARGE.value,
+                bytes=len(data),
+                max_bytes=MAX_COMMAND_BYTES,
+            )
+            detail = f"the command is larger than {MAX_COMMAND_BYTES} bytes"
+            return Refusal(Reason.TOO_LARGE, not_run=True, detail=detail)
         number, future = self.pending_results.add_proposal()
         self._queued_commands.append((number, data))
         submitted_s = boot_now()
@@ -303,6 +318,33 @@
     async def _tick(self, now: float) -> None:
         self.dispatch(events.Tick())
         self._check_quiet_connections()
+        self._report_stall(now)
+
+    def _report_stall(self, now: float) -> None:
+        """Log once that commands of this leader wait for a commit that does not come."""
+        state = self.core.state
+        if not self._stall.check(state.commit_index, self._waiting_commands(), now):
+            return
+        self._counters.add("consensus.stalled")
+        match_by_daemon = {
+            replica.daemon: progress.match_index
+            for replica, progress in state.progress_by_replica.items()
+        }
+        eliot.log_message(
+            "consensus:stalled",
+            reason="no commit",
+            term=self.term,
+            waiting=self._waiting_commands(),
+            commit_index=state.commit_index,
+            synced_index=state.synced_index,
+            last_index=state.log.last_index,
+            match_index=match_by_daemon,
+            lease_left_s=round(self.lease_left_s(), 3),
+        )
+
+    def _waiting_commands(self) -> int:
+        state = self.core.state
+        return state.log.last_index - state.commit_index if self.core.is_leader else 0
 
     def _check_quiet_connections(self) -> None:
         """
@@ -339,4 +381,4 @@
         self.dispatch(events.ReplicaSeen(identity.replica, identity.cluster))
 
 
-__all__ = ["ConsensusNode"]
+__all__ = ["MAX_COMMAND_BYTES", "ConsensusNode"]
--- a/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+import eliot
 import grpc
 import grpc.aio
 
@@ -25,8 +26,14 @@
 if TYPE_CHECKING:
     from ibisspring_core.counters import Counters
 
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-MAX_BATCH_BYTES = 4 * 1024 * 1024
+# Logs of earlier releases hold entries up to the largest message between daemons.
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# A call takes further messages up to this size, so that it ends well within its time limit. A
+# message that alone is larger is sent in a call of its own.
+MAX_BATCH_BYTES = 1024 * 1024
+# Bytes per second that a connection is expected to carry at least; extends the time limit of a call
+# with a large message.
+MIN_BYTES_PER_S = 16 * 1024 * 1024
 # Number of messages queued for one peer. If the peer does not answer, the oldest queued messages
 # are dropped first; the core resends those that are still needed.
 MAX_OUTBOX_MESSAGES = 512
@@ -154,9 +161,19 @@
             size = request.ByteSize()
             self._counters.add("consensus.sent_bytes", size)
             compression = compression_for(size)
-            reply = await stub.Deliver(request, timeout=self._deadline_s, compression=compression)
+            timeout_s = self._deadline_s + size / MIN_BYTES_PER_S
+            reply = await stub.Deliver(request, timeout=timeout_s, compression=compression)
         except grpc.aio.AioRpcError as error:
-            self._counters.add(f"consensus.deliver_failed.{error.code().name.lower()}")
+            code = error.code().name.lower()
+            self._counters.add(f"consensus.deliver_failed.{code}")
+            if error.code() is not grpc.StatusCode.UNAVAILABLE:
+                eliot.log_message(
+                    "consensus:not_delivered",
+                    daemon=self.daemon,
+                    reason=code,
+                    bytes=size,
+                    messages=len(request.messages),
+                )
             await self._discard_channel()
             self._queue_votes_again(votes)
             return
@@ -209,7 +226,7 @@
         votes: list[tuple[ReplicaId, Message]] = []
         messages = []
         size = 0
-        while self._outbox and self._outbox[0][0] == target and size < MAX_BATCH_BYTES:
+        while self._outbox and self._outbox[0][0] == target:
             _, message = self._outbox.popleft()
             if isinstance(message, SnapshotChunk):
                 data = await self._read_chunk(message.meta.index, message.offset)
@@ -217,6 +234,9 @@
                     continue
                 message = replace(message, data=data)
             encoded = MESSAGES.encode(message)
+            if messages and size + len(encoded) > MAX_BATCH_BYTES:
+                self._outbox.appendleft((target, message))
+                break
             size += len(encoded)
             messages.append(encoded)
             if isinstance(message, (VoteRequest, VoteReply)):
--- a/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
+++ b/packages/ibisspring-core/src/ibisspring_core/peer_rpc.py
@@ -46,6 +46,9 @@
 # generated texts to a third or less. For a message that fits into one packet it is not worth the
 # CPU time.
 COMPRESS_FROM_BYTES = 1400
+# Size in bytes above which a message is not compressed: that would block the event loop for 30 ms
+# for each megabyte.
+COMPRESS_UP_TO_BYTES = 1024 * 1024
 
 Handler = Callable[[Any], Awaitable[Any]]
 
@@ -57,7 +60,9 @@
     :param size: size of the encoded message in bytes.
     :return: the algorithm; None for no compression.
     """
-    return grpc.Compression.Gzip if size >= COMPRESS_FROM_BYTES else None
+    if COMPRESS_FROM_BYTES <= size <= COMPRESS_UP_TO_BYTES:
+        return grpc.Compression.Gzip
+    return None
 
 
 class PeerServer:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/admission.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/admission.py
@@ -31,7 +31,7 @@
 )
 from ibisspring_decisions.job_ends import fluid_ends
 from ibisspring_jobs.admission_inputs import ServiceLoad
-from ibisspring_jobs.commands import AcceptJob, DropReservations, ReservePlace
+from ibisspring_jobs.commands import DropReservations, ReservePlace
 from ibisspring_jobs.job_end_predictions import Predictions
 
 if TYPE_CHECKING:
@@ -59,6 +59,7 @@
 
     :param load: what is known about the load of the services.
     :param propose: proposes a command of the jobs' log.
+    :param commit: adds a job to the jobs' log.
     :param dispatcher: returns the dispatcher of the current epoch.
     :param has_lease: whether no other store can lead the jobs' log now.
     :param predict: predicts when jobs end.
@@ -72,6 +73,7 @@
         consensus: ConsensusNode,
         counters: Counters,
         propose: Callable[[Any], Awaitable[Any]],
+        commit: Callable[[Job], Awaitable[Any]],
         dispatcher: Callable[[], Dispatcher],
         has_lease: Callable[[], bool],
         predict: EndPredictor = fluid_ends,
@@ -82,6 +84,7 @@
         self._consensus = consensus
         self._counters = counters
         self._propose = propose
+        self._commit = commit
         self._dispatcher = dispatcher
         self._has_lease = has_lease
         self._predict = predict
@@ -219,7 +222,7 @@
         self._unsettled_term_by_job[job.job] = term
         self._accepting_by_job[job.job] = (job.service, groups)
         try:
-            committed = await self._propose(AcceptJob(job))
+            committed = await self._commit(job)
         finally:
             del self._accepting_by_job[job.job]
         if isinstance(committed, Refusal):
@@ -228,6 +231,8 @@
                 return NotLeader(self._consensus.leader_hint)
             return _not_confirmed()
         del self._unsettled_term_by_job[job.job]
+        if job.job not in self._state.job_by_id:
+            return _not_confirmed()
         eliot.log_message(
             "jobs:accepted",
             job=job.job,
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
@@ -18,6 +18,43 @@
     job: Job
 
 
+@dataclass(frozen=True)
+class UploadItems:
+    """
+    Store a chunk of the items of a job that is too large for one command.
+
+    :param upload: id of the upload, unique for each attempt to add a job.
+    :param number: number of the chunk, from 0.
+    :param data: bytes of the chunk, as `uploads.chunks_of` cuts them.
+    """
+
+    upload: str
+    number: int
+    data: bytes
+
+
+@dataclass(frozen=True)
+class AcceptUpload:
+    """
+    Add a job whose items were stored in chunks; no effect if chunks of it are missing.
+
+    :param job: the job without its items.
+    :param upload: id of the upload.
+    :param items: number of the job's items.
+    """
+
+    job: Job
+    upload: str
+    items: int
+
+
+@dataclass(frozen=True)
+class DropUploads:
+    """Remove the chunks of jobs that are not added."""
+
+    uploads: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class RecordResults:
     """
@@ -129,13 +166,18 @@
     ReservePlace,
     DropReservations,
     HoldJob,
+    UploadItems,
+    AcceptUpload,
+    DropUploads,
 )
 
 __all__ = [
     "COMMANDS",
     "AcceptJob",
+    "AcceptUpload",
     "CloseJob",
     "DropReservations",
+    "DropUploads",
     "ForgetJobs",
     "HoldJob",
     "KeepSpeeds",
@@ -144,4 +186,5 @@
     "RecordKept",
     "RecordResults",
     "ReservePlace",
+    "UploadItems",
 ]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -35,14 +35,10 @@
 )
 from ibisspring_decisions.paced_sends import forwarded_part, requests_per_window
 from ibisspring_jobs.admission import Admission
-from ibisspring_jobs.commands import (
-    COMMANDS,
-    AcceptJob,
-    CloseJob,
-    ForgetJobs,
-)
+from ibisspring_jobs.commands import COMMANDS, CloseJob, ForgetJobs
 from ibisspring_jobs.dispatch_load import DispatchLoad
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
+from ibisspring_jobs.job_commits import JobCommits
 from ibisspring_jobs.job_reads import JobReads
 from ibisspring_jobs.paced_decisions import PacedDecisions
 from ibisspring_jobs.peaks import Peaks
@@ -90,6 +86,8 @@
         self._counters = kernel.find("counters")
         self._load = DispatchLoad(self._counters)
         self._decisions = PacedDecisions(self._decide, self._load.decided)
+        self._commits = JobCommits(self._state, self._counters, self._propose)
+        self._accepting_by_job: dict[str, asyncio.Task[Any]] = {}
         self._admission: Admission | None = None
         if self._settings.policy.admission:
             self._admission = Admission(
@@ -99,6 +97,7 @@
                 self._consensus,
                 self._counters,
                 self._propose,
+                self._commits.commit,
                 self.dispatcher,
                 self.has_leader_lease,
             )
@@ -226,6 +225,7 @@
             results_by_job.setdefault(job, []).append(result)
         await self._results.commit_results(results_by_job)
         await self._remove_expired_jobs()
+        await self._commits.drop_abandoned()
         await self._keep_speeds(dispatcher, now)
         if self._admission is not None:
             await self._admission.tick(now, self._peaks.peak_by_service)
@@ -275,16 +275,34 @@
         if self._admission is not None:
             return await self._admission.submit(job)
         if job.job not in self._state.job_by_id:
-            accepted = AcceptJob(replace(job, submitted_s=self._view.wall_s()))
-            committed = await self._propose(accepted)
+            committed = await self._accept(job)
             if isinstance(committed, Refusal):
                 return committed
-            eliot.log_message("jobs:accepted", job=job.job, items=len(job.items), model=job.model)
         job_record = self._state.job_by_id.get(job.job)
         if job_record is None or job_record.job.client_account != job.client_account:
             return UnknownJob()
         return JobAccepted()
 
+    async def _accept(self, job: Job) -> Any:
+        """
+        Commit a job; submissions of the same job share one commit.
+
+        A caller that leaves does not end it: its next submission finds the job, or waits for it.
+        """
+        accepting = self._accepting_by_job.get(job.job)
+        if accepting is None:
+            accepted = replace(job, submitted_s=self._view.wall_s())
+            accepting = asyncio.create_task(self._commit_job(accepted), name="jobs:accept")
+            self._accepting_by_job[job.job] = accepting
+            accepting.add_done_callback(lambda _: self._accepting_by_job.pop(job.job, None))
+        return await asyncio.shield(accepting)
+
+    async def _commit_job(self, job: Job) -> Any:
+        committed = await self._commits.commit(job)
+        if not isinstance(committed, Refusal) and job.job in self._state.job_by_id:
+            eliot.log_message("jobs:accepted", job=job.job, items=len(job.items), model=job.model)
+        return committed
+
     async def end_job(self, message: EndJob) -> Any:
         """
         End a job, and answer once its end is committed.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
@@ -25,8 +25,10 @@
 from ibisspring_jobs.commands import (
     COMMANDS,
     AcceptJob,
+    AcceptUpload,
     CloseJob,
     DropReservations,
+    DropUploads,
     ForgetJobs,
     HoldJob,
     KeepSpeeds,
@@ -35,7 +37,9 @@
     RecordKept,
     RecordResults,
     ReservePlace,
+    UploadItems,
 )
+from ibisspring_jobs.uploads import StoredUpload, Upload
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
@@ -81,6 +85,7 @@
     :param held: ids of the jobs that operators hold.
     :param hold_requests: pairs of a job and the ids of the requests by which it was held and
         released, oldest first.
+    :param uploads: the committed chunks of jobs that are not yet accepted.
     """
 
     jobs: tuple[StoredJob, ...]
@@ -89,6 +94,7 @@
     reservations: tuple[Reservation, ...] = ()
     held: tuple[str, ...] = ()
     hold_requests: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    uploads: tuple[StoredUpload, ...] = ()
 
 
 class JobRecord:
@@ -176,6 +182,7 @@
     :param usage: engine time that client accounts have used.
     :param speeds: learned speeds of engines.
     :param reservation_by_job: places that were promised to rejected jobs.
+    :param upload_by_id: the committed chunks of jobs that are not yet accepted.
     """
 
     name = "jobs_state"
@@ -185,6 +192,7 @@
         self.usage: tuple[AccountUsage, ...] = ()
         self.speeds: tuple[KnownSpeed, ...] = ()
         self.reservation_by_job: dict[str, Reservation] = {}
+        self.upload_by_id: dict[str, Upload] = {}
         self._subscribers: list[Callable[[str], None]] = []
         self._apply_by_type: dict[type[Any], Callable[[Any], None]] = {
             AcceptJob: self._accept_job,
@@ -198,6 +206,9 @@
             ReservePlace: self._reserve_place,
             DropReservations: self._drop_reservations,
             HoldJob: self._hold_job,
+            UploadItems: self._upload_items,
+            AcceptUpload: self._accept_upload,
+            DropUploads: self._drop_uploads,
         }
 
     async def start(self, kernel: Kernel) -> None:
@@ -241,9 +252,12 @@
             for job_id, record in self.job_by_id.items()
             if record.hold_requests
         )
-        if not (self.usage or self.speeds or reservations or held or requests):
+        uploads = tuple(upload.to_stored(key) for key, upload in self.upload_by_id.items())
+        if not (self.usage or self.speeds or reservations or held or requests or uploads):
             return encode(jobs)
-        return encode(JobsSnapshot(jobs, self.usage, self.speeds, reservations, held, requests))
+        return encode(
+            JobsSnapshot(jobs, self.usage, self.speeds, reservations, held, requests, uploads)
+        )
 
     def restore(self, data: bytes) -> None:
         """
@@ -262,6 +276,9 @@
         self.reservation_by_job = {
             reservation.job: reservation for reservation in snapshot.reservations
         }
+        self.upload_by_id = {
+            stored.upload: Upload.from_stored(stored) for stored in snapshot.uploads
+        }
         self._notify("")
 
     def _notify(self, job: str) -> None:
@@ -293,6 +310,23 @@
         self.job_by_id[job.job] = JobRecord(stored)
         self._notify(job.job)
 
+    def _upload_items(self, command: UploadItems) -> None:
+        upload = self.upload_by_id.get(command.upload)
+        if upload is None:
+            if command.number:
+                return
+            upload = self.upload_by_id[command.upload] = Upload()
+        upload.add(command.number, command.data)
+
+    def _accept_upload(self, command: AcceptUpload) -> None:
+        upload = self.upload_by_id.pop(command.upload, None)
+        if upload is not None and upload.is_complete(command.items):
+            self._accept_job(AcceptJob(replace(command.job, items=tuple(upload.items))))
+
+    def _drop_uploads(self, command: DropUploads) -> None:
+        for upload in command.uploads:
+            self.upload_by_id.pop(upload, None)
+
     def _record_results(self, command: RecordResults) -> None:
         job_record = self.job_by_id.get(command.job)
         if job_record is None:
--- /dev/null
+++ b/tests/integration/test_platform_large_jobs.py
@@ -0,0 +1,118 @@
+"""A complete platform that is given batch jobs of nearly the largest body that it accepts."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import os
+import time
+
+import pytest
+
+from integration.platform_system import (
+    headers_of,
+    job,
+    platform_system,
+    request,
+)
+from integration.processes import wait_until
+
+MIB = 1024 * 1024
+# Limit within which the end of a job is acknowledged.
+ACKNOWLEDGED_S = 4.0
+
+
+@pytest.fixture
+async def system(tmp_path):
+    async with platform_system(tmp_path) as system:
+        yield system
+
+
+def large_job(prefix: str, bodies: list[bytes]) -> dict:
+    """Return a batch job whose items have the given bodies."""
+    body = job(len(bodies), prefix=prefix)
+    for item, data in zip(body["items"], bodies, strict=True):
+        item["body"] = base64.b64encode(data).decode()
+    return body
+
+
+async def body_of(system, name: str, item: str, entry: int) -> tuple[int, bytes]:
+    """Read the body of an item that has no result."""
+    url = f"{system.entry_url(entry)}/v1/items/{name}?id={item}"
+    return await request("GET", url, b"", headers_of("x"))
+
+
+@pytest.mark.parametrize("kind", ["random", "zeros", "one_body"])
+async def test_a_job_of_many_megabytes_does_not_stop_the_log_while_a_store_is_lost(
+    system, kind
+) -> None:
+    # One log entry held the whole job and exceeded what a message between stores may hold: no later
+    # entry was committed, so that no job was accepted, ended or got results.
+    for engine in system.engines:
+        engine.event_s = 0.2
+    bodies = {
+        "random": [os.urandom(MIB // 2) for _ in range(40)],
+        "zeros": [bytes(MIB // 2) for _ in range(40)],
+        "one_body": [b"small", os.urandom(20 * MIB)],
+    }[kind]
+    await system.submit("step", job(16, prefix="s"))
+    leader = system.leaders("jobs")[-1]
+    lost = next(name for name in system.process_by_name if name[:5] == "store" and name != leader)
+    system.process_by_name[lost].kill()
+
+    await system.submit("large", large_job("l", bodies))
+
+    asked_at = time.monotonic()
+    await system.submit("small", job(2, prefix="m"), entry=2)
+
+    async def ended() -> bool:
+        return (await system.call("DELETE", "/v1/lots/step", "x"))[0] == 200
+
+    await wait_until(ended, "the end of the step")
+    assert time.monotonic() - asked_at < ACKNOWLEDGED_S
+    read = await system.results("large", entry=2)
+    assert read is not None and read["total"] == len(bodies)
+    for number in (0, len(bodies) - 1):
+        listed = {result["id"] for result in read["results"]}
+        if f"l{number}" not in listed:
+            assert await body_of(system, "large", f"l{number}", 2) == (200, bodies[number])
+    await system.wait_all_results("small", 2)
+
+
+async def test_large_jobs_that_come_at_once_are_each_stored_whole(system) -> None:
+    # Chunks of several jobs alternate in the log, and a chunk of one must not end up in another.
+    # Each is submitted at both entries, as by a caller that repeats its submission.
+    jobs = {f"large{n}": large_job(f"l{n}-", [os.urandom(MIB) for _ in range(4)]) for n in range(3)}
+    await asyncio.gather(
+        *(system.submit(name, body, entry) for name, body in jobs.items() for entry in (1, 2))
+    )
+
+    for name, body in jobs.items():
+        for item in body["items"]:
+            status, data = await body_of(system, name, item["id"], 1)
+            assert status == 404 or data == base64.b64decode(item["body"])
+    for name in jobs:
+        read = await system.wait_all_results(name, 4)
+        assert {result["state"] for result in read["results"]} == {"completed"}
+
+
+async def test_a_large_job_whose_leader_is_lost_amid_it_is_stored_whole_or_not_at_all(
+    system,
+) -> None:
+    # A new leader has some chunks of a job in its log, but not the others.
+    bodies = [os.urandom(MIB) for _ in range(12)]
+    body = large_job("l", bodies)
+    submitted = asyncio.create_task(system.submit("large", body))
+    leader = system.leaders("jobs")[-1]
+
+    def uploading() -> bool:
+        return b'"jobs:uploading"' in system.process_by_name[leader].log.read_bytes()
+
+    await wait_until(uploading, "the upload to begin")
+    system.process_by_name[leader].kill()
+    await submitted
+
+    read = await system.results("large")
+    assert read is not None and read["total"] == len(bodies)
+    read = await system.wait_all_results("large", len(bodies), entry=2)
+    assert len({result["id"] for result in read["results"]}) == len(bodies)
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -104,7 +104,7 @@
     "HoldJob": {"after": ""},
     "Job": {"regions": None},
     "JobStatus": {"held": False},
-    "JobsSnapshot": {"hold_requests": ()},
+    "JobsSnapshot": {"hold_requests": (), "uploads": ()},
     "Heartbeat": {"cold_left_ms": 0.0},
     "Outcome": {"endpoint_ended": False},
     "Renew": {"evacuation_change": 0},
@@ -137,6 +137,7 @@
 LATER_FIELDS: dict[str, dict[str, Any]] = {
     "Assignment": {"begin_within_s": 0.2},
     "BootFile": {"limits": Limits()},
+    "JobsSnapshot": {"uploads": ()},
     "Snapshot": {"suspects": (), "suspect_change": 0, "crash_suspects": SuspectsSnapshot()},
     "TakeWork": {"capacity": 0},
     "View": {"suspects": {}, "suspect_change": 0},
--- a/tests/unit/jobs/test_admission.py
+++ b/tests/unit/jobs/test_admission.py
@@ -21,6 +21,7 @@
 from ibisspring_jobs.admission import MAX_SUBMIT_AGE_S, Admission
 from ibisspring_jobs.commands import AcceptJob, CloseJob, DropReservations, ReservePlace
 from ibisspring_jobs.item_durations import MIN_OBSERVED
+from ibisspring_jobs.job_commits import JobCommits
 
 SETTINGS = VmSettings(
     "s1", STORE, "derby", "10.0.0.1:1", ("10.0.0.1:1",), policy=LoadPolicy(admission=True)
@@ -67,6 +68,7 @@
             consensus,
             self.counters,
             self._propose,
+            JobCommits(self.state, self.counters, self._propose).commit,
             lambda: self.harness.dispatcher,
             lambda: self.has_lease,
         )
