Divide long texts: a text of many megabytes stopped the jobs' log

An engine that makes 21 MB of text within the second between two reports: no result of the job is ever listed, and nothing else is committed to the jobs' log. Provoked with a store lost: 2 results not listed within 60 s, before.

A run's outcome holds all events since the last report, and all texts of a report went into one command for each job, of any size.

Change: an outcome holds events of 1 MiB together or one event; a report holds outcomes of 4 MiB; commands for texts and results hold 512 KiB or one text.

Why it works: with an event's limit (1 MiB) each command stays well under the log's bound, however fast engines write; parts were always committed before the result that refers to them.

Tests: test_texts_of_many_megabytes_do_not_stop_the_log_while_a_store_is_lost failed on ("timed out after 60.0 s"), passes now; two unit tests.

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -13,10 +13,12 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.connections import check_end_of_body, headers_of, is_refused
 from ibisspring_core.http_sessions import ends_with_connection
-from ibisspring_core.messages.jobs import Outcome
+from ibisspring_core.messages.jobs import PART, Outcome
 from ibisspring_gateway.wire import ResponseKind
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ibisspring_core.connections import Connections
     from ibisspring_core.messages.jobs import Assignment
     from ibisspring_core.response_bodies import BodyReading
@@ -32,6 +34,8 @@
 # stream uses. A normal event has a few hundred bytes.
 MAX_EVENT_BYTES = 1024 * 1024
 EVENT_END = b"\n\n"
+# An outcome contains events up to this size together, or one event that is larger.
+MAX_OUTCOME_CHARS = 1024 * 1024
 
 
 @dataclass
@@ -63,6 +67,20 @@
     until_close: bool = False
     error: str = ""
 
+    def large_parts(self, number: int) -> Iterator[Outcome]:
+        """
+        Yield outcomes of the events that do not fit into the next outcome, oldest first.
+
+        :param number: number of the assignment.
+        """
+        size = 0
+        for index in range(self.reported_events, len(self.data)):
+            event_size = len(self.data[index])
+            if size and size + event_size > MAX_OUTCOME_CHARS:
+                yield self._outcome_until(number, PART, index)
+                size = 0
+            size += event_size
+
     def outcome(self, number: int, kind: str) -> Outcome:
         """
         Build an outcome from the events that no earlier outcome contains.
@@ -72,14 +90,17 @@
         :param number: number of the assignment.
         :param kind: one of the kinds that `Outcome` lists.
         """
+        return self._outcome_until(number, kind, len(self.data))
+
+    def _outcome_until(self, number: int, kind: str, end: int) -> Outcome:
         after = self.reported_events
-        self.reported_events = len(self.data)
+        self.reported_events = end
         return Outcome(
             number,
             kind,
-            "\n".join(self.data[after:]),
-            len(self.data) - after,
-            tuple(version for version, _ in itertools.groupby(self.versions[after:])),
+            "\n".join(self.data[after:end]),
+            end - after,
+            tuple(version for version, _ in itertools.groupby(self.versions[after:end])),
             self.first_event_s,
             after,
             kept_s=self.keep_alive_s,
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -41,6 +41,9 @@
 # Seconds from the first unreported outcome until a report is sent. All outcomes of this time are in
 # one report and are committed together.
 REPORT_DELAY_S = 0.02
+# Size of the texts in one report, which has to reach the leader and to be committed within the time
+# limit of its call.
+MAX_REPORT_CHARS = 4 * 1024 * 1024
 # Interval at which the new events of current runs are reported and stored in the jobs log. When an
 # entry, the leader of the jobs log or the power of all VMs is lost, each text then loses on
 # average the events of half this interval, instead of all its events.
@@ -260,6 +263,7 @@
 
     async def _finish(self, run: ActiveRun) -> None:
         """Report the end of a run's generation; make the item's reward call if it has one."""
+        self._queue_large_parts(run)
         outcome = run.progress.outcome(run.number, run.kind)
         if outcome.kind == "done" and run.assignment.item.reward is not None:
             if run.assignment.endpoint:
@@ -284,6 +288,10 @@
             late_s=round(boot_now() - begin_by_s, 3),
         )
 
+    def _queue_large_parts(self, run: ActiveRun) -> None:
+        for outcome in run.progress.large_parts(run.number):
+            self._queue_outcome(outcome)
+
     def _queue_outcome(self, outcome: Outcome) -> None:
         self._pending_outcomes.append(outcome)
         self._report_due.set()
@@ -359,6 +367,7 @@
         """Queue the new events of the current runs for the next report."""
         for number, run in self._runs.by_number.items():
             if not run.kind and len(run.progress.data) > run.progress.reported_events:
+                self._queue_large_parts(run)
                 self._queue_outcome(run.progress.outcome(number, PART))
 
     async def _report_outcomes(self) -> None:
@@ -367,7 +376,7 @@
             await asyncio.sleep(REPORT_DELAY_S)
             self._report_due.clear()
             epoch = self._epoch
-            outcomes = tuple(self._pending_outcomes)
+            outcomes = _first_within(self._pending_outcomes, MAX_REPORT_CHARS)
             if not outcomes:
                 continue
             message = ReportWork(self._settings.peer_address, epoch, outcomes)
@@ -377,9 +386,21 @@
                 continue
             if answer.accepted and epoch == self._epoch:
                 del self._pending_outcomes[: len(outcomes)]
+                if self._pending_outcomes:
+                    self._report_due.set()
                 for outcome in outcomes:
                     if outcome.kind != PART:
                         self._runs.by_number.pop(outcome.number, None)
 
 
+def _first_within(outcomes: list[Outcome], max_chars: int) -> tuple[Outcome, ...]:
+    """Return the first outcomes whose texts together have a size, and at least one."""
+    size = 0
+    for count, outcome in enumerate(outcomes):
+        size += len(outcome.output)
+        if count and size > max_chars:
+            return tuple(outcomes[:count])
+    return tuple(outcomes)
+
+
 __all__ = ["Runner"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/result_commits.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/result_commits.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import eliot
 
@@ -13,11 +13,17 @@
 from ibisspring_jobs.commands import KeepTexts, RecordKept, RecordResults
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator
 
     from ibisspring_core.messages.jobs import ItemResult, TextPart
     from ibisspring_jobs.state import JobsState
 
+# Size of the texts in one command of the jobs' log. The entries of other jobs wait while a command
+# is replicated.
+MAX_COMMAND_CHARS = 512 * 1024
+
+Text = TypeVar("Text", "TextPart", "ItemResult")
+
 
 class ResultCommits:
     """
@@ -34,7 +40,9 @@
 
     async def commit_texts(self, parts_by_job: dict[str, list[TextPart]]) -> bool:
         """Commit parts of the texts of items that have no listed result yet."""
-        commands = [KeepTexts(job, tuple(parts)) for job, parts in parts_by_job.items()]
+        commands = [
+            KeepTexts(job, some) for job, parts in parts_by_job.items() for some in _portions(parts)
+        ]
         if not await self._commit_all(commands):
             return False
         for job, parts in parts_by_job.items():
@@ -61,7 +69,7 @@
             if without_output:
                 commands.append(RecordKept(job, tuple(without_output)))
             if with_output:
-                commands.append(RecordResults(job, tuple(with_output)))
+                commands.extend(RecordResults(job, some) for some in _portions(with_output))
         return await self._commit_all(commands)
 
     async def _commit_all(self, commands: list[Any]) -> bool:
@@ -69,4 +77,18 @@
         return not any(isinstance(answer, Refusal) for answer in answers)
 
 
+def _portions(texts: list[Text]) -> Iterator[tuple[Text, ...]]:
+    """Divide texts into tuples of at most MAX_COMMAND_CHARS together, or of one text."""
+    portion: list[Text] = []
+    size = 0
+    for text in texts:
+        if portion and size + len(text.output) > MAX_COMMAND_CHARS:
+            yield tuple(portion)
+            portion, size = [], 0
+        portion.append(text)
+        size += len(text.output)
+    if portion:
+        yield tuple(portion)
+
+
 __all__ = ["ResultCommits"]
--- a/tests/fakes/platform_engine.py
+++ b/tests/fakes/platform_engine.py
@@ -26,6 +26,7 @@
     :param zone: data centre that the heartbeats state.
     :param cold_left_ms: milliseconds for which the heartbeats say that the engine is cold.
     :param events: number of events of each run.
+    :param event_filler: text that is appended to the data of each event.
     :param event_s: seconds between the events of a run.
     :param answer_s: seconds until a call is answered.
     :param failing_attempts: attempt ids of the calls that are always answered 500.
@@ -56,6 +57,7 @@
     zone: str = "derby"
     cold_left_ms: int = 0
     events: int = 5
+    event_filler: str = ""
     event_s: float = EVENT_INTERVAL_S
     answer_s: float = 0.0
     failing_attempts: set[str] = field(default_factory=set)
@@ -213,7 +215,10 @@
         headers = {**headers, "Content-Type": "text/event-stream"}
         numbers = range(int(request_headers.get("last-event-id", 0)) + 1, self.events + 1)
         attempt = request_headers["attempt-id"]
-        events = [f"id: {number}\ndata: {attempt}-{number}\n\n".encode() for number in numbers]
+        filler = self.event_filler
+        events = [
+            f"id: {number}\ndata: {attempt}-{number}{filler}\n\n".encode() for number in numbers
+        ]
         if self.resets is not None:
             await self._write_until_close(request, headers, events, self.event_s)
         response = web.StreamResponse(headers=headers)
--- a/tests/integration/test_platform_large_jobs.py
+++ b/tests/integration/test_platform_large_jobs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import json
 import os
 import time
 
@@ -116,3 +117,36 @@
     assert read is not None and read["total"] == len(bodies)
     read = await system.wait_all_results("large", len(bodies), entry=2)
     assert len({result["id"] for result in read["results"]}) == len(bodies)
+
+
+async def results_one_by_one(system, name: str, total: int) -> list[dict]:
+    """Read the results of a job, each from the position after those that were read."""
+    results: list[dict] = []
+
+    async def read_next() -> bool:
+        path = f"/v1/lots/{name}?after={len(results)}"
+        status, body = await system.call("GET", path, "x")
+        if status == 200:
+            results.extend(json.loads(body)["results"])
+        return len(results) == total
+
+    await wait_until(read_next, f"{total} results of {name}")
+    return results
+
+
+async def test_texts_of_many_megabytes_do_not_stop_the_log_while_a_store_is_lost(system) -> None:
+    # An engine made a text of more than a message between stores may hold, in less time than
+    # passes between two reports. The text was one log entry, behind which nothing was committed.
+    for engine in system.engines:
+        engine.events, engine.event_filler = 30, "x" * 700_000
+    leader = system.leaders("jobs")[-1]
+    lost = next(name for name in system.process_by_name if name[:5] == "store" and name != leader)
+    system.process_by_name[lost].kill()
+
+    await system.submit("long", job(2, prefix="l"))
+
+    read = await results_one_by_one(system, "long", 2)
+    for result in read:
+        expected = [f"{result['id']}-{number}" + "x" * 700_000 for number in range(1, 31)]
+        assert result["state"] == "completed"
+        assert result["output"] == "\n".join(expected)
--- a/tests/unit/gateway/test_item_run.py
+++ b/tests/unit/gateway/test_item_run.py
@@ -9,7 +9,7 @@
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.messages.jobs import Assignment, JobItem
 from ibisspring_gateway import item_run
-from ibisspring_gateway.item_run import RunProgress, run_item
+from ibisspring_gateway.item_run import MAX_OUTCOME_CHARS, RunProgress, run_item
 from ibisspring_gateway.wire import Event, ResponseKind
 
 HEAD = b"HTTP/1.1 200 OK\r\nVersion: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -191,6 +191,26 @@
     )
 
 
+@pytest.mark.parametrize(
+    "sizes", [[3] * 400, [MAX_OUTCOME_CHARS + 1, 1], [1, MAX_OUTCOME_CHARS + 1, 1], [300_000] * 20]
+)
+def test_a_long_text_is_reported_in_parts_that_a_log_entry_can_hold(sizes) -> None:
+    # A text that an engine made within a second was reported at once, whatever its length.
+    data = [str(number % 10) * size for number, size in enumerate(sizes)]
+    progress = RunProgress(data=list(data), versions=[4] * len(data))
+
+    parts = [*progress.large_parts(5), progress.outcome(5, "done")]
+
+    assert "\n".join(part.output for part in parts if part.events) == "\n".join(data)
+    assert [part.after for part in parts] == [
+        sum(part.events for part in parts[:index]) for index in range(len(parts))
+    ]
+    assert sum(part.events for part in parts) == len(data)
+    for part in parts:
+        text_chars = len(part.output) - max(0, part.events - 1)
+        assert part.events == 1 or text_chars <= MAX_OUTCOME_CHARS
+
+
 async def test_only_a_run_whose_engine_listens_no_more_tells_its_end() -> None:
     # A reset by an engine that goes on, or an engine that was gone before, is no end under the run.
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -34,6 +34,7 @@
 from ibisspring_core.settings.vm import STORE, VmSettings
 from ibisspring_core.timer import TimerService
 from ibisspring_jobs.engine_time import KEEP_EVERY_S
+from ibisspring_jobs.result_commits import MAX_COMMAND_CHARS
 from ibisspring_jobs.runners import RUNNER_TIMEOUT_S
 from ibisspring_jobs.service import Jobs
 from ibisspring_jobs.state import JobsState
@@ -240,3 +241,24 @@
     assert len(answer.assignments) == 1
     assert answer.held_s <= runner.first_assigned_at - called_at
     assert boot_now() - called_at - answer.held_s >= busy_s
+
+
+async def test_the_texts_of_one_report_are_divided_among_commands(jobs) -> None:
+    # The texts of all runs of an entry came in one log entry, and together exceeded what a message
+    # between stores may hold.
+    jobs, log = jobs
+    call = TakeWork("e1", "derby", "x", 7, 1, (), 3, 0.0)
+    numbers = [assignment.number for assignment in (await jobs.take_work(call)).assignments]
+    text = "x" * (MAX_COMMAND_CHARS * 2 // 3)
+    before = len(log.commands)
+
+    outcomes = tuple(Outcome(number, "done", text, 1, (4,)) for number in numbers)
+    await jobs.report_work(ReportWork("e1", 7, outcomes))
+
+    assert len(numbers) > 1
+    assert len(log.commands) - before == len(numbers)
+    assert max(len(data) for data in log.commands[before:]) < MAX_COMMAND_CHARS
+    read = await jobs.reads.read_results(
+        ReadResults(job_of().job, job_of().client_account, 0, 0.0, 9_999_999)
+    )
+    assert [result.output for result in read.results] == [text] * len(numbers)
