Bound the items in one answer to a runner, and drop those that have ended

Bodies of several large items that are assigned at once to one runner exceed what a call between daemons holds (64 MiB), or what arrives within its limit (1 s): the runner gets no answer, the items count as lost and are assigned again, with the same result. And an item whose job ended while it waited for the runner's next call was still sent, and started after the end.

Change: an answer holds items of 4 MiB together or one item; the others stay for the next call, which comes at once, and count among the runner's slots. What is no longer assigned is not sent.

Tests: test_large_items_reach_a_runner_in_answers_that_it_accepts, test_an_item_that_waits_for_the_next_answer_does_not_outlive_its_job; both failed before.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ibisspring_core.messages.jobs import AdoptedRun, Assignment, TakeWork
+    from ibisspring_core.messages.jobs import AdoptedRun, Assignment, JobItem, TakeWork
 
 # Seconds without a call for work after which a runner's items are assigned to others. Runners call
 # at least every 0.5 s. With a shorter limit, the items of a slow runner that is still alive would
@@ -28,6 +28,9 @@
 # second of a few texts.
 OVERLOAD_MIN_RUNS = 8
 OVERLOAD_FACTOR = 2
+# Size of the items in one answer to a runner, in bytes; a larger item is sent alone. The answer has
+# to arrive within the time limit of the call.
+MAX_WORK_BYTES = 4 * 1024 * 1024
 
 
 @dataclass
@@ -94,6 +97,26 @@
         self.outbox.append(assignment)
         self.wake.set()
 
+    def take_outbox(self) -> tuple[Assignment, ...]:
+        """
+        Remove the assignments that the answer of this call contains from the outbox.
+
+        Further ones stay for the answer of the next call. Those whose items were given up or ended
+        meanwhile are dropped.
+        """
+        self.outbox = [one for one in self.outbox if one.number in self.sequence_by_number]
+        count = size = 0
+        for assignment in self.outbox:
+            size += _size_of(assignment.item)
+            if count and size > MAX_WORK_BYTES:
+                break
+            count += 1
+        taken = tuple(self.outbox[:count])
+        del self.outbox[:count]
+        for assignment in self.outbox:
+            self.sequence_by_number[assignment.number] = self.sequence + 1
+        return taken
+
     def adopt(self, run: AdoptedRun) -> None:
         """Add an adopted run to the answer of the call that is being processed."""
         self.sequence_by_number[run.number] = self.sequence
@@ -131,7 +154,7 @@
         )
         runner.received_at = now
         runner.sequence = call.sequence
-        runner.free_slots = call.free
+        runner.free_slots = call.free - len(runner.outbox)
         runner.capacity = call.capacity
         return runner, lost + missing
 
@@ -203,6 +226,10 @@
         return min(available, key=rank, default=None)
 
 
+def _size_of(item: JobItem) -> int:
+    return len(item.body) + (len(item.reward.body) if item.reward is not None else 0)
+
+
 def _weighted_digest(key: str, size: float) -> float:
     """
     Return a hash of a key for weighted rendezvous hashing; the lowest one wins.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -354,13 +354,12 @@
         held_until = runner.first_assigned_at if runner.outbox else runner.answered_at
         work = Work(
             dispatcher.epoch,
-            tuple(runner.outbox),
+            runner.take_outbox(),
             tuple(runner.cancelled),
             tuple(runner.moved),
             held_until - called_at,
             tuple(runner.adopted),
         )
-        runner.outbox.clear()
         runner.cancelled.clear()
         runner.moved.clear()
         runner.adopted.clear()
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -24,6 +24,7 @@
 )
 from ibisspring_core.messages.jobs import (
     PART,
+    EndJob,
     Outcome,
     ReportWork,
     SubmitJob,
@@ -35,7 +36,7 @@
 from ibisspring_core.timer import TimerService
 from ibisspring_jobs.engine_time import KEEP_EVERY_S
 from ibisspring_jobs.result_commits import MAX_COMMAND_CHARS
-from ibisspring_jobs.runners import RUNNER_TIMEOUT_S
+from ibisspring_jobs.runners import MAX_WORK_BYTES, RUNNER_TIMEOUT_S
 from ibisspring_jobs.service import Jobs
 from ibisspring_jobs.state import JobsState
 
@@ -262,3 +263,36 @@
         ReadResults(job_of().job, job_of().client_account, 0, 0.0, 9_999_999)
     )
     assert [result.output for result in read.results] == [text] * len(numbers)
+
+
+async def test_large_items_reach_a_runner_in_answers_that_it_accepts(jobs) -> None:
+    # Bodies of many items together exceeded what a call between daemons may hold. The runner got no
+    # answer, its items were taken for lost, and the next answer failed likewise.
+    jobs, _ = jobs
+    items = tuple(replace(item, body=bytes(MAX_WORK_BYTES * 2 // 3)) for item in job_of().items)
+    await jobs.submit(SubmitJob(replace(job_of("large"), items=items, priority=-1)))
+
+    first = await jobs.take_work(TakeWork("e1", "derby", "x", 7, 1, (), 2, 0.0))
+    numbers = [assignment.number for assignment in first.assignments]
+    second = await jobs.take_work(TakeWork("e1", "derby", "x", 7, 2, tuple(numbers), 1, 0.0))
+
+    assert [work.assignments[0].item.item for work in (first, second)] == ["i0", "i1"]
+    assert [len(work.assignments) for work in (first, second)] == [1, 1]
+    assert second.cancelled == ()
+    assert len(jobs.dispatcher().run_by_number) == 2
+
+
+async def test_an_item_that_waits_for_the_next_answer_does_not_outlive_its_job(jobs) -> None:
+    # An item was assigned between two calls of its runner, and its job ended before the second one.
+    # The item started after the end.
+    jobs, _ = jobs
+    await jobs.take_work(TakeWork("e1", "derby", "x", 7, 1, (), 0, 0.0))
+    runner = jobs.dispatcher().runners.runner_by_address["e1"]
+    runner.free_slots = 1
+    jobs.dispatcher().assign_waiting_items(boot_now())
+    assert len(runner.outbox) == 1
+    await jobs.end_job(EndJob(job_of().job, job_of().client_account))
+
+    work = await jobs.take_work(TakeWork("e1", "derby", "x", 7, 2, (), 1, 0.0))
+
+    assert work.assignments == ()
