Stop the items of a job while its end is being committed

Cause: only the committed end stopped runs and assignments.

Change: the leader that is asked to end a job cancels its runs, starts none of its items and adopts none, before it proposes the end. If the term changes, the new leader knows nothing of it, and the caller, which got no answer, asks again.

Test: test_items_of_a_job_are_stopped_while_its_end_is_not_yet_committed, failed before.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -114,6 +114,7 @@
             if (
                 job_record is None
                 or held.item not in job_record.item_by_id
+                or held.job in self.items.ending
                 or self.items.is_busy(key)
             ):
                 continue
@@ -239,13 +240,25 @@
         if self.speed_policy is not None:
             self.speed_policy.remove_finished(job)
         for run in [run for run in self.run_by_number.values() if run.job == job]:
-            if job_record is not None and run.item in job_record.item_by_id:
-                continue
-            self._remove_run(run.number)
-            runner = self.runners.runner_by_address.get(run.runner)
-            if runner is not None:
-                runner.cancelled.append(run.number)
-                runner.wake.set()
+            if job_record is None or run.item not in job_record.item_by_id:
+                self._cancel_run(run)
+
+    def end_job(self, job: str) -> None:
+        """
+        Start no more items of a job, and cancel its runs, while its end is being committed.
+
+        :param job: id of the job.
+        """
+        self.items.ending.add(job)
+        for run in [run for run in self.run_by_number.values() if run.job == job]:
+            self._cancel_run(run)
+
+    def _cancel_run(self, run: Run) -> None:
+        self._remove_run(run.number)
+        runner = self.runners.runner_by_address.get(run.runner)
+        if runner is not None:
+            runner.cancelled.append(run.number)
+            runner.wake.set()
 
     def assign_waiting_items(self, now: float) -> None:
         """Assign waiting items to engines with free slots, each through an available runner."""
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -55,6 +55,7 @@
     """
     The items without a listed result, during one epoch of the dispatcher.
 
+    :param ending: ids of jobs whose end is being committed; none of their items starts.
     :param committing: items whose result is being committed to the log; they are not started again.
     :param unscored: items whose text is complete but not scored, and whose reward call is assigned
         to no runner.
@@ -68,6 +69,7 @@
         self._runs_by_key: dict[ItemKey, set[int]] = {}
         # The start order of a job's items never changes, so the items are sorted only once.
         self._ordered_by_job: dict[str, list[JobItem]] = {}
+        self.ending: set[str] = set()
         self.committing: set[ItemKey] = set()
         self.unscored: set[ItemKey] = {
             (job_id, item)
@@ -150,6 +152,7 @@
         self.committing = {key for key in self.committing if is_open(key)}
         self.unscored = {key for key in self.unscored if is_open(key)}
         if not open_items:
+            self.ending.discard(job)
             self._progress_by_job.pop(job, None)
             self._ordered_by_job.pop(job, None)
             return
@@ -178,7 +181,7 @@
             ):
                 self.unscored.discard(key)
                 continue
-            if job_record.held:
+            if job_record.held or key[0] in self.ending:
                 continue
             if key not in self._runs_by_key and key not in self.committing:
                 yield key
@@ -188,8 +191,10 @@
         return frozenset(job_record.job.service for job_record in self._open_jobs())
 
     def _open_jobs(self) -> Iterator[JobRecord]:
-        for job_record in self._state.job_by_id.values():
-            if job_record.item_by_id and not job_record.ended and not job_record.held:
+        for job_id, job_record in self._state.job_by_id.items():
+            if job_record.ended or job_record.held or job_id in self.ending:
+                continue
+            if job_record.item_by_id:
                 yield job_record
 
     def waiting(self, service: str, engines: Engines, now: float) -> Iterator[WaitingItem]:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/operator_calls.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/operator_calls.py
@@ -237,6 +237,8 @@
         if isinstance(job_record, (NotLeader, UnknownJob)):
             return job_record
         if not job_record.ended:
+            if self._jobs.has_leader_lease():
+                self._jobs.dispatcher().end_job(message.job)
             committed = await self._consensus.propose(COMMANDS.encode(CloseJob(message.job)))
             if isinstance(committed, Refusal):
                 return self._not_leader()
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -307,12 +307,14 @@
         """
         End a job, and answer once its end is committed.
 
-        The job's runs are cancelled before the answer.
+        The job's runs are cancelled at once: the log may take long to commit the end.
         """
         job_record = await self.reads.find_job(message)
         if isinstance(job_record, (NotLeader, UnknownJob)):
             return job_record
         if not job_record.ended:
+            if self.has_leader_lease():
+                self.dispatcher().end_job(message.job)
             committed = await self._propose(CloseJob(message.job))
             if isinstance(committed, Refusal):
                 return committed
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -282,6 +282,23 @@
     assert len(jobs.dispatcher().run_by_number) == 2
 
 
+async def test_items_of_a_job_are_stopped_while_its_end_is_not_yet_committed(jobs) -> None:
+    # The log stood still while its leader kept the lease. The end of a job was never acknowledged,
+    # and its items went on reaching engines.
+    jobs, log = jobs
+    number = await _take_one_item(jobs)
+    log.propose = lambda data: asyncio.get_running_loop().create_future()
+
+    ending = asyncio.create_task(jobs.end_job(EndJob(job_of().job, job_of().client_account)))
+    await asyncio.sleep(0)
+    work = await jobs.take_work(TakeWork("e1", "derby", "x", 7, 2, (number,), 4, 0.0))
+
+    assert set(work.cancelled) == {number}
+    assert work.assignments == ()
+    assert not ending.done()
+    ending.cancel()
+
+
 async def test_an_item_that_waits_for_the_next_answer_does_not_outlive_its_job(jobs) -> None:
     # An item was assigned between two calls of its runner, and its job ended before the second one.
     # The item started after the end.
