--- a/tests/integration/test_platform_large_jobs.py
+++ b/tests/integration/test_platform_large_jobs.py
@@ -11,6 +11,8 @@
 import pytest
 
 from integration.platform_system import (
+    LOOKUP,
+    configuration,
     headers_of,
     job,
     platform_system,
@@ -119,6 +121,20 @@
     assert len({result["id"] for result in read["results"]}) == len(bodies)
 
 
+async def test_a_configuration_that_the_log_cannot_hold_is_refused_and_others_are_not(
+    system,
+) -> None:
+    # A configuration of many megabytes would stop the directory's log, as a large job stopped that
+    # of the jobs.
+    routes = configuration(2)["routes"]
+    prefixes = [f"/spare{number}/" for number in range(20_000)]
+    more = [{**routes[0], "name": prefix, "path_prefix": prefix} for prefix in prefixes]
+
+    assert await system.put(2, routes=routes + more) == 413
+    assert await system.put(3) == 200
+    assert (await system.call("GET", f"{LOOKUP}1", "x"))[0] == 200
+
+
 async def results_one_by_one(system, name: str, total: int) -> list[dict]:
     """Read the results of a job, each from the position after those that were read."""
     results: list[dict] = []
