Identify callers on public routes: their jobs were stored for nobody

Engines are told no account.

Cause: _answer looked at the key only where the route asks for one, so "may this be used" stood for "who asks". Reads of jobs know no route and look at the key. Ruled out: the job is stored, since its items run; the new line jobs:other_account names the owner "" and the account that asks.

Change: identify() finds the account of a key, may_use() decides whether the caller may use a route; all requests go through both. A caller without a key owns the jobs that it submitted on a public route.

Why it works: an account is found in one way, for submissions, reads, ends and lookups, whichever table the entry has. Lookups on public routes carry Tenant, count in the account's usage and keep to its regions as well.

--- a/packages/ibisspring-core/src/ibisspring_core/routes/__init__.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ibisspring_core.routes.access import Caller, identify, may_use
 from ibisspring_core.routes.check import check_table
 from ibisspring_core.routes.index import RouteIndex, allowed_regions
 from ibisspring_core.routes.model import (
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "Caller",
     "ClientAccount",
     "JobTerms",
     "RepeatRule",
@@ -27,4 +29,6 @@
     "Share",
     "allowed_regions",
     "check_table",
+    "identify",
+    "may_use",
 ]
--- a/packages/ibisspring-core/src/ibisspring_core/routes/index.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/index.py
@@ -54,6 +54,16 @@
                 return route
         return None
 
+    def has_public_jobs(self, host: str) -> bool:
+        """
+        Whether callers without a key may submit jobs on any route of a host.
+
+        :param host: host name without a port.
+        """
+        return any(
+            route.public and route.job is not None for route in self._routes_by_host.get(host, ())
+        )
+
     def account(self, key: str) -> ClientAccount | None:
         """
         Find the client account that a key belongs to.
@@ -68,7 +78,7 @@
     """
     Compute the regions in which an account's request on a route may run.
 
-    :param account: the account whose key came with the request; None on a public route.
+    :param account: the account whose key came with the request; None without a key.
     :return: the regions, sorted; None for all. Where both the route and the account name regions,
         only those that both name, which may be none.
     """
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
@@ -21,7 +21,7 @@
     :param target: path and query exactly as in the request line.
     :param headers: headers as the caller sent them; `EndpointAdapter.call_headers` removes those
         that concern only the caller's connection.
-    :param client_account: account whose key authenticated the request; empty on a public route.
+    :param client_account: account whose key authenticated the request; empty without a key.
     :param remaining_s: seconds until the caller's deadline, counted from the arrival of the
         request; None where the caller sent no deadline.
     :param regions: regions in which the request may run; None for all.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+import eliot
+
 from ibisspring_core.clock import boot_now
 from ibisspring_core.errors import Refusal
 from ibisspring_core.leader_client import NotLeader
@@ -57,6 +59,13 @@
         if isinstance(job_record, (NotLeader, UnknownJob)):
             return job_record
         if job_record.job.client_account != message.client_account:
+            eliot.log_message(
+                "jobs:other_account",
+                job=message.job,
+                message=type(message).__name__,
+                owner=job_record.job.client_account,
+                client_account=message.client_account,
+            )
             return UnknownJob()
         return job_record
 
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -141,3 +141,80 @@
     entry = system.entry_url(1)
     answer = await request("POST", f"{entry}{SCORE}lot9", nested, headers_of("lot9"))
     assert answer[0] == 400
+
+
+async def put_with_two_accounts(system, version: int, public: bool) -> None:
+    """Replace the configuration by one with two accounts, whose routes need a key or not."""
+    changed = configuration(version)
+    tenants = [*changed["tenants"], {"name": "foundry", "api_keys": ["k9"]}]
+    routes = [{**route, "public": public} for route in changed["routes"]]
+    assert await system.put(version, routes=routes, tenants=tenants) == 200
+
+
+def accounts_of_items(system) -> list[str | None]:
+    """Return the accounts that the engines were told for the items that they ran."""
+    return [
+        headers.get("tenant")
+        for engine in system.engines
+        if engine.models
+        for headers in engine.request_headers
+    ]
+
+
+async def job_status(system, name: str, key: str | None, entry: int = 1) -> int:
+    """Return the status of a read of a job's results."""
+    path = f"/v1/lots/{name}?after=0"
+    headers = headers_of("x", key or "")
+    if key is None:
+        del headers["Authorization"]
+    return (await request("GET", system.entry_url(entry) + path, b"", headers))[0]
+
+
+async def test_a_job_of_a_public_route_belongs_to_the_account_of_its_key(system) -> None:
+    # The route of the jobs was made public. Jobs that were submitted with a key were stored for
+    # nobody: every read with the key was answered 404, and engines were told no account.
+    await put_with_two_accounts(system, 2, public=True)
+    await system.submit("own", job(4, prefix="o"))
+
+    read = await system.wait_all_results("own", 4, entry=2)
+    assert {result["state"] for result in read["results"]} == {"completed"}
+    assert accounts_of_items(system) == ["forge"] * 4
+    for entry in (1, 2):
+        assert await job_status(system, "own", "k9", entry) == 404
+        assert await job_status(system, "own", None, entry) == 404
+        assert await job_status(system, "own", "unknown", entry) == 401
+    assert (await system.call("POST", f"{LOOKUP}1", "x", key="unknown"))[0] == 401
+
+    await put_with_two_accounts(system, 3, public=False)
+    assert await job_status(system, "own", KEY) == 200
+    assert await job_status(system, "own", None) == 401
+    assert (await system.call("DELETE", "/v1/lots/own", "x", key="k9"))[0] == 404
+    assert (await system.call("DELETE", "/v1/lots/own", "x"))[0] == 200
+
+
+async def test_a_job_without_a_key_is_read_without_a_key(system) -> None:
+    # A caller without a key could submit a job on a public route, and then read nothing of it.
+    await put_with_two_accounts(system, 2, public=True)
+    headers = headers_of("open")
+    del headers["Authorization"]
+    url = f"{system.entry_url(1)}{SCORE}open"
+    assert (await request("POST", url, json.dumps(job(2)).encode(), headers))[0] == 202
+
+    async def listed() -> bool:
+        body = (await request("GET", f"{system.entry_url(2)}/v1/lots/open", b"", headers))[1]
+        return len(json.loads(body).get("results", ())) == 2
+
+    await wait_until(listed, "the results")
+    assert await job_status(system, "open", KEY) == 404
+    assert accounts_of_items(system) == [None] * 2
+
+
+async def test_a_lookup_on_a_public_route_runs_for_the_account_of_its_key(system) -> None:
+    # The endpoint was told no account, and the request was missing from the account's usage.
+    await put_with_two_accounts(system, 2, public=True)
+
+    for key in (KEY, "k9"):
+        assert (await system.call("POST", f"{LOOKUP}1", f"x{key}", key=key))[0] == 200
+
+    seen = [headers.get("tenant") for headers in system.engines[0].request_headers][-2:]
+    assert seen == ["forge", "foundry"]
