Count failed runs of items in the jobs' log: each leader counted anew

Cause: ItemProgress.failures was in the memory of one leader. And a runner that got the 500 while no store led dropped the run: it offered only runs with text to the new leader. Ruled out: that the item's result is lost, since none was listed. dispatch:failure now names the run, the count and the limit.

Change: RecordFailures in the jobs' log, with an id that a run keeps under all leaders; a report is answered after its failures are committed. A runner offers failures that no leader has confirmed. Failures of runs being moved, and of runs whose runner was taken for lost, count as well.

Why it works: a failure stays with its runner until a leader has committed it, and the id makes it count once, so an item is given up after max_attempts answers: neither later nor earlier.

Upgrade: stores of the release before end at the new record; all stores are stopped first (docs/how-to/upgrades.md).

--- a/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/jobs.py
@@ -13,6 +13,10 @@
 COMPLETED = "completed"
 PART = "part"
 LATE = "late"
+# Kinds of runs that an endpoint ended with an error: this run failed, or no run can succeed.
+FAILED = "failed"
+IMPOSSIBLE = "impossible"
+FAILURES = frozenset({FAILED, IMPOSSIBLE})
 ABANDONED = "abandoned"
 # Seconds within which the runs of leaders begin that state no time of their own.
 DEFAULT_BEGIN_WITHIN_S = 0.2
@@ -212,6 +216,9 @@
     :param endpoint: id of the endpoint that it runs at.
     :param resume_after: number of events of the item's text that earlier runs produced.
     :param events: number of events that this run has produced.
+    :param failure: FAILED or IMPOSSIBLE if the run has ended so, and no leader has confirmed it;
+        such a run does not go on. Empty otherwise.
+    :param run_id: as in `Outcome`.
     """
 
     key: int
@@ -220,6 +227,8 @@
     endpoint: str
     resume_after: int
     events: int
+    failure: str = ""
+    run_id: str = ""
 
 
 @dataclass(frozen=True)
@@ -307,8 +316,8 @@
     The end of a run, or its output since the last report.
 
     :param number: number of the assignment whose run is reported.
-    :param kind: PART while the run continues; `done`; `failed` if the endpoint reported that this
-        run failed; `impossible` if it reported that no run can succeed; `broken` if the stream
+    :param kind: PART while the run continues; `done`; FAILED if the endpoint reported that this
+        run failed; IMPOSSIBLE if it reported that no run can succeed; `broken` if the stream
         broke or timed out; `turned_away` if the endpoint rejected the request before it started;
         `stale` if the endpoint has another weight version; LATE if the runner got the assignment
         too late and sent no request; `returned` if the runner gave the run
@@ -324,6 +333,8 @@
     :param kept_s: seconds that the endpoint keeps the run's connection open for the next request;
         0.0 if it closes it or the run did not finish.
     :param endpoint_ended: whether the endpoint's process ended during a run that is `broken`.
+    :param run_id: id of the run, which stays the same when a new leader adopts the run; empty in
+        reports of earlier releases.
     """
 
     number: int
@@ -337,6 +348,7 @@
     score: str = ""
     kept_s: float = 0.0
     endpoint_ended: bool = False
+    run_id: str = ""
 
 
 @dataclass(frozen=True)
@@ -360,6 +372,19 @@
     whole: bool = False
 
 
+@dataclass(frozen=True)
+class ItemFailure:
+    """
+    A run of an item that its endpoint reported as failed.
+
+    :param item: id of the item.
+    :param run_id: id of the run, by which a failure that is reported twice counts once.
+    """
+
+    item: str
+    run_id: str
+
+
 @dataclass(frozen=True)
 class ReportWork:
     """
@@ -391,11 +416,16 @@
 __all__ = [
     "ABANDONED",
     "COMPLETED",
+    "FAILED",
+    "FAILURES",
+    "IMPOSSIBLE",
+    "LATE",
     "PART",
     "AdoptedRun",
     "Assignment",
     "EndJob",
     "HeldRun",
+    "ItemFailure",
     "ItemResult",
     "Job",
     "JobAccepted",
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/active_runs.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/active_runs.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import itertools
+import secrets
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ibisspring_core.messages.jobs import AdoptedRun, HeldRun, text_digest
+from ibisspring_core.messages.jobs import FAILURES, AdoptedRun, HeldRun, text_digest
 from ibisspring_gateway.item_run import RunProgress
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
     :param returned: the generation was stopped because this entry is near a limit.
     :param task: the task of the generation, or of the steps after it.
     :param key: the runner's own number, which is the same in all epochs.
+    :param run_id: id of the run, unique among all runners.
     """
 
     assignment: Assignment
@@ -40,6 +42,7 @@
     returned: bool = False
     task: asyncio.Task[None] | None = None
     key: int = field(default_factory=lambda: next(_keys))
+    run_id: str = field(default_factory=lambda: secrets.token_hex(8))
 
     def start(self, steps: Coroutine[None, None, None]) -> None:
         """Run the next steps of this run in a task."""
@@ -66,6 +69,8 @@
             assignment.endpoint,
             assignment.resume_after,
             len(self.progress.data),
+            failure=self.kind if self.kind in FAILURES else "",
+            run_id=self.run_id,
         )
 
     def matches(self, adopted: AdoptedRun) -> bool:
@@ -127,13 +132,15 @@
 
         A run without an engine only makes a reward call, which any runner can repeat; it is
         cancelled, as is the reward call of a run whose text is complete. A run that produced
-        nothing and has ended is dropped.
+        nothing and has ended is dropped, unless its engine reported a failure, which the new leader
+        counts if the last one did not.
         """
         for run in self.by_number.values():
             if run.kind or not run.assignment.endpoint:
                 run.cancel()
             run.scoring = False
-            if run.assignment.endpoint and (run.progress.data or not run.kind):
+            is_counted = run.progress.data or not run.kind or run.kind in FAILURES
+            if run.assignment.endpoint and is_counted:
                 self._held_by_key[run.key] = run
         self.by_number.clear()
 
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -13,7 +13,7 @@
 from ibisspring_core.clock import boot_now
 from ibisspring_core.connections import check_end_of_body, headers_of, is_refused
 from ibisspring_core.http_sessions import ends_with_connection
-from ibisspring_core.messages.jobs import PART, Outcome
+from ibisspring_core.messages.jobs import FAILED, IMPOSSIBLE, PART, Outcome
 from ibisspring_gateway.wire import ResponseKind
 
 if TYPE_CHECKING:
@@ -183,7 +183,7 @@
         return outcome_by_response_kind[response_kind]
     if status == 200:
         return "done"
-    return "impossible" if status == 422 else "failed"
+    return IMPOSSIBLE if status == 422 else FAILED
 
 
 async def _read_events(
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -264,7 +264,7 @@
     async def _finish(self, run: ActiveRun) -> None:
         """Report the end of a run's generation; make the item's reward call if it has one."""
         self._queue_large_parts(run)
-        outcome = run.progress.outcome(run.number, run.kind)
+        outcome = replace(run.progress.outcome(run.number, run.kind), run_id=run.run_id)
         if outcome.kind == "done" and run.assignment.item.reward is not None:
             if run.assignment.endpoint:
                 self._queue_outcome(replace(outcome, kind=PART, whole=True))
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ibisspring_core.messages.codec import KindCodec
-from ibisspring_core.messages.jobs import ItemResult, Job, TextPart
+from ibisspring_core.messages.jobs import ItemFailure, ItemResult, Job, TextPart
 from ibisspring_decisions.account_shares import AccountUsage
 from ibisspring_decisions.engine_speed import KnownSpeed
 from ibisspring_decisions.job_admission import Reservation
@@ -88,6 +88,19 @@
     parts: tuple[TextPart, ...]
 
 
+@dataclass(frozen=True)
+class RecordFailures:
+    """
+    Count failed runs of items that have no listed result yet.
+
+    If only the leader knew them, each new leader would begin to count anew, and an item that fails
+    at each run would not be abandoned.
+    """
+
+    job: str
+    failures: tuple[ItemFailure, ...]
+
+
 @dataclass(frozen=True)
 class CloseJob:
     """End a job: its items without a listed result are removed and no longer run."""
@@ -169,6 +182,7 @@
     UploadItems,
     AcceptUpload,
     DropUploads,
+    RecordFailures,
 )
 
 __all__ = [
@@ -183,6 +197,7 @@
     "KeepSpeeds",
     "KeepTexts",
     "KeepUsage",
+    "RecordFailures",
     "RecordKept",
     "RecordResults",
     "ReservePlace",
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/dispatcher.py
@@ -88,7 +88,7 @@
                 )
         self.adoption = AdoptionWindow()
         self.outcomes = Outcomes(
-            state, self.items, self.engines, self.run_by_number, self._remove_run
+            epoch, state, self.items, self.engines, self.run_by_number, self._remove_run
         )
         self.speed_policy = (
             SpeedPolicy(state, context, self.items, self.engines, recorder) if recorder else None
@@ -114,6 +114,7 @@
             if (
                 job_record is None
                 or held.item not in job_record.item_by_id
+                or held.failure
                 or held.job in self.items.ending
                 or self.items.is_busy(key)
             ):
@@ -398,6 +399,7 @@
         run = self.run_by_number.get(number)
         if run is not None:
             eliot.log_message("dispatch:lost", item=run.item, runner=run.runner, cause=cause)
+            self.outcomes.run_lost(run)
         self._remove_run(number)
 
     def _remove_run(self, number: int) -> None:
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/items.py
@@ -82,12 +82,15 @@
         """
         Return the progress of an item.
 
-        After a change of the jobs' leader, the progress is restored from the parts in the log.
+        After a change of the jobs' leader, the progress is restored from the log.
         """
         progress = self._known_progress(key)
         if progress is None:
             job_record = self._state.job_by_id[key[0]]
-            progress = ItemProgress.from_parts(job_record.parts_by_item.get(key[1], ()))
+            progress = ItemProgress.from_log(
+                job_record.parts_by_item.get(key[1], ()),
+                job_record.failed_runs_by_item.get(key[1], ()),
+            )
             self._progress_by_job.setdefault(key[0], {})[key[1]] = progress
         return progress
 
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
@@ -11,13 +11,23 @@
 
 import eliot
 
-from ibisspring_core.messages.jobs import LATE, PART, ItemResult, Outcome, TextPart
+from ibisspring_core.messages.jobs import (
+    FAILURES,
+    IMPOSSIBLE,
+    LATE,
+    PART,
+    ItemFailure,
+    ItemResult,
+    Outcome,
+    TextPart,
+)
 from ibisspring_decisions.crash_suspects import item_pause_s
 from ibisspring_jobs.progress import ItemProgress, abandoned_result
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ibisspring_core.messages.jobs import HeldRun
     from ibisspring_jobs.engines import Engines
     from ibisspring_jobs.items import Items
     from ibisspring_jobs.runs import Run
@@ -26,23 +36,31 @@
 # Seconds until an item may run again after a failed run. Without this delay, an engine that fails
 # every request immediately would use up the item's attempts.
 FAILED_RETRY_DELAY_S = 0.2
+# Number of runs taken for lost whose outcomes are still recognised.
+MAX_LOST_RUNS = 1024
 
 
 class Outcomes:
     """
     The outcomes of the runs of one epoch.
 
+    :param epoch: the epoch, which identifies runs whose runners state no id of their own.
+
     In all methods `now` is in seconds since boot.
     """
 
     def __init__(
         self,
+        epoch: int,
         state: JobsState,
         items: Items,
         engines: Engines,
         run_by_number: dict[int, Run],
         remove_run: Callable[[int], None],
     ) -> None:
+        self._epoch = epoch
+        self._new_failures: dict[str, list[ItemFailure]] = {}
+        self._lost_by_number: dict[int, tuple[str, str]] = {}
         self._state = state
         self._items = items
         self._engines = engines
@@ -125,7 +143,7 @@
     def _apply(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
         run = self._run_by_number.get(outcome.number)
         if run is None:
-            return None
+            return self._apply_lost(outcome, now)
         self._remove_run(outcome.number)
         job_record = self._state.job_by_id.get(run.job)
         if job_record is None or run.item not in job_record.item_by_id:
@@ -164,7 +182,11 @@
             whole=progress.complete,
             endpoint_ended=outcome.endpoint_ended,
         )
-        if outcome.kind in ("impossible", "unscored"):
+        if outcome.kind in FAILURES:
+            result = self._count_failure(job_record, run.item, outcome, now)
+            if result is not None:
+                return run.job, result
+        if outcome.kind == "unscored":
             return run.job, abandoned_result(run.item)
         if outcome.kind == LATE:
             # The engine has not been asked, so that it may get other runs at once.
@@ -177,12 +199,71 @@
             has_events = outcome.after + outcome.events > 0
             progress.ends = 0 if has_events else progress.ends + 1
             progress.not_before_s = now + item_pause_s(progress.ends)
-        if outcome.kind == "failed":
-            progress.failures += 1
-            progress.not_before_s = now + FAILED_RETRY_DELAY_S
-            if progress.failures >= job_record.job.max_attempts:
-                return run.job, abandoned_result(run.item)
         return None
 
+    def run_lost(self, run: Run) -> None:
+        """Record that a run was taken for lost; its runner may still report its failure."""
+        self._lost_by_number[run.number] = (run.job, run.item)
+        if len(self._lost_by_number) > MAX_LOST_RUNS:
+            del self._lost_by_number[next(iter(self._lost_by_number))]
+
+    def _apply_lost(self, outcome: Outcome, now: float) -> tuple[str, ItemResult] | None:
+        key = self._lost_by_number.pop(outcome.number, None)
+        if key is None or outcome.kind not in FAILURES:
+            return None
+        job_record = self._state.job_by_id.get(key[0])
+        if job_record is None or key[1] not in job_record.item_by_id:
+            return None
+        result = self._count_failure(job_record, key[1], outcome, now)
+        return (key[0], result) if result is not None else None
+
+    def process_held(self, held: HeldRun, now: float) -> tuple[str, ItemResult] | None:
+        """
+        Process the failure of a run of an earlier epoch, which its leader may have counted.
+
+        :return: as of `process`.
+        """
+        job_record = self._state.job_by_id.get(held.job)
+        if job_record is None or held.item not in job_record.item_by_id:
+            return None
+        outcome = Outcome(held.key, held.failure, run_id=held.run_id)
+        result = self._count_failure(job_record, held.item, outcome, now)
+        if result is None:
+            return None
+        self._items.committing.add((held.job, held.item))
+        return held.job, result
+
+    def take_failures(self) -> dict[str, list[ItemFailure]]:
+        """Return the failed runs that were counted since the last call, by job, to be committed."""
+        failures = self._new_failures
+        self._new_failures = {}
+        return failures
+
+    def _count_failure(
+        self, job_record: JobRecord, item: str, outcome: Outcome, now: float
+    ) -> ItemResult | None:
+        """Return the result of an item that is to be abandoned because of a failed run."""
+        job = job_record.job
+        run_id = outcome.run_id or f"{self._epoch}-{outcome.number}"
+        progress = self._items.progress_of((job.job, item))
+        if run_id not in progress.failed_runs:
+            progress.failed_runs.add(run_id)
+            progress.not_before_s = now + FAILED_RETRY_DELAY_S
+            self._new_failures.setdefault(job.job, []).append(ItemFailure(item, run_id))
+        failures = len(progress.failed_runs)
+        is_abandoned = outcome.kind == IMPOSSIBLE or failures >= job.max_attempts
+        eliot.log_message(
+            "dispatch:failure",
+            job=job.job,
+            item=item,
+            run=run_id,
+            kind=outcome.kind,
+            failures=failures,
+            max_attempts=job.max_attempts,
+            abandoned=is_abandoned,
+            reason=outcome.kind,
+        )
+        return abandoned_result(item) if is_abandoned else None
+
 
 __all__ = ["Outcomes"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/progress.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/progress.py
@@ -18,13 +18,13 @@
     """
     Progress of one item, in the memory of the jobs' leader.
 
-    A new leader restores the text from the parts that are in the log.
+    A new leader restores the text and the failed runs from the log.
 
     :param parts: data of the text's events so far, one string per part that contains events.
     :param events: number of events in `parts`.
     :param versions: weight versions that produced the text, in order.
     :param complete: the text has ended; at most the item's reward call is still to be made.
-    :param failures: number of runs that the engine reported as failed.
+    :param failed_runs: ids of the runs that the engine reported as failed.
     :param ends: number of the last runs, in a row, whose engines ended before the first event.
     :param not_before_s: earliest start of the next run, in seconds since boot.
     """
@@ -33,14 +33,19 @@
     events: int = 0
     versions: list[int] = field(default_factory=list)
     complete: bool = False
-    failures: int = 0
+    failed_runs: set[str] = field(default_factory=set)
     ends: int = 0
     not_before_s: float = 0.0
 
     @classmethod
-    def from_parts(cls, parts: Iterable[TextPart]) -> ItemProgress:
-        """Restore the progress from the parts of an item's text that are in the log."""
-        progress = cls()
+    def from_log(cls, parts: Iterable[TextPart], failed_runs: Iterable[str]) -> ItemProgress:
+        """
+        Restore the progress from what the log contains of an item.
+
+        :param parts: the parts of the item's text.
+        :param failed_runs: ids of its failed runs.
+        """
+        progress = cls(failed_runs=set(failed_runs))
         for part in parts:
             progress.add(part)
         return progress
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/result_commits.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/result_commits.py
@@ -10,12 +10,12 @@
 
 from ibisspring_core.errors import Refusal
 from ibisspring_core.messages.jobs import COMPLETED
-from ibisspring_jobs.commands import KeepTexts, RecordKept, RecordResults
+from ibisspring_jobs.commands import KeepTexts, RecordFailures, RecordKept, RecordResults
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
 
-    from ibisspring_core.messages.jobs import ItemResult, TextPart
+    from ibisspring_core.messages.jobs import ItemFailure, ItemResult, TextPart
     from ibisspring_jobs.state import JobsState
 
 # Size of the texts in one command of the jobs' log. The entries of other jobs wait while a command
@@ -72,6 +72,12 @@
                 commands.extend(RecordResults(job, some) for some in _portions(with_output))
         return await self._commit_all(commands)
 
+    async def commit_failures(self, failures_by_job: dict[str, list[ItemFailure]]) -> bool:
+        """Commit failed runs of items that have no listed result yet."""
+        return await self._commit_all(
+            [RecordFailures(job, tuple(failures)) for job, failures in failures_by_job.items()]
+        )
+
     async def _commit_all(self, commands: list[Any]) -> bool:
         answers = await asyncio.gather(*(self._propose(command) for command in commands))
         return not any(isinstance(answer, Refusal) for answer in answers)
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -46,7 +46,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.jobs import ItemResult, Job, TextPart
+    from ibisspring_core.messages.jobs import HeldRun, ItemResult, Job, TextPart
     from ibisspring_core.settings.vm import VmSettings
 
 # Seconds between two checks by the jobs' leader. In each, it abandons items past their job's time
@@ -337,6 +337,8 @@
         called_at = boot_now()
         runner = dispatcher.register_call(call, called_at)
         dispatcher.adopt(runner, call.held, called_at)
+        if not await self._record_held_failures(dispatcher, call.held, called_at):
+            return NotLeader(self._consensus.leader_hint)
         runner.waiting = True
         runner.wake.clear()
         self._load.called()
@@ -397,11 +399,32 @@
         self._load.called()
         self._decisions.request()
         # A result without output refers to the parts in the log, so the parts are committed first.
-        if not await self._results.commit_texts(
-            parts_by_job
-        ) or not await self._results.commit_results(results_by_job):
+        if not await self._results.commit_texts(parts_by_job):
+            return NotLeader(self._consensus.leader_hint)
+        if not await self._commit_ends(dispatcher, results_by_job):
             return NotLeader(self._consensus.leader_hint)
         return WorkReported()
 
+    async def _record_held_failures(
+        self, dispatcher: Dispatcher, held_runs: tuple[HeldRun, ...], now: float
+    ) -> bool:
+        """Count failed runs whose reports no leader has confirmed; return False if this failed."""
+        results_by_job: dict[str, list[ItemResult]] = {}
+        for held in held_runs:
+            job_and_result = dispatcher.outcomes.process_held(held, now) if held.failure else None
+            if job_and_result is not None:
+                results_by_job.setdefault(job_and_result[0], []).append(job_and_result[1])
+        return await self._commit_ends(dispatcher, results_by_job)
+
+    async def _commit_ends(
+        self, dispatcher: Dispatcher, results_by_job: dict[str, list[ItemResult]]
+    ) -> bool:
+        failures_by_job = dispatcher.outcomes.take_failures()
+        committed = await asyncio.gather(
+            self._results.commit_failures(failures_by_job),
+            self._results.commit_results(results_by_job),
+        )
+        return all(committed)
+
 
 __all__ = ["Jobs"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/state.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ibisspring_core.messages.codec import decode, encode
-from ibisspring_core.messages.jobs import ItemResult, Job, JobItem, TextPart
+from ibisspring_core.messages.jobs import ItemFailure, ItemResult, Job, JobItem, TextPart
 from ibisspring_decisions.account_shares import AccountUsage
 from ibisspring_decisions.engine_speed import KnownSpeed
 from ibisspring_decisions.job_admission import Reservation
@@ -34,6 +34,7 @@
     KeepSpeeds,
     KeepTexts,
     KeepUsage,
+    RecordFailures,
     RecordKept,
     RecordResults,
     ReservePlace,
@@ -62,6 +63,7 @@
         as well; the trainer waits for these groups.
     :param texts: parts of the texts of items without a listed result; the parts of an item are in
         order.
+    :param failures: failed runs of items without a listed result.
     """
 
     job: Job
@@ -71,6 +73,7 @@
     groups: tuple[str, ...] = ()
     carried: tuple[str, ...] = ()
     texts: tuple[TextPart, ...] = ()
+    failures: tuple[ItemFailure, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -110,6 +113,8 @@
     :param carried: those of the job's groups that an earlier job of the same account and model had
         as well; the items of these groups start before the job's other items.
     :param parts_by_item: by item id, the parts of the texts of items without a listed result.
+    :param failed_runs_by_item: by item id, the ids of the failed runs of items without a listed
+        result.
     :param held: an operator holds the job, so that none of its items starts.
     :param hold_requests: ids of the newest requests by which operators held and released the job,
         oldest first.
@@ -128,6 +133,9 @@
         self.parts_by_item: dict[str, list[TextPart]] = {}
         for part in stored.texts:
             self.add_part(part)
+        self.failed_runs_by_item: dict[str, list[str]] = {}
+        for failure in stored.failures:
+            self.add_failure(failure)
 
     def add_part(self, part: TextPart) -> None:
         """
@@ -143,6 +151,12 @@
             return
         parts.append(part)
 
+    def add_failure(self, failure: ItemFailure) -> None:
+        """Count a failed run of an item once, however often it is recorded."""
+        failed_runs = self.failed_runs_by_item.setdefault(failure.item, [])
+        if failure.run_id not in failed_runs:
+            failed_runs.append(failure.run_id)
+
     def complete_text(self, item: str) -> str | None:
         """Return the text of an item if the text has ended and all its parts are stored."""
         parts = self.parts_by_item.get(item)
@@ -169,7 +183,14 @@
         groups = tuple(sorted(self.groups))
         carried = tuple(sorted(self.carried))
         texts = tuple(part for parts in self.parts_by_item.values() for part in parts)
-        return StoredJob(job, self.total, tuple(self.results), self.ended, groups, carried, texts)
+        failures = tuple(
+            ItemFailure(item, run_id)
+            for item, run_ids in self.failed_runs_by_item.items()
+            for run_id in run_ids
+        )
+        return StoredJob(
+            job, self.total, tuple(self.results), self.ended, groups, carried, texts, failures
+        )
 
 
 class JobsState:
@@ -199,6 +220,7 @@
             RecordResults: self._record_results,
             RecordKept: self._record_results_of_parts,
             KeepTexts: self._add_parts,
+            RecordFailures: self._record_failures,
             CloseJob: self._close_job,
             ForgetJobs: self._remove_jobs,
             KeepUsage: self._keep_usage,
@@ -337,6 +359,7 @@
             if job_record.item_by_id.pop(result.item, None) is not None:
                 job_record.results.append(result)
                 job_record.parts_by_item.pop(result.item, None)
+                job_record.failed_runs_by_item.pop(result.item, None)
         self._notify(command.job)
 
     def _record_results_of_parts(self, command: RecordKept) -> None:
@@ -359,12 +382,21 @@
             if part.item in job_record.item_by_id:
                 job_record.add_part(part)
 
+    def _record_failures(self, command: RecordFailures) -> None:
+        job_record = self.job_by_id.get(command.job)
+        if job_record is None:
+            return
+        for failure in command.failures:
+            if failure.item in job_record.item_by_id:
+                job_record.add_failure(failure)
+
     def _close_job(self, command: CloseJob) -> None:
         job_record = self.job_by_id.get(command.job)
         if job_record is not None:
             job_record.ended = True
             job_record.item_by_id.clear()
             job_record.parts_by_item.clear()
+            job_record.failed_runs_by_item.clear()
             self._notify(command.job)
 
     def _remove_jobs(self, command: ForgetJobs) -> None:
--- a/tests/fakes/platform_engine.py
+++ b/tests/fakes/platform_engine.py
@@ -29,7 +29,9 @@
     :param event_filler: text that is appended to the data of each event.
     :param event_s: seconds between the events of a run.
     :param answer_s: seconds until a call is answered.
-    :param failing_attempts: attempt ids of the calls that are always answered 500.
+    :param failing_attempts: attempt ids of the calls and runs that always fail.
+    :param failing_status: status with which such a run is answered; such a call is answered 500.
+    :param failed: attempt ids of the runs that were answered so.
     :param break_after: number of events after which the connection of a run is reset; None: never.
     :param resets: decides which answers are reset on the way: a `reset_share` of them. Answers then
         have no length and no chunks, and end with their connection; None: they have a length.
@@ -61,6 +63,8 @@
     event_s: float = EVENT_INTERVAL_S
     answer_s: float = 0.0
     failing_attempts: set[str] = field(default_factory=set)
+    failing_status: int = 500
+    failed: list[str] = field(default_factory=list)
     break_after: int | None = None
     resets: random.Random | None = None
     reset_share: float = 0.1
@@ -203,6 +207,11 @@
     async def _stream(
         self, request: web.Request, request_headers: dict, headers: dict
     ) -> web.StreamResponse:
+        if request_headers["attempt-id"] in self.failing_attempts:
+            await asyncio.sleep(self.answer_s)
+            if request.transport is not None and not request.transport.is_closing():
+                self.failed.append(request_headers["attempt-id"])
+            return web.Response(status=self.failing_status, headers=headers)
         self.running.append(request_headers["attempt-id"])
         try:
             return await self._write_events(request, request_headers, headers)
--- a/tests/integration/test_platform_faults.py
+++ b/tests/integration/test_platform_faults.py
@@ -214,6 +214,45 @@
         assert sum(len(engine.runs) for engine in system.engines) == started_runs
 
 
+@pytest.mark.parametrize(("status", "killed"), [(500, False), (500, True), (422, True)])
+async def test_an_item_that_always_fails_is_given_up_while_the_stores_are_restarted(
+    system, status, killed
+) -> None:
+    # The stores are stopped in turn, the leader first. Each new leader began to count the failures
+    # of an item anew, and did not learn of a failure that came while no store led.
+    failing = "bad0"
+    scorers = system.engines[1:]
+    for engine in scorers:
+        engine.failing_attempts.add(failing)
+        engine.failing_status = status
+        # A failure comes under the next leader, or before there is one.
+        engine.answer_s = 0.4 if killed else 1.0
+    await system.submit("bad", job(2, prefix="bad"))
+    limit = 3 if status == 500 else 1
+
+    def answered() -> int:
+        return sum(len(engine.failed) for engine in scorers)
+
+    def begun() -> int:
+        return sum(engine.runs.count(failing) for engine in scorers)
+
+    for number in range(limit):
+        await wait_until(lambda number=number: begun() > number, "the next run of the item")
+        leader = system.leaders("jobs")[-1]
+        process = system.process_by_name[leader]
+        if killed:
+            process.kill()
+        stopping = asyncio.create_task(process.terminate())
+        await wait_until(lambda number=number: answered() > number, "its failure")
+        await stopping
+        system.restart(leader)
+
+    read = await system.wait_all_results("bad", 2)
+    state_by_item = {result["id"]: result["state"] for result in read["results"]}
+    assert state_by_item == {failing: "abandoned", "bad1": "completed"}
+    assert answered() == limit
+
+
 def running_items(system, name: str) -> list[str]:
     """Return the items of a job that currently run on any engine."""
     running = [item for engine in system.engines for item in engine.running]
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -10,7 +10,8 @@
 A type may get a field with a default: an older daemon ignores it, a newer one uses the default in
 its place. `ADDED_FIELDS` lists each such field, and the bytes of all other fields stay the same.
 The extended type gets one more sample, whose name ends with the number of its form. Fields that
-were added after the second form of their type are in `LATER_FIELDS` too, and the type gets a third.
+were added after the second form of their type are in `LATER_FIELDS` too, and the type gets a third;
+`LATEST_FIELDS` has those that were added after the third.
 """
 
 from __future__ import annotations
@@ -101,12 +102,13 @@
     "DirectoryStatus": {"evacuated": ()},
     "EndpointRecord": {"cold_s": 0.0},
     "EntrySettings": {"max_answer_bytes": 16_777_216},
+    "HeldRun": {"failure": "", "run_id": ""},
     "HoldJob": {"after": ""},
     "Job": {"regions": None},
     "JobStatus": {"held": False},
     "JobsSnapshot": {"hold_requests": (), "uploads": ()},
     "Heartbeat": {"cold_left_ms": 0.0},
-    "Outcome": {"endpoint_ended": False},
+    "Outcome": {"endpoint_ended": False, "run_id": ""},
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
     "ServiceTerms": {"cold_requests_per_s": 0.0},
@@ -116,6 +118,7 @@
         "suspect_change": 0,
         "crash_suspects": SuspectsSnapshot(),
     },
+    "StoredJob": {"failures": ()},
     "TakeWork": {"held": (), "capacity": 0},
     "Tolerance": {"zones": 0},
     "Unchanged": {"cold_shares": {}},
@@ -137,14 +140,24 @@
 LATER_FIELDS: dict[str, dict[str, Any]] = {
     "Assignment": {"begin_within_s": 0.2},
     "BootFile": {"limits": Limits()},
+    "HeldRun": {"failure": "", "run_id": ""},
     "JobsSnapshot": {"uploads": ()},
+    "Outcome": {"run_id": ""},
     "Snapshot": {"suspects": (), "suspect_change": 0, "crash_suspects": SuspectsSnapshot()},
+    "StoredJob": {"failures": ()},
     "TakeWork": {"capacity": 0},
     "View": {"suspects": {}, "suspect_change": 0},
 }
+# Those that the third form lacks.
+LATEST_FIELDS: dict[str, dict[str, Any]] = {"HeldRun": {"failure": "", "run_id": ""}}
 # Fields that each form lacks.
-LACKING_BY_FORM: dict[int, dict[str, dict[str, Any]]] = {1: ADDED_FIELDS, 2: LATER_FIELDS, 3: {}}
-NEWEST_FORM = 3
+LACKING_BY_FORM: dict[int, dict[str, dict[str, Any]]] = {
+    1: ADDED_FIELDS,
+    2: LATER_FIELDS,
+    3: LATEST_FIELDS,
+    4: {},
+}
+NEWEST_FORM = 4
 FORM_MARK = "~"
 
 
@@ -351,18 +364,20 @@
     assert set(type_names()) == set(FIRST_FORMS)
     extended = {name.partition(FORM_MARK)[0] for name in EXTENDED_FORMS}
     assert extended == {name for name in type_names() if is_extended(name)}
-    third = {name.partition(FORM_MARK)[0] for name in EXTENDED_FORMS if name.endswith("3")}
-    assert third == {name for name in type_names() if is_extended(name, 2)}
+    for form in range(3, NEWEST_FORM + 1):
+        later = {
+            name.partition(FORM_MARK)[0] for name in EXTENDED_FORMS if name.endswith(str(form))
+        }
+        assert later == {name for name in type_names() if is_extended(name, form - 1)}
 
 
 if __name__ == "__main__":
     added = {}
     for type_name in type_names():
         added[type_name] = encoded_without_added(type_name)
-        if is_extended(type_name):
-            added[f"{type_name}{FORM_MARK}2"] = encoded_without_added(type_name, 2)
-        if is_extended(type_name, 2):
-            added[f"{type_name}{FORM_MARK}3"] = encoded_sample(type_name)
+        for form in range(2, NEWEST_FORM + 1):
+            if is_extended(type_name, form - 1):
+                added[f"{type_name}{FORM_MARK}{form}"] = encoded_without_added(type_name, form)
     added.update(of_earlier_release())
     lines = {name: added[name].hex() for name in sorted(added)}
     ENCODED.write_text(json.dumps(lines, indent=1) + "\n", encoding="utf-8")
--- a/tests/unit/jobs/test_dispatcher.py
+++ b/tests/unit/jobs/test_dispatcher.py
@@ -22,7 +22,14 @@
 from ibisspring_decisions.paced_sends import MAX_WINDOW_S, WINDOW_S
 from ibisspring_jobs import items as items_module
 from ibisspring_jobs.adoption import MAX_WAIT_S, MIN_WAIT_S
-from ibisspring_jobs.commands import COMMANDS, AcceptJob, CloseJob, KeepTexts, RecordResults
+from ibisspring_jobs.commands import (
+    COMMANDS,
+    AcceptJob,
+    CloseJob,
+    KeepTexts,
+    RecordFailures,
+    RecordResults,
+)
 from ibisspring_jobs.dispatcher import DispatchContext, Dispatcher
 from ibisspring_jobs.state import JobsState
 
@@ -99,8 +106,13 @@
         job_and_result = self.dispatcher.outcomes.process(Outcome(number, kind, **fields), now)
         if job_and_result is not None:
             self.apply(RecordResults(job_and_result[0], (job_and_result[1],)))
+        self.commit_failures()
         return job_and_result[1] if job_and_result is not None else None
 
+    def commit_failures(self) -> None:
+        for job, failures in self.dispatcher.outcomes.take_failures().items():
+            self.apply(RecordFailures(job, tuple(failures)))
+
     def report_part(self, number: int, after: int, output: str, versions=(4,)) -> bool:
         """
         Report text of a run in progress, and commit it if the dispatcher accepts it.
@@ -261,6 +273,85 @@
     assert ended.state == "abandoned"
 
 
+def first_run(harness, now: float, running=()) -> int:
+    """Make a runner's call, and return the number of the run of the first item."""
+    assigned = harness.poll(running=running, now=now)
+    return next(one.number for one in assigned if one.item.item == "i0")
+
+
+def test_a_new_leader_goes_on_counting_the_failures_of_an_item(harness) -> None:
+    # The stores were restarted in turn. Each new leader began to count anew, and an item that
+    # failed at each run went on reaching engines.
+    for attempt in range(3):
+        now = 10.0 * attempt
+        ended = harness.end_run(first_run(harness, now), "failed", now=now, run_id=f"r{attempt}")
+        harness.change_leader()
+
+    assert ended.state == "abandoned"
+
+
+def test_a_snapshot_keeps_the_failures_of_an_item(harness) -> None:
+    # A store that installed a snapshot became leader, and began to count anew.
+    for attempt in range(2):
+        now = 10.0 * attempt
+        harness.end_run(first_run(harness, now), "failed", now=now, run_id=f"r{attempt}")
+    harness.state.restore(harness.state.snapshot())
+    harness.change_leader()
+
+    ended = harness.end_run(first_run(harness, 20.0), "failed", now=20.0, run_id="r2")
+
+    assert ended.state == "abandoned"
+    assert not harness.state.job_by_id["j"].failed_runs_by_item
+
+
+def held_failure(run_id: str, kind: str = "failed") -> HeldRun:
+    return HeldRun(1, "j", "i0", ENGINE.endpoint, 0, 0, kind, run_id)
+
+
+def test_a_failure_that_no_leader_has_confirmed_counts_once(harness) -> None:
+    # The first leader counted a failure and was lost before it answered, so that the runner
+    # reports the failure to the second leader as well. An item must not be abandoned too early.
+    harness.end_run(first_run(harness, 0.0), "failed", run_id="r0")
+    harness.change_leader()
+    outcomes = harness.dispatcher.outcomes
+
+    for _ in range(3):
+        assert outcomes.process_held(held_failure("r0"), 1.0) is None
+    assert outcomes.process_held(held_failure("r1"), 1.0) is None
+    harness.commit_failures()
+    assert harness.state.job_by_id["j"].failed_runs_by_item == {"i0": ["r0", "r1"]}
+    _, ended = outcomes.process_held(held_failure("r2"), 1.0)
+    assert ended.state == "abandoned"
+
+
+def test_an_item_that_can_never_run_is_abandoned_by_the_next_leader(harness) -> None:
+    # The engine answered 422 while no store led. The item was run again under the next leader.
+    _, ended = harness.dispatcher.outcomes.process_held(held_failure("r0", "impossible"), 1.0)
+
+    assert ended.state == "abandoned"
+
+
+def test_a_failure_of_a_run_that_was_taken_for_lost_counts(harness) -> None:
+    # A frozen entry is taken for lost, and reports the failure of its run once it is thawed.
+    number = first_run(harness, 0.0)
+    harness.dispatcher.sweep(10.0)
+
+    harness.end_run(number, "failed", now=10.0, run_id="r0")
+    harness.end_run(number, "failed", now=10.0, run_id="r0")
+
+    assert harness.state.job_by_id["j"].failed_runs_by_item == {"i0": ["r0"]}
+
+
+def test_a_failure_of_a_run_that_is_being_moved_counts(harness) -> None:
+    # The engine answered 500 while the runner was told to stop the run.
+    number = first_run(harness, 0.0)
+    harness.dispatcher.run_by_number[number].moved = True
+
+    harness.end_run(number, "failed", run_id="r0")
+
+    assert harness.state.job_by_id["j"].failed_runs_by_item == {"i0": ["r0"]}
+
+
 def test_an_item_that_ends_its_engines_pauses_between_its_runs() -> None:
     # The item went from engine to engine, and ended each of them within a tenth of a second.
     harness = DispatcherHarness(ENGINE, dataclasses.replace(ENGINE, endpoint="engine-2"))
