Send large jobs to the stores in chunks, from the entry on

Cause: the leader held each job whole and decoded, once for each that arrived, and entries repeated the whole call after its time limit.

Change: the entry sends the chunks, the leader commits each and answers; then the entry submits the job without its items. The upload's id is made from the job's content, so that another entry or another leader goes on after what is stored. Two uploads at a time; others wait at their entries. An upload without a new chunk for 3 s is dropped.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/peers.py
@@ -10,6 +10,7 @@
     evacuations,
     job_control,
     job_reads,
+    job_uploads,
     jobs,
     status,
 )
@@ -63,6 +64,9 @@
     job_reads.ResultsRead,
     job_control.SharesRead,
     jobs.SubmitJob,
+    job_uploads.ChunksStored,
+    job_uploads.SubmitUpload,
+    job_uploads.UploadChunk,
     jobs.TakeWork,
     jobs.UnknownJob,
     jobs.Work,
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -16,6 +16,7 @@
 from ibisspring_gateway.active_runs import ActiveRun, ActiveRuns
 from ibisspring_gateway.exchange import LASTING_RETRY_AFTER_S
 from ibisspring_gateway.item_run import run_item
+from ibisspring_gateway.job_uploads import is_large, submit_in_chunks
 from ibisspring_gateway.reward_calls import ScoringFailure
 
 if TYPE_CHECKING:
@@ -35,9 +36,8 @@
 # repeat such a request on their own after 1 or 2 s without a response.
 JOB_CALL_TIMEOUT_S = 2.0
 JOB_ATTEMPT_TIMEOUT_S = 0.8
-# Bytes per second at which a job is expected to reach the leader and to be committed; extends both
-# limits for a large job.
-JOB_BYTES_PER_S = 8 * 1024 * 1024
+# Bytes per second at which a large job is expected to be committed; extends the first limit.
+JOB_BYTES_PER_S = 4 * 1024 * 1024
 # Seconds from the first unreported outcome until a report is sent. All outcomes of this time are in
 # one report and are committed together.
 REPORT_DELAY_S = 0.02
@@ -158,15 +158,18 @@
                 return Refusal(Reason.OUTSIDE_REGIONS, True, LASTING_RETRY_AFTER_S, detail)
         # By this time the leader tells a new submission from a late copy of an earlier one.
         sent = replace(job, submitted_s=self._view.wall_s())
-        extra_s = sum(len(item.body) for item in job.items) / JOB_BYTES_PER_S
-        return await self.call_jobs_leader(SubmitJob(sent), extra_s)
+        if not is_large(job):
+            return await self.call_jobs_leader(SubmitJob(sent))
+        size = sum(len(item.body) for item in job.items)
+        timeout_s = JOB_CALL_TIMEOUT_S + size / JOB_BYTES_PER_S
+        return await submit_in_chunks(sent, self.call_jobs_leader, self._view.wall_s, timeout_s)
 
     async def call_jobs_leader(self, message: Any, hold_s: float = 0.0) -> Any:
         """
         Forward a caller's request to the leader of the jobs log.
 
         :param message: a message that may be processed twice, since it is repeated at other stores.
-        :param hold_s: seconds by which the leader may respond later than usual.
+        :param hold_s: seconds for which the leader may delay its response.
         :return: the leader's response; a refusal where no leader responded in time.
         """
         return await self.leader.call(
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -21,6 +21,7 @@
     ReadListed,
     ReadResults,
 )
+from ibisspring_core.messages.job_uploads import ChunksStored, SubmitUpload, UploadChunk
 from ibisspring_core.messages.jobs import (
     PART,
     EndJob,
@@ -108,6 +109,8 @@
         server = kernel.find("peer_server")
         handler_by_type = {
             SubmitJob: self.submit,
+            UploadChunk: self._commits.store_chunk,
+            SubmitUpload: self.submit_upload,
             ReadResults: self.reads.read_results,
             ReadBody: self.reads.read_body,
             EndJob: self.end_job,
@@ -225,7 +228,7 @@
             results_by_job.setdefault(job, []).append(result)
         await self._results.commit_results(results_by_job)
         await self._remove_expired_jobs()
-        await self._commits.drop_abandoned()
+        await self._commits.drop_idle(now)
         await self._keep_speeds(dispatcher, now)
         if self._admission is not None:
             await self._admission.tick(now, self._peaks.peak_by_service)
@@ -283,6 +286,15 @@
             return UnknownJob()
         return JobAccepted()
 
+    async def submit_upload(self, message: SubmitUpload) -> Any:
+        """Accept a job whose chunks are stored, as `submit`; if some are missing, say which."""
+        if message.job.job in self._state.job_by_id:
+            return await self.submit(SubmitJob(message.job))
+        job = self._commits.find_uploaded(message)
+        if isinstance(job, ChunksStored):
+            return job
+        return await self.submit(SubmitJob(job))
+
     async def _accept(self, job: Job) -> Any:
         """
         Commit a job; submissions of the same job share one commit.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/uploads.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/uploads.py
@@ -1,28 +1,18 @@
 """
-Jobs that are too large for one entry of the jobs' log, and are committed in chunks before.
+The committed chunks of jobs that are too large for one entry of the jobs' log.
 
-The items of such a job are encoded one after the other, each behind its length, and this stream is
-cut into chunks: also a single item can be larger than an entry. The job exists only once the
-command that follows its last chunk is applied. Entries of other jobs are committed between chunks.
+Such a job exists only once the command that follows its last chunk is applied. Entries of other
+jobs are committed between its chunks.
 """
 
 from __future__ import annotations
 
-import struct
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-from ibisspring_core.messages.codec import decode, encode
+from ibisspring_core.messages.codec import decode
+from ibisspring_core.messages.job_uploads import ITEM_LENGTH
 from ibisspring_core.messages.jobs import JobItem
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
-
-# Size of a chunk in bytes. While one is replicated and synced, the entries behind it wait.
-CHUNK_BYTES = 256 * 1024
-# Encoded length of an item, before its bytes.
-_LENGTH = struct.Struct("<I")
-
 
 @dataclass(frozen=True)
 class StoredUpload:
@@ -74,12 +64,14 @@
         self.chunks += 1
         self._rest += data
         start = 0
-        while start + _LENGTH.size <= len(self._rest):
-            end = start + _LENGTH.size + _LENGTH.unpack_from(self._rest, start)[0]
-            if end > len(self._rest):
-                break
-            self.items.append(decode(self._rest[start + _LENGTH.size : end], JobItem))
-            start = end
+        with memoryview(self._rest) as view:
+            while start + ITEM_LENGTH.size <= len(view):
+                end = start + ITEM_LENGTH.size + ITEM_LENGTH.unpack_from(view, start)[0]
+                if end > len(view):
+                    break
+                with view[start + ITEM_LENGTH.size : end] as encoded:
+                    self.items.append(decode(encoded, JobItem))
+                start = end
         del self._rest[:start]
 
     def is_complete(self, items: int) -> bool:
@@ -87,23 +79,4 @@
         return len(self.items) == items and not self._rest
 
 
-def chunks_of(items: Iterable[JobItem], chunk_bytes: int = CHUNK_BYTES) -> Iterator[bytes]:
-    """
-    Yield the encoded items in chunks, of which only the last may be smaller than `chunk_bytes`.
-
-    :param items: the items of a job.
-    :param chunk_bytes: size of a chunk.
-    """
-    buffer = bytearray()
-    for item in items:
-        encoded = encode(item)
-        buffer += _LENGTH.pack(len(encoded))
-        buffer += encoded
-        while len(buffer) >= chunk_bytes:
-            yield bytes(buffer[:chunk_bytes])
-            del buffer[:chunk_bytes]
-    if buffer:
-        yield bytes(buffer)
-
-
-__all__ = ["CHUNK_BYTES", "StoredUpload", "Upload", "chunks_of"]
+__all__ = ["StoredUpload", "Upload"]
