Confirm a failed run only once its own failure is committed

Found by reading the diff before the landing: failures that wait for their commit were kept in one list, which the call of another runner could empty while the report that added them waited for its texts. The report was then answered although the failure was not in the log; the leader lost in that moment, the failure was not counted.

Each report, and each offer of held runs, now takes its failures in the step in which it adds them.

Test: test_a_failed_run_is_confirmed_only_once_its_failure_is_committed, failed before.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -47,7 +47,7 @@
 
 if TYPE_CHECKING:
     from ibisspring_core.kernel import Kernel
-    from ibisspring_core.messages.jobs import HeldRun, ItemResult, Job, TextPart
+    from ibisspring_core.messages.jobs import HeldRun, ItemFailure, ItemResult, Job, TextPart
     from ibisspring_core.settings.vm import VmSettings
 
 # Seconds between two checks by the jobs' leader. In each, it abandons items past their job's time
@@ -408,12 +408,13 @@
                 job_and_result = dispatcher.outcomes.process(outcome, now)
                 if job_and_result is not None:
                     results_by_job.setdefault(job_and_result[0], []).append(job_and_result[1])
+        failures_by_job = dispatcher.outcomes.take_failures()
         self._load.called()
         self._decisions.request()
         # A result without output refers to the parts in the log, so the parts are committed first.
         if not await self._results.commit_texts(parts_by_job):
             return NotLeader(self._consensus.leader_hint)
-        if not await self._commit_ends(dispatcher, results_by_job):
+        if not await self._commit_ends(failures_by_job, results_by_job):
             return NotLeader(self._consensus.leader_hint)
         return WorkReported()
 
@@ -426,12 +427,13 @@
             job_and_result = dispatcher.outcomes.process_held(held, now) if held.failure else None
             if job_and_result is not None:
                 results_by_job.setdefault(job_and_result[0], []).append(job_and_result[1])
-        return await self._commit_ends(dispatcher, results_by_job)
+        return await self._commit_ends(dispatcher.outcomes.take_failures(), results_by_job)
 
     async def _commit_ends(
-        self, dispatcher: Dispatcher, results_by_job: dict[str, list[ItemResult]]
+        self,
+        failures_by_job: dict[str, list[ItemFailure]],
+        results_by_job: dict[str, list[ItemResult]],
     ) -> bool:
-        failures_by_job = dispatcher.outcomes.take_failures()
         committed = await asyncio.gather(
             self._results.commit_failures(failures_by_job),
             self._results.commit_results(results_by_job),
--- a/tests/unit/jobs/test_service.py
+++ b/tests/unit/jobs/test_service.py
@@ -313,3 +313,35 @@
     work = await jobs.take_work(TakeWork("e1", "derby", "x", 7, 2, (), 1, 0.0))
 
     assert work.assignments == ()
+
+
+async def test_a_failed_run_is_confirmed_only_once_its_failure_is_committed(jobs) -> None:
+    # Another runner's call came between a failure and its commit, and took the failure over. The
+    # report was answered before the failure was in the log, and a new leader did not know it.
+    jobs, log = jobs
+    work = await jobs.take_work(TakeWork("e1", "derby", "x", 7, 1, (), 2, 0.0))
+    failed, running = (assignment.number for assignment in work.assignments)
+    propose = log.propose
+    commits: list[asyncio.Event] = []
+
+    async def propose_later(data: bytes):
+        commits.append(asyncio.Event())
+        await commits[-1].wait()
+        return await propose(data)
+
+    log.propose = propose_later
+    outcomes = (Outcome(running, PART, "text", 1, (4,)), Outcome(failed, "failed", run_id="r1"))
+    reporting = asyncio.create_task(jobs.report_work(ReportWork("e1", 7, outcomes)))
+    await asyncio.sleep(0.01)
+    taking = asyncio.create_task(jobs.take_work(TakeWork("e2", "derby", "y", 7, 1, (), 0, 0.0)))
+    await asyncio.sleep(0.01)
+    commits[0].set()
+    await asyncio.sleep(0.01)
+
+    assert not reporting.done()
+    for commit in commits:
+        commit.set()
+    assert await reporting == WorkReported()
+    await taking
+    job_record = jobs.dispatcher()._state.job_by_id[job_of().job]
+    assert job_record.failed_runs_by_item == {"i0": ["r1"]}
