--- a/tests/integration/test_platform_large_jobs.py
+++ b/tests/integration/test_platform_large_jobs.py
@@ -45,6 +45,18 @@
     return await request("GET", url, b"", headers_of("x"))
 
 
+async def jobs_leader(system) -> str:
+    """Wait for a leader of the jobs' log, and return its name."""
+    return (await wait_until(lambda: system.leaders("jobs"), "a leader of the jobs"))[-1]
+
+
+async def kill_a_follower(system) -> None:
+    """Kill one store that does not lead the jobs' log."""
+    leader = await jobs_leader(system)
+    lost = next(name for name in system.process_by_name if name[:5] == "store" and name != leader)
+    system.process_by_name[lost].kill()
+
+
 @pytest.mark.parametrize("kind", ["random", "zeros", "one_body"])
 async def test_a_job_of_many_megabytes_does_not_stop_the_log_while_a_store_is_lost(
     system, kind
@@ -59,9 +71,7 @@
         "one_body": [b"small", os.urandom(20 * MIB)],
     }[kind]
     await system.submit("step", job(16, prefix="s"))
-    leader = system.leaders("jobs")[-1]
-    lost = next(name for name in system.process_by_name if name[:5] == "store" and name != leader)
-    system.process_by_name[lost].kill()
+    await kill_a_follower(system)
 
     await system.submit("large", large_job("l", bodies))
 
@@ -106,7 +116,7 @@
     bodies = [os.urandom(MIB) for _ in range(12)]
     body = large_job("l", bodies)
     submitted = asyncio.create_task(system.submit("large", body))
-    leader = system.leaders("jobs")[-1]
+    leader = await jobs_leader(system)
 
     def uploading() -> bool:
         return b'"jobs:uploading"' in system.process_by_name[leader].log.read_bytes()
@@ -155,9 +165,7 @@
     # passes between two reports. The text was one log entry, behind which nothing was committed.
     for engine in system.engines:
         engine.events, engine.event_filler = 30, "x" * 700_000
-    leader = system.leaders("jobs")[-1]
-    lost = next(name for name in system.process_by_name if name[:5] == "store" and name != leader)
-    system.process_by_name[lost].kill()
+    await kill_a_follower(system)
 
     await system.submit("long", job(2, prefix="l"))
 
