Consensus calls: stop at a full batch in place of putting a message back

Where the outbox had filled meanwhile, putting it back at the left dropped the newest message at the right, while the outbox is to drop the oldest.

Found by reading; the dropped message was not provoked.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/peer.py
@@ -28,8 +28,7 @@
 
 # Logs of earlier releases hold entries up to the largest message between daemons.
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-# A call takes further messages up to this size, so that it ends well within its time limit. A
-# message that alone is larger is sent in a call of its own.
+# A call whose messages have this size takes no further one, so that it ends within its time limit.
 MAX_BATCH_BYTES = 1024 * 1024
 # Bytes per second that a connection is expected to carry at least; extends the time limit of a call
 # with a large message.
@@ -226,7 +225,7 @@
         votes: list[tuple[ReplicaId, Message]] = []
         messages = []
         size = 0
-        while self._outbox and self._outbox[0][0] == target:
+        while self._outbox and self._outbox[0][0] == target and size < MAX_BATCH_BYTES:
             _, message = self._outbox.popleft()
             if isinstance(message, SnapshotChunk):
                 data = await self._read_chunk(message.meta.index, message.offset)
@@ -234,9 +233,6 @@
                     continue
                 message = replace(message, data=data)
             encoded = MESSAGES.encode(message)
-            if messages and size + len(encoded) > MAX_BATCH_BYTES:
-                self._outbox.appendleft((target, message))
-                break
             size += len(encoded)
             messages.append(encoded)
             if isinstance(message, (VoteRequest, VoteReply)):
