One function for portions of limited size

All six call count_within now.

Behaviour is the same but for one case of a text's parts: an event without characters before one over the limit gets a part of its own. Each part keeps its bound.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/log.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/log.py
@@ -4,6 +4,7 @@
 
 from ibisspring_consensus.messages import MEMBERS, Entry, Members, SnapshotMeta
 from ibisspring_core.messages.codec import decode
+from ibisspring_core.portions import count_within
 
 
 class Log:
@@ -94,12 +95,8 @@
         entries = self._entries[start : last - self.base_index]
         if max_bytes is None:
             return tuple(entries)
-        size = 0
-        for count, entry in enumerate(entries):
-            size += len(entry.data)
-            if size > max_bytes and count:
-                return tuple(entries[:count])
-        return tuple(entries)
+        count = count_within((len(entry.data) for entry in entries), max_bytes)
+        return tuple(entries[:count])
 
     def append(self, entries: tuple[Entry, ...]) -> None:
         """
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/item_run.py
@@ -14,6 +14,7 @@
 from ibisspring_core.connections import check_end_of_body, headers_of, is_refused
 from ibisspring_core.http_sessions import ends_with_connection
 from ibisspring_core.messages.jobs import FAILED, IMPOSSIBLE, PART, Outcome
+from ibisspring_core.portions import count_within
 from ibisspring_gateway.wire import ResponseKind
 
 if TYPE_CHECKING:
@@ -73,13 +74,12 @@
 
         :param number: number of the assignment.
         """
-        size = 0
-        for index in range(self.reported_events, len(self.data)):
-            event_size = len(self.data[index])
-            if size and size + event_size > MAX_OUTCOME_CHARS:
-                yield self._outcome_until(number, PART, index)
-                size = 0
-            size += event_size
+        while True:
+            sizes = (len(data) for data in self.data[self.reported_events :])
+            end = self.reported_events + count_within(sizes, MAX_OUTCOME_CHARS)
+            if end == len(self.data):
+                return
+            yield self._outcome_until(number, PART, end)
 
     def outcome(self, number: int, kind: str) -> Outcome:
         """
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/runner.py
@@ -13,6 +13,7 @@
 from ibisspring_core.errors import Reason, Refusal
 from ibisspring_core.leader_client import LeaderClient
 from ibisspring_core.messages.jobs import LATE, PART, Outcome, ReportWork, SubmitJob, TakeWork, Work
+from ibisspring_core.portions import count_within
 from ibisspring_gateway.active_runs import ActiveRun, ActiveRuns
 from ibisspring_gateway.exchange import LASTING_RETRY_AFTER_S
 from ibisspring_gateway.item_run import run_item
@@ -379,7 +380,8 @@
             await asyncio.sleep(REPORT_DELAY_S)
             self._report_due.clear()
             epoch = self._epoch
-            outcomes = _first_within(self._pending_outcomes, MAX_REPORT_CHARS)
+            sizes = (len(outcome.output) for outcome in self._pending_outcomes)
+            outcomes = tuple(self._pending_outcomes[: count_within(sizes, MAX_REPORT_CHARS)])
             if not outcomes:
                 continue
             message = ReportWork(self._settings.peer_address, epoch, outcomes)
@@ -396,14 +398,4 @@
                         self._runs.by_number.pop(outcome.number, None)
 
 
-def _first_within(outcomes: list[Outcome], max_chars: int) -> tuple[Outcome, ...]:
-    """Return the first outcomes whose texts together have a size, and at least one."""
-    size = 0
-    for count, outcome in enumerate(outcomes):
-        size += len(outcome.output)
-        if count and size > max_chars:
-            return tuple(outcomes[:count])
-    return tuple(outcomes)
-
-
 __all__ = ["Runner"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
@@ -19,12 +19,12 @@
     ResultsRead,
 )
 from ibisspring_core.messages.jobs import UnknownJob
+from ibisspring_core.portions import count_within
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ibisspring_consensus import ConsensusNode
-    from ibisspring_core.messages.jobs import ItemResult
     from ibisspring_jobs.state import JobRecord, JobsState
 
 
@@ -111,7 +111,9 @@
                 break
         if not self._has_leader_lease():
             return NotLeader(self._consensus.leader_hint)
-        results = _results_within(job_record.results, message.after, message.max_bytes)
+        listed = job_record.results[message.after :]
+        count = count_within((len(result.output) for result in listed), message.max_bytes)
+        results = tuple(listed[:count])
         size = sum(len(result.output) for result in results)
         if message.inline_bytes is not None and size > message.inline_bytes:
             return ResultsListed(job_record.total, message.after + len(results))
@@ -140,17 +142,4 @@
         return BodyRead(item.body if item is not None else None)
 
 
-def _results_within(
-    results: list[ItemResult], after: int, max_bytes: int
-) -> tuple[ItemResult, ...]:
-    selected: list[ItemResult] = []
-    size = 0
-    for result in results[after:]:
-        size += len(result.output)
-        if selected and size > max_bytes:
-            break
-        selected.append(result)
-    return tuple(selected)
-
-
 __all__ = ["JobReads"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/result_commits.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/result_commits.py
@@ -10,6 +10,7 @@
 
 from ibisspring_core.errors import Refusal
 from ibisspring_core.messages.jobs import COMPLETED
+from ibisspring_core.portions import count_within
 from ibisspring_jobs.commands import KeepTexts, RecordFailures, RecordKept, RecordResults
 
 if TYPE_CHECKING:
@@ -85,16 +86,12 @@
 
 def _portions(texts: list[Text]) -> Iterator[tuple[Text, ...]]:
     """Divide texts into tuples of at most MAX_COMMAND_CHARS together, or of one text."""
-    portion: list[Text] = []
-    size = 0
-    for text in texts:
-        if portion and size + len(text.output) > MAX_COMMAND_CHARS:
-            yield tuple(portion)
-            portion, size = [], 0
-        portion.append(text)
-        size += len(text.output)
-    if portion:
-        yield tuple(portion)
+    start = 0
+    while start < len(texts):
+        sizes = (len(text.output) for text in texts[start:])
+        end = start + count_within(sizes, MAX_COMMAND_CHARS)
+        yield tuple(texts[start:end])
+        start = end
 
 
 __all__ = ["ResultCommits"]
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/runners.py
@@ -9,6 +9,8 @@
 
 import xxhash
 
+from ibisspring_core.portions import count_within
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -105,12 +107,8 @@
         meanwhile are dropped.
         """
         self.outbox = [one for one in self.outbox if one.number in self.sequence_by_number]
-        count = size = 0
-        for assignment in self.outbox:
-            size += _size_of(assignment.item)
-            if count and size > MAX_WORK_BYTES:
-                break
-            count += 1
+        sizes = (_size_of(assignment.item) for assignment in self.outbox)
+        count = count_within(sizes, MAX_WORK_BYTES)
         taken = tuple(self.outbox[:count])
         del self.outbox[:count]
         for assignment in self.outbox:
