Submissions without admission need no shared task

The task, its table and the shield are dead weight; submit reads again as before.

Tests unchanged: unit tests of jobs and test_platform_large_jobs.py pass, among them those of two entries that submit one job at once.

--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -88,7 +88,6 @@
         self._load = DispatchLoad(self._counters)
         self._decisions = PacedDecisions(self._decide, self._load.decided)
         self._commits = JobCommits(self._state, self._counters, self._propose)
-        self._accepting_by_job: dict[str, asyncio.Task[Any]] = {}
         self._admission: Admission | None = None
         if self._settings.policy.admission:
             self._admission = Admission(
@@ -278,9 +277,14 @@
         if self._admission is not None:
             return await self._admission.submit(job)
         if job.job not in self._state.job_by_id:
-            committed = await self._accept(job)
+            accepted = replace(job, submitted_s=self._view.wall_s())
+            committed = await self._commits.commit(accepted)
             if isinstance(committed, Refusal):
                 return committed
+            if job.job in self._state.job_by_id:
+                eliot.log_message(
+                    "jobs:accepted", job=job.job, items=len(job.items), model=job.model
+                )
         job_record = self._state.job_by_id.get(job.job)
         if job_record is None or job_record.job.client_account != job.client_account:
             return UnknownJob()
@@ -295,26 +299,6 @@
             return job
         return await self.submit(SubmitJob(job))
 
-    async def _accept(self, job: Job) -> Any:
-        """
-        Commit a job; submissions of the same job share one commit.
-
-        A caller that leaves does not end it: its next submission finds the job, or waits for it.
-        """
-        accepting = self._accepting_by_job.get(job.job)
-        if accepting is None:
-            accepted = replace(job, submitted_s=self._view.wall_s())
-            accepting = asyncio.create_task(self._commit_job(accepted), name="jobs:accept")
-            self._accepting_by_job[job.job] = accepting
-            accepting.add_done_callback(lambda _: self._accepting_by_job.pop(job.job, None))
-        return await asyncio.shield(accepting)
-
-    async def _commit_job(self, job: Job) -> Any:
-        committed = await self._commits.commit(job)
-        if not isinstance(committed, Refusal) and job.job in self._state.job_by_id:
-            eliot.log_message("jobs:accepted", job=job.job, items=len(job.items), model=job.model)
-        return committed
-
     async def end_job(self, message: EndJob) -> Any:
         """
         End a job, and answer once its end is committed.
