Ends of jobs and failures without a run: one path each; two comments that were out of date

- Callers' and operators' ends each stopped the items and proposed the end: both call Jobs.close_job.
- The failure of a lost run and that of a held run looked the item up in two copies: one function.
- The stall report computed the number of waiting entries twice.
- UploadItems said that an upload's id is unique for each attempt, and named a module that chunks_of has left.

Behaviour is the same.

--- a/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
+++ b/packages/ibisspring-consensus/src/ibisspring_consensus/node.py
@@ -323,7 +323,8 @@
     def _report_stall(self, now: float) -> None:
         """Log once that commands of this leader wait for a commit that does not come."""
         state = self.core.state
-        if not self._stall.check(state.commit_index, self._waiting_commands(), now):
+        waiting = state.log.last_index - state.commit_index if self.core.is_leader else 0
+        if not self._stall.check(state.commit_index, waiting, now):
             return
         self._counters.add("consensus.stalled")
         match_by_daemon = {
@@ -334,7 +335,7 @@
             "consensus:stalled",
             reason="no commit",
             term=self.term,
-            waiting=self._waiting_commands(),
+            waiting=waiting,
             commit_index=state.commit_index,
             synced_index=state.synced_index,
             last_index=state.log.last_index,
@@ -342,10 +343,6 @@
             lease_left_s=round(self.lease_left_s(), 3),
         )
 
-    def _waiting_commands(self) -> int:
-        state = self.core.state
-        return state.log.last_index - state.commit_index if self.core.is_leader else 0
-
     def _check_quiet_connections(self) -> None:
         """
         Check the connections once the leader's heartbeats stay away.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/commands.py
@@ -23,9 +23,9 @@
     """
     Store a chunk of the items of a job that is too large for one command.
 
-    :param upload: id of the upload, unique for each attempt to add a job.
+    :param upload: id of the upload, the same for the same job at every entry.
     :param number: number of the chunk, from 0.
-    :param data: bytes of the chunk, as `uploads.chunks_of` cuts them.
+    :param data: bytes of the chunk, as `job_uploads.chunks_of` cuts them.
     """
 
     upload: str
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/operator_calls.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/operator_calls.py
@@ -28,7 +28,7 @@
     SharesRead,
 )
 from ibisspring_core.messages.jobs import JobEnded, UnknownJob
-from ibisspring_jobs.commands import COMMANDS, CloseJob, HoldJob
+from ibisspring_jobs.commands import COMMANDS, HoldJob
 from ibisspring_jobs.load_reports import predicted_end_s, share_balances
 from ibisspring_jobs.runners import RUNNER_TIMEOUT_S
 from ibisspring_jobs.wait_causes import count_items, wait_causes
@@ -237,9 +237,7 @@
         if isinstance(job_record, (NotLeader, UnknownJob)):
             return job_record
         if not job_record.ended:
-            if self._jobs.has_leader_lease():
-                self._jobs.dispatcher().end_job(message.job)
-            committed = await self._consensus.propose(COMMANDS.encode(CloseJob(message.job)))
+            committed = await self._jobs.close_job(message.job)
             if isinstance(committed, Refusal):
                 return self._not_leader()
             eliot.log_message(
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/outcomes.py
@@ -135,7 +135,11 @@
         :return: job id and result if the item is completed or abandoned; None if the item runs
             again, or if the outcome is ignored because another run has continued the text.
         """
-        job_and_result = self._apply(outcome, now)
+        return self._mark_committing(self._apply(outcome, now))
+
+    def _mark_committing(
+        self, job_and_result: tuple[str, ItemResult] | None
+    ) -> tuple[str, ItemResult] | None:
         if job_and_result is not None:
             self._items.committing.add((job_and_result[0], job_and_result[1].item))
         return job_and_result
@@ -211,11 +215,7 @@
         key = self._lost_by_number.pop(outcome.number, None)
         if key is None or outcome.kind not in FAILURES:
             return None
-        job_record = self._state.job_by_id.get(key[0])
-        if job_record is None or key[1] not in job_record.item_by_id:
-            return None
-        result = self._count_failure(job_record, key[1], outcome, now)
-        return (key[0], result) if result is not None else None
+        return self._count_without_run(key, outcome, now)
 
     def process_held(self, held: HeldRun, now: float) -> tuple[str, ItemResult] | None:
         """
@@ -223,15 +223,18 @@
 
         :return: as of `process`.
         """
-        job_record = self._state.job_by_id.get(held.job)
-        if job_record is None or held.item not in job_record.item_by_id:
-            return None
         outcome = Outcome(held.key, held.failure, run_id=held.run_id)
-        result = self._count_failure(job_record, held.item, outcome, now)
-        if result is None:
+        return self._mark_committing(self._count_without_run((held.job, held.item), outcome, now))
+
+    def _count_without_run(
+        self, key: tuple[str, str], outcome: Outcome, now: float
+    ) -> tuple[str, ItemResult] | None:
+        """Count the failure of a run that the dispatcher does not have, if its item is open."""
+        job_record = self._state.job_by_id.get(key[0])
+        if job_record is None or key[1] not in job_record.item_by_id:
             return None
-        self._items.committing.add((held.job, held.item))
-        return held.job, result
+        result = self._count_failure(job_record, key[1], outcome, now)
+        return (key[0], result) if result is not None else None
 
     def take_failures(self) -> dict[str, list[ItemFailure]]:
         """Return the failed runs that were counted since the last call, by job, to be committed."""
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/service.py
@@ -303,20 +303,28 @@
         """
         End a job, and answer once its end is committed.
 
-        The job's runs are cancelled at once: the log may take long to commit the end.
+        The job's runs are cancelled before the answer.
         """
         job_record = await self.reads.find_job(message)
         if isinstance(job_record, (NotLeader, UnknownJob)):
             return job_record
         if not job_record.ended:
-            if self.has_leader_lease():
-                self.dispatcher().end_job(message.job)
-            committed = await self._propose(CloseJob(message.job))
+            committed = await self.close_job(message.job)
             if isinstance(committed, Refusal):
                 return committed
             eliot.log_message("jobs:ended", job=message.job, listed=len(job_record.results))
         return JobEnded()
 
+    async def close_job(self, job: str) -> Any:
+        """
+        Commit the end of a job; its runs are cancelled at once, as the commit may take long.
+
+        :return: the command's `Committed`, or a refusal.
+        """
+        if self.has_leader_lease():
+            self.dispatcher().end_job(job)
+        return await self._propose(CloseJob(job))
+
     async def take_work(self, call: TakeWork) -> Any:
         """
         Answer a runner's call with new assignments and with the numbers of runs to stop.
