Keep the time limit of an upload between its chunks

An entry whose leader answers slowly went on sending for a caller that had left. The chunks that are stored stay for the caller's repetition, which goes on after them.

Test: test_a_submission_ends_at_its_time_limit_between_two_chunks, failed before.

--- a/packages/ibisspring-gateway/src/ibisspring_gateway/job_uploads.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/job_uploads.py
@@ -79,7 +79,7 @@
             return answer
         # Another entry has stored more chunks of the same job, or a leader has dropped them.
         stored = answer.count
-    return Refusal(Reason.TIMEOUT, not_run=False, detail="the job was not stored in time")
+    return _timed_out()
 
 
 async def _send_from(
@@ -101,9 +101,15 @@
             answer = await call(message)
         if answer != ChunksStored(number + 1):
             return answer
+        if boot_now() >= end_at:
+            return _timed_out()
     return None
 
 
+def _timed_out() -> Refusal:
+    return Refusal(Reason.TIMEOUT, not_run=False, detail="the job was not stored in time")
+
+
 def _is_to_wait(answer: Any) -> bool:
     """Whether the leader stores as many other large jobs as it may."""
     return isinstance(answer, Refusal) and answer.reason is Reason.QUEUE_FULL
--- a/tests/unit/jobs/test_uploads.py
+++ b/tests/unit/jobs/test_uploads.py
@@ -157,6 +157,21 @@
     assert most == MAX_UPLOADS
 
 
+async def test_a_submission_ends_at_its_time_limit_between_two_chunks() -> None:
+    # The limit was not looked at while the leader answered each chunk slowly: the entry went on
+    # long after its caller had left.
+    log = Log()
+
+    async def call_slowly(message: UploadChunk | SubmitUpload) -> object:
+        await asyncio.sleep(0.02)
+        return await log.call(message)
+
+    answer = await submit_in_chunks(large_job(), call_slowly, lambda: 1000.0, 0.1)
+
+    assert isinstance(answer, Refusal) and answer.reason is Reason.TIMEOUT
+    assert len(log.sizes) < len(list(chunks_of(large_job().items))) / 2
+
+
 async def test_a_large_job_with_the_id_of_another_account_is_unknown() -> None:
     log = Log()
     await submit(log, large_job())
