Crowds of clients that exhaust an entry or a control daemon, as tests

What callers saw: with many bodies, slow readers, requests sent ahead or silent connections a daemon takes several times the memory or the descriptors of its settings, so that the platform ends it with the requests of everybody; chunks of one byte keep an entry's event loop busy, and nobody is answered.

'make test' runs them one at a time, after all others.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(VENV)/bin/black -q packages platform tests bench demo
 
 test: setup
-	$(PYTHON) -m pytest -q -n 4 --dist worksteal
+	$(PYTHON) -m pytest -q -n 4 --dist worksteal -m "not crowd"
+	$(PYTHON) -m pytest -q -m crowd
 
 demo: setup
 	PYTHONPATH=tests:. $(PYTHON) -m demo
--- a/tests/fakes/platform_engine.py
+++ b/tests/fakes/platform_engine.py
@@ -29,6 +29,8 @@
     :param event_filler: text that is appended to the data of each event.
     :param event_s: seconds between the events of a run.
     :param answer_s: seconds until a call is answered.
+    :param answer_bytes: size of the answer to a call; None for an answer that is the call's path.
+    :param max_body_bytes: size above which the body of a call is answered 413.
     :param failing_attempts: attempt ids of the calls and runs that always fail.
     :param failing_status: status with which such a run is answered; such a call is answered 500.
     :param failed: attempt ids of the runs that were answered so.
@@ -62,6 +64,8 @@
     event_filler: str = ""
     event_s: float = EVENT_INTERVAL_S
     answer_s: float = 0.0
+    answer_bytes: int | None = None
+    max_body_bytes: int = 64 * 1024 * 1024
     failing_attempts: set[str] = field(default_factory=set)
     failing_status: int = 500
     failed: list[str] = field(default_factory=list)
@@ -85,7 +89,7 @@
 
     async def start(self) -> None:
         """Start the server and the heartbeats."""
-        app = web.Application()
+        app = web.Application(client_max_size=self.max_body_bytes)
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._run)
@@ -187,7 +191,10 @@
             status = 500 if request_headers["attempt-id"] in self.failing_attempts else 200
             if self.resets is not None and status == 200:
                 await self._write_until_close(request, response_headers, [request.path.encode()])
-            return web.Response(status=status, body=request.path.encode(), headers=response_headers)
+            body = request.path.encode()
+            if self.answer_bytes is not None:
+                body = bytes(self.answer_bytes)
+            return web.Response(status=status, body=body, headers=response_headers)
         return await self._stream(
             request, request_headers, {**response_headers, "Weight-Versions": str(version)}
         )
