Limit what all clients of a daemon use together

What callers saw: clients that each kept within the limits of a request ended an entry or kept it busy.

Cause: nothing bounded bodies, answers and requests sent ahead of all connections together. uvicorn's h11 protocol resumes reading for each answered request and keeps what arrives; each chunk is an event of a parser in Python, up to 256 KiB of them in one step of the loop; the key and the operator's limits were looked at after the whole body, or not at all; an answer was copied into the transport at once.

Ruled out: a limit of each connection alone, a number of requests at a time, waiting for room (design note).

--- a/packages/ibisspring-core/src/ibisspring_core/caller_leaving.py
+++ b/packages/ibisspring-core/src/ibisspring_core/caller_leaving.py
@@ -15,7 +15,7 @@
 DISCONNECT = "http.disconnect"
 
 
-def cancel_on_disconnect(application: Application, read_timeout_s: float) -> Application:
+def cancel_on_disconnect(application: Application, read_timeout_s: float | None) -> Application:
     """
     Wrap an application so that a request is cancelled when its caller disconnects.
 
@@ -26,7 +26,7 @@
     :param application: the ASGI application that answers the requests.
     :param read_timeout_s: seconds after which a send to a caller that reads nothing is cancelled.
         A firewall on the path may have lost the connection's state; without this limit the request
-        would continue and be billed.
+        would continue and be billed. None if the server itself disconnects such callers.
     :return: the ASGI application that the server calls instead.
     """
 
--- a/packages/ibisspring-core/src/ibisspring_core/errors.py
+++ b/packages/ibisspring-core/src/ibisspring_core/errors.py
@@ -33,6 +33,7 @@
     CRASH_SUSPECT = "crash_suspect"
     MISMATCHED_ANSWER = "mismatched_answer"
     TOO_LARGE = "too_large"
+    SHORT_OF_MEMORY = "short_of_memory"
     STALE = "stale"
     OWNER_LOST = "owner_lost"
     TIMEOUT = "timeout"
--- a/packages/ibisspring-core/src/ibisspring_core/routes/model.py
+++ b/packages/ibisspring-core/src/ibisspring_core/routes/model.py
@@ -161,6 +161,7 @@
     :param idle_s: seconds after which an idle connection of a caller is closed.
     :param max_body_bytes: maximum size of a request's body, in bytes.
     :param max_header_bytes: maximum size of a request's line and headers, in bytes.
+    :param header_s: seconds within which a caller sends the line and headers of a request.
     """
 
     version: int
@@ -170,6 +171,7 @@
     idle_s: float = 15.0
     max_body_bytes: int = 4 * 1024 * 1024
     max_header_bytes: int = 16 * 1024
+    header_s: float = 3.0
 
 
 __all__ = [
--- a/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
+++ b/packages/ibisspring-entry/src/ibisspring_entry/http/server.py
@@ -17,7 +17,6 @@
 
 MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_S = 30
-BACKLOG = 1024
 
 
 def make_server(
@@ -42,7 +41,6 @@
         log_config=None,
         access_log=False,
         server_header=False,
-        backlog=BACKLOG,
         timeout_keep_alive=KEEP_ALIVE_S,
         h11_max_incomplete_event_size=MAX_HEADER_BYTES,
     )
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -108,9 +108,11 @@
     "JobStatus": {"held": False},
     "JobsSnapshot": {"hold_requests": (), "uploads": ()},
     "Heartbeat": {"cold_left_ms": 0.0},
+    "Limits": {"header_timeout_ms": 3000.0},
     "Outcome": {"endpoint_ended": False, "run_id": ""},
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
+    "RouteTable": {"header_s": 3.0},
     "ServiceTerms": {"cold_requests_per_s": 0.0},
     "Snapshot": {
         "evacuations": (),
@@ -142,14 +144,20 @@
     "BootFile": {"limits": Limits()},
     "HeldRun": {"failure": "", "run_id": ""},
     "JobsSnapshot": {"uploads": ()},
+    "Limits": {"header_timeout_ms": 3000.0},
     "Outcome": {"run_id": ""},
+    "RouteTable": {"header_s": 3.0},
     "Snapshot": {"suspects": (), "suspect_change": 0, "crash_suspects": SuspectsSnapshot()},
     "StoredJob": {"failures": ()},
     "TakeWork": {"capacity": 0},
     "View": {"suspects": {}, "suspect_change": 0},
 }
 # Those that the third form lacks.
-LATEST_FIELDS: dict[str, dict[str, Any]] = {"HeldRun": {"failure": "", "run_id": ""}}
+LATEST_FIELDS: dict[str, dict[str, Any]] = {
+    "HeldRun": {"failure": "", "run_id": ""},
+    "Limits": {"header_timeout_ms": 3000.0},
+    "RouteTable": {"header_s": 3.0},
+}
 # Fields that each form lacks.
 LACKING_BY_FORM: dict[int, dict[str, dict[str, Any]]] = {
     1: ADDED_FIELDS,
