--- a/packages/ibisspring-core/src/ibisspring_core/messages/job_reads.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/job_reads.py
@@ -75,18 +75,30 @@
 
 @dataclass(frozen=True)
 class ReadBody:
-    """Asks for the request body of an item that has no result yet."""
+    """
+    Asks for the request body of an item that has no result yet.
+
+    :param max_bytes: size above which the answer states only the size; None for no limit.
+    """
 
     job: str
     client_account: str
     item: str
+    max_bytes: int | None = None
 
 
 @dataclass(frozen=True)
 class BodyRead:
-    """Answer to `ReadBody`; None if the item has a result, has ended or is not in the job."""
+    """
+    Answer to `ReadBody`.
+
+    :param body: None if the item has a result, has ended or is not in the job, or if the body is
+        larger than was asked for.
+    :param size: size in bytes of a body that is larger than was asked for; 0 otherwise.
+    """
 
     body: bytes | None
+    size: int = 0
 
 
 __all__ = [
--- a/packages/ibisspring-core/src/ibisspring_core/request_bodies.py
+++ b/packages/ibisspring-core/src/ibisspring_core/request_bodies.py
@@ -16,18 +16,26 @@
 BODY_TYPE = "http.response.body"
 
 
-class _Client(Protocol):
-    def reserve_body(self, total_bytes: int) -> bool: ...
+class RequestMemory(Protocol):
+    """Where the memory of a request is reserved: the connection of its client."""
+
+    def reserve_body(self, total_bytes: int) -> bool:
+        """Reserve what the request takes until it is answered; return whether it is granted."""
 
 
-class _UnlimitedClient:
-    """Stands for the connection of a server without limits."""
+class _Unlimited:
+    """The memory of a request to a server without limits."""
 
     def reserve_body(self, total_bytes: int) -> bool:
         return True
 
 
-_UNLIMITED = _UnlimitedClient()
+_UNLIMITED = _Unlimited()
+
+
+def memory_of(scope: dict[str, Any]) -> RequestMemory:
+    """Return where the memory of an ASGI request is reserved."""
+    return scope.get("extensions", {}).get(CLIENT_EXTENSION, _UNLIMITED)
 
 
 async def read_body(
@@ -48,11 +56,11 @@
     :return: the body; a refusal, in which case the request was not run; None if the client
         disconnects before the end.
     """
-    client: _Client = scope.get("extensions", {}).get(CLIENT_EXTENSION, _UNLIMITED)
+    memory = memory_of(scope)
     stated = stated_length(scope)
     if (stated or 0) > max_bytes:
         return _too_large(max_bytes)
-    if stated and not client.reserve_body(stated * copies):
+    if stated and not memory.reserve_body(stated * copies):
         return _short_of_memory()
     reserved = stated or 0
     body = bytearray()
@@ -68,7 +76,7 @@
             return _too_large(max_bytes)
         if len(body) + len(part) > reserved:
             reserved = min(max_bytes, max(FIRST_RESERVATION_BYTES, 2 * (len(body) + len(part))))
-            if not client.reserve_body(reserved * copies):
+            if not memory.reserve_body(reserved * copies):
                 return _short_of_memory()
         body += part
         if not event.get("more_body", False):
@@ -131,4 +139,4 @@
     return Refusal(Reason.SHORT_OF_MEMORY, True, RETRY_AFTER_S, detail)
 
 
-__all__ = ["read_body", "stated_length", "with_whole_bodies"]
+__all__ = ["RequestMemory", "memory_of", "read_body", "stated_length", "with_whole_bodies"]
--- a/packages/ibisspring-decisions/src/ibisspring_decisions/client_load.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/client_load.py
@@ -39,8 +39,8 @@
 DESCRIPTORS_SHARE = 0.6
 # Descriptors that are kept for files.
 RESERVED_DESCRIPTORS = 200
-# Least capacity, in bytes and connections, of a process whose memory does not exceed the base, which
-# must answer small requests.
+# Least capacity, in bytes and connections: a process whose memory does not exceed the base must
+# answer small requests.
 MIN_BUDGET_BYTES = 2 * 1024 * 1024
 MIN_CONNECTIONS = 16.0
 # Budget in bytes of a process of unknown size.
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
@@ -134,12 +134,20 @@
         )
 
     async def read_body(self, message: ReadBody) -> Any:
-        """Return the request body of an item without a listed result; None for any other item."""
+        """
+        Return the request body of an item without a listed result; None for any other item.
+
+        Of a body that exceeds `max_bytes`, only the size is returned.
+        """
         job_record = await self.find_job(message)
         if isinstance(job_record, (NotLeader, UnknownJob)):
             return job_record
         item = job_record.item_by_id.get(message.item)
-        return BodyRead(item.body if item is not None else None)
+        if item is None:
+            return BodyRead(None)
+        if message.max_bytes is not None and len(item.body) > message.max_bytes:
+            return BodyRead(None, len(item.body))
+        return BodyRead(item.body)
 
 
 __all__ = ["JobReads"]
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -97,6 +97,7 @@
 ADDED_FIELDS: dict[str, dict[str, Any]] = {
     "Assignment": {"data_centre": "", "paced": False, "regions": None, "begin_within_s": 0.2},
     "BootFile": {"zones": {}, "limits": Limits()},
+    "BodyRead": {"size": 0},
     "Bounds": {"evacuate_ms": 0.0, "cold_overshoot": 1.0, "cold_slack": 0.0},
     "ClientAccount": {"regions": ()},
     "DirectoryStatus": {"evacuated": ()},
@@ -110,6 +111,7 @@
     "Heartbeat": {"cold_left_ms": 0.0},
     "Limits": {"header_timeout_ms": 3000.0},
     "Outcome": {"endpoint_ended": False, "run_id": ""},
+    "ReadBody": {"max_bytes": None},
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
     "RouteTable": {"header_s": 3.0},
