--- a/tests/integration/test_platform_crowds.py
+++ b/tests/integration/test_platform_crowds.py
@@ -209,6 +209,21 @@
         await crowd.add(60, read_slowly, receive_bytes=RECEIVE_BUFFER_BYTES)
 
 
+async def test_long_results_that_are_read_slowly(system) -> None:
+    for engine in system.engines:
+        engine.events, engine.event_filler = 8, "x" * (100 * KIB)
+    await system.submit("long", job(2))
+    await system.wait_all_results("long", 1)
+
+    async def read_slowly(client: Client, number: int) -> None:
+        await client.send(head("GET", "/v1/lots/long?after=0", f"l{number}"))
+        await client.status()
+        await client.read_slowly()
+
+    async with checked_crowd(system) as crowd:
+        await crowd.add(60, read_slowly, receive_bytes=RECEIVE_BUFFER_BYTES)
+
+
 @pytest.mark.parametrize("path", ["/v1/Config.Replace", "/v1/Instances.Heartbeat/i-9"])
 async def test_bodies_for_a_control_daemon_that_stop_short(system, path) -> None:
     async def stop_short(client: Client, number: int) -> None:
--- a/tests/unit/gateway/test_result_reads.py
+++ b/tests/unit/gateway/test_result_reads.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -18,7 +19,12 @@
     COMPLETED,
     ItemResult,
 )
-from ibisspring_gateway.result_reads import INLINE_BYTES, ResultReads
+from ibisspring_gateway.result_reads import (
+    INLINE_BYTES,
+    MAX_LONG_READS,
+    MAX_WHOLE_READS,
+    ResultReads,
+)
 
 ALL_RESULTS = tuple(ItemResult(f"i{number}", COMPLETED, "x" * 2000) for number in range(40))
 LEADER_STORE = Member("10.0.2.1:1", "s1", "stoke", "d1", empty=False)
@@ -146,3 +152,28 @@
         return answer
 
     return call
+
+
+async def test_many_long_reads_do_not_take_the_memory_of_an_entry() -> None:
+    # Sixty callers read long results at the same time, and each answer was in memory three times.
+    stores = _Stores(applied=40)
+    under_way = most = 0
+    call_jobs_leader = stores.call_jobs_leader
+
+    async def call_slowly(message: ReadResults, hold_s: float = 0.0) -> object:
+        nonlocal under_way, most
+        is_long = message.inline_bytes is None
+        under_way += is_long
+        most = max(most, under_way)
+        await asyncio.sleep(0.001)
+        under_way -= is_long
+        return await call_jobs_leader(message, hold_s)
+
+    stores.call_jobs_leader = call_slowly
+    nearby_leader = Member(LEADER_STORE.address, "s1", "derby", "d1", empty=False)
+    reader = reader_of(stores, nearby_leader)
+
+    read = await asyncio.gather(*(reader.read(READ_ALL) for _ in range(60)))
+
+    assert read == [ResultsRead(40, ALL_RESULTS)] * 60
+    assert most <= MAX_LONG_READS + MAX_WHOLE_READS
