Send large bodies to endpoints without copies

What callers saw: one body of 32 MiB, the operator's limit, alone at an idle entry of 150 MB took it to 177 MiB; on the platform it is killed.

Cause: of a body in a buffer that grew, the HTTP client takes a slice, the transport takes another one when it has sent the first bytes, and copies the rest into its own buffer: four copies of 32 MiB.

Change: bodies over 64 KiB are a payload that is written in views of 64 KiB, each when the connection has taken most of the last one. An answer that comes before the end of such a body still ends the connection (a test with aiohttp, which decides it).

--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -13,6 +13,7 @@
 from ibisspring_core.guarded_http import HttpAnswer, NoAnswer
 from ibisspring_core.http_sessions import ends_with_connection, open_session
 from ibisspring_core.kept_connections import IdleConnections
+from ibisspring_core.request_payloads import payload_of
 from ibisspring_core.response_bodies import ResponseMemory, read_body
 from ibisspring_core.settings.model import DEFAULT_ANSWER_BYTES
 
@@ -97,7 +98,7 @@
         address: str,
         target: str,
         headers: Headers,
-        body: bytes,
+        body: bytes | bytearray,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         is_new: bool = False,
     ) -> aiohttp.client._RequestContextManager:
@@ -120,7 +121,7 @@
             method,
             URL(f"http://{address}{target}", encoded=True),
             headers=headers,
-            data=body or None,
+            data=payload_of(body),
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         )
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/wire.py
@@ -32,7 +32,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     client_account: str
     remaining_s: float | None
     regions: tuple[str, ...] | None = None
--- a/tests/integration/test_platform_crowds.py
+++ b/tests/integration/test_platform_crowds.py
@@ -11,6 +11,7 @@
 import asyncio
 import base64
 import contextlib
+import os
 from collections.abc import AsyncIterator
 
 import pytest
@@ -241,3 +242,20 @@
 
     async with checked_crowd(system, "control-1", f"http://{system.seeds[0]}") as crowd:
         await crowd.add(MAX_FDS, stay_silent)
+
+
+@contextlib.asynccontextmanager
+async def calm_system(tmp_path) -> AsyncIterator[PlatformSystem]:
+    """Yield a system of the platform's usual sizes, and check its memory at the end."""
+    limits = {"entry-1": {"memory_mb": 150, "max_fds": 4100}}
+    limits |= dict.fromkeys(("store-1", "store-2", "store-3"), {"memory_mb": 170, "max_fds": 8200})
+    async with platform_system(tmp_path, entries=1, limits_by_name=limits) as system:
+        yield system
+        for name, limit in limits.items():
+            pid = system.process_by_name[name].popen.pid
+            assert peak_bytes(pid) <= limit["memory_mb"] * MIB, name
+
+
+async def test_one_body_of_the_default_limit_is_served(tmp_path) -> None:
+    async with calm_system(tmp_path) as system:
+        await wait_answered(system, "largest", bytes(32 * MIB))
