Refuse a job whose base64 is not ASCII with 400

What callers saw: 500 in place of the findings of an invalid job.

Cause: the decoder raises ValueError for text that is not ASCII, and binascii.Error, a subclass of it, for all other invalid text; only the second was caught. Found by comparing two decoders for the memory of large jobs.

Test: test_a_job_whose_base64_is_not_ascii_is_refused; b64decode raises ValueError for it, which escaped read_job.

--- a/tests/unit/platform/test_hostile_bodies.py
+++ b/tests/unit/platform/test_hostile_bodies.py
@@ -113,3 +113,14 @@
     started_s = time.thread_time()
     assert_value_or_findings(name, bytes(body))
     assert time.thread_time() - started_s < MAX_READ_CPU_S
+
+
+def test_a_job_whose_base64_is_not_ascii_is_refused() -> None:
+    # The decoder raises another error for such a text than for other invalid ones, and the request
+    # was answered 500.
+    body = job(1)
+    body["items"][0]["body"] = "\u00e9"
+
+    findings = _read_job(_encode(body))
+
+    assert [finding.place for finding in findings] == ["items[0].body"]
