--- a/tests/integration/test_platform_crowds.py
+++ b/tests/integration/test_platform_crowds.py
@@ -259,3 +259,10 @@
 async def test_one_body_of_the_default_limit_is_served(tmp_path) -> None:
     async with calm_system(tmp_path) as system:
         await wait_answered(system, "largest", bytes(32 * MIB))
+
+
+async def test_one_job_of_the_default_limit_is_accepted(tmp_path) -> None:
+    large = job(2)
+    large["items"][0]["body"] = base64.b64encode(os.urandom(23 * MIB)).decode()
+    async with calm_system(tmp_path) as system:
+        await system.submit("large", large)
