Read the body of a large item from the stores in parts

What callers saw: the body of an item of 23 MB, alone, took an entry of 150 MB to 189 MiB while the entry also ran the item.

Cause: the body came in one message, which is in memory three times while it is decoded.

--- a/packages/ibisspring-core/src/ibisspring_core/messages/job_reads.py
+++ b/packages/ibisspring-core/src/ibisspring_core/messages/job_reads.py
@@ -78,12 +78,14 @@
     """
     Asks for the request body of an item that has no result yet.
 
-    :param max_bytes: size above which the answer states only the size; None for no limit.
+    :param begin: position in the body of the first requested byte.
+    :param max_bytes: maximum bytes in the answer; None for no limit.
     """
 
     job: str
     client_account: str
     item: str
+    begin: int = 0
     max_bytes: int | None = None
 
 
@@ -92,9 +94,9 @@
     """
     Answer to `ReadBody`.
 
-    :param body: None if the item has a result, has ended or is not in the job, or if the body is
-        larger than was asked for.
-    :param size: size in bytes of a body that is larger than was asked for; 0 otherwise.
+    :param body: the requested part of the body; None if the item has a result, has ended or is not
+        in the job.
+    :param size: size in bytes of the whole body; 0 if `body` is all of it.
     """
 
     body: bytes | None
--- a/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
+++ b/packages/ibisspring-jobs/src/ibisspring_jobs/job_reads.py
@@ -137,7 +137,7 @@
         """
         Return the request body of an item without a listed result; None for any other item.
 
-        Of a body that exceeds `max_bytes`, only the size is returned.
+        Of a body that exceeds `max_bytes`, a part is returned.
         """
         job_record = await self.find_job(message)
         if isinstance(job_record, (NotLeader, UnknownJob)):
@@ -145,9 +145,10 @@
         item = job_record.item_by_id.get(message.item)
         if item is None:
             return BodyRead(None)
-        if message.max_bytes is not None and len(item.body) > message.max_bytes:
-            return BodyRead(None, len(item.body))
-        return BodyRead(item.body)
+        if message.max_bytes is None or len(item.body) <= message.max_bytes:
+            return BodyRead(item.body[message.begin :])
+        end = message.begin + message.max_bytes
+        return BodyRead(item.body[message.begin : end], len(item.body))
 
 
 __all__ = ["JobReads"]
--- a/tests/integration/test_platform_crowds.py
+++ b/tests/integration/test_platform_crowds.py
@@ -266,3 +266,16 @@
     large["items"][0]["body"] = base64.b64encode(os.urandom(23 * MIB)).decode()
     async with calm_system(tmp_path) as system:
         await system.submit("large", large)
+
+
+async def test_one_body_of_an_item_of_the_default_limit_is_read(tmp_path) -> None:
+    # The item is run by the same entry meanwhile, which holds its body for the engine.
+    large = job(2)
+    data = os.urandom(23 * MIB)
+    large["items"][0]["body"] = base64.b64encode(data).decode()
+    async with calm_system(tmp_path) as system:
+        for engine in system.engines:
+            engine.event_s = 30.0
+        await system.submit("large", large)
+
+        assert await system.call("GET", "/v1/items/large?id=i0", "x") == (200, data)
--- a/tests/unit/encoded/test_encoded_messages.py
+++ b/tests/unit/encoded/test_encoded_messages.py
@@ -111,7 +111,7 @@
     "Heartbeat": {"cold_left_ms": 0.0},
     "Limits": {"header_timeout_ms": 3000.0},
     "Outcome": {"endpoint_ended": False, "run_id": ""},
-    "ReadBody": {"max_bytes": None},
+    "ReadBody": {"begin": 0, "max_bytes": None},
     "Renew": {"evacuation_change": 0},
     "Route": {"regions": ()},
     "RouteTable": {"header_s": 3.0},
