Free the buffers of answers that are dropped

What callers saw: sixty clients that asked for 4 MB at once and read slowly took an entry of 150 MB to 190 MiB, and 30 of them one of 90 MB to 158 MiB; 138 MiB stayed in use afterwards with 28 reserved.

Cause: answers beyond the limit of all that are read were dropped, but their parts stayed in memory: the response holds the error, the error's traceback the frame with the parts, until a collection of cycles. Besides, each connection received up to 256 KiB in one step, a hundred of them 25 MB.

Evidence: resident memory every 50 ms, 60 clients, 150 MB: peak 190 MiB before; 150 with 64 KiB received at a time; 163 to 175 with one buffer for each answer; 126 and 127 with that buffer cleared when the answer is dropped, and 87 at rest, which is the base and what is reserved. Ruled out: fragmentation alone (a threshold of 128 KiB in place of 1 MiB: 163 and 168).

Change: an answer is read into one buffer, which is cleared on an error; connections to endpoints receive 64 KiB at a time; the answers that are read at the same time also stay within 0.4 of the memory beyond the base, the same for 150 MB. Buffers are mapped from 128 KiB, since a buffer grows through that size.

Test: test_long_answers_that_come_at_once failed before (165,384,192 bytes of 94,371,840) and passes (one run).

--- a/packages/ibisspring-core/src/ibisspring_core/allocator.py
+++ b/packages/ibisspring-core/src/ibisspring_core/allocator.py
@@ -6,7 +6,7 @@
 import os
 
 # Size in bytes from which a buffer is mapped by itself, and unmapped when it is freed.
-MAP_FROM_BYTES = 1024 * 1024
+MAP_FROM_BYTES = 128 * 1024
 # Free bytes at the end of the heap that are kept.
 KEEP_BYTES = 2 * 1024 * 1024
 # Parameters of mallopt, from malloc.h.
--- a/packages/ibisspring-core/src/ibisspring_core/connections.py
+++ b/packages/ibisspring-core/src/ibisspring_core/connections.py
@@ -126,7 +126,7 @@
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         )
 
-    async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
+    async def read_body(self, response: aiohttp.ClientResponse) -> bytes | bytearray:
         """
         Read an endpoint's answer to its end.
 
--- a/packages/ibisspring-core/src/ibisspring_core/http_sessions.py
+++ b/packages/ibisspring-core/src/ibisspring_core/http_sessions.py
@@ -17,6 +17,9 @@
 # Most bytes in a row that a connection delivers without a byte of a body: a head, informational
 # responses, the framing of a chunk, trailers.
 MAX_FRAMING_BYTES = 1024 * 1024
+# Bytes that a connection receives at a time. With asyncio's 256 KiB, a hundred answers that arrive
+# together take 25 MB before any of them is read.
+RECEIVE_BYTES = 64 * 1024
 
 
 class _ResponseHandler(ResponseHandler):
@@ -30,6 +33,11 @@
 
     _framing_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what the transport receives at a time."""
+        super().connection_made(transport)
+        transport.max_size = RECEIVE_BYTES
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; end the response with an error if they bring no body for long."""
         payload, body_bytes = self._payload, _body_bytes(self._payload)
--- a/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
+++ b/packages/ibisspring-core/src/ibisspring_core/response_bodies.py
@@ -12,6 +12,8 @@
 
 import aiohttp
 
+from ibisspring_decisions.client_load import BASE_MEMORY_MB
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -19,8 +21,10 @@
 METADATA_BYTES = 1024 * 1024
 # Most bytes of all bodies that a process of unknown size reads at the same time.
 DEFAULT_TOTAL_BYTES = 64 * 1024 * 1024
-# Part of the memory of a process of known size that these bodies may take.
+# Part of the memory of a process of known size that these bodies may take, and part of what is left
+# beyond the memory of a process at rest.
 TOTAL_SHARE = 0.25
+FREE_SHARE = 0.4
 
 
 class BodyTooLargeError(aiohttp.ClientPayloadError):
@@ -96,7 +100,9 @@
         """
         if not memory_mb:
             return cls()
-        return cls(int(TOTAL_SHARE * memory_mb * 1024 * 1024))
+        free_mb = memory_mb - BASE_MEMORY_MB
+        total_mb = min(TOTAL_SHARE * memory_mb, FREE_SHARE * free_mb)
+        return cls(max(2 * METADATA_BYTES, int(total_mb * 1024 * 1024)))
 
     @contextmanager
     def reading(self, response: aiohttp.ClientResponse, max_bytes: int) -> Iterator[BodyReading]:
@@ -120,25 +126,29 @@
     response: aiohttp.ClientResponse,
     max_bytes: int = METADATA_BYTES,
     memory: ResponseMemory | None = None,
-) -> bytes:
+) -> bytes | bytearray:
     """
-    Read a body to its end.
+    Read a body to its end, into one buffer.
 
     :param max_bytes: limit of this body.
     :param memory: the bodies of this process; None for a body that is not counted among them.
     :raises BodyTooLargeError: if the body exceeds a limit; the connection is closed.
     """
+    body = bytearray()
     with (memory or ResponseMemory()).reading(response, max_bytes) as reading:
-        chunks = []
         try:
             async for chunk in response.content.iter_any():
                 reading.grow(len(chunk))
-                chunks.append(chunk)
-        except aiohttp.ClientError:
+                body += chunk
             reading.check()
+        except BaseException as error:
+            # The response keeps the error, and the error this frame, until the next collection of
+            # cycles; the buffer must not stay in memory with them.
+            body.clear()
+            if isinstance(error, aiohttp.ClientError):
+                reading.check()
             raise
-        reading.check()
-        return b"".join(chunks)
+        return body
 
 
 __all__ = [
--- a/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
+++ b/packages/ibisspring-gateway/src/ibisspring_gateway/attempts.py
@@ -20,7 +20,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
 
 
 @dataclass(frozen=True)
--- a/tests/integration/test_platform_crowds.py
+++ b/tests/integration/test_platform_crowds.py
@@ -169,6 +169,19 @@
         system.engines[0].answer_bytes = None
 
 
+async def test_long_answers_that_come_at_once(system) -> None:
+    system.engines[0].answer_bytes = 4 * MIB
+
+    async def read_slowly(client: Client, number: int) -> None:
+        await client.send(head("GET", f"{LOOKUP}{number}", f"r{number}"))
+        await client.status()
+        await client.read_slowly()
+
+    async with checked_crowd(system) as crowd:
+        await crowd.add(30, read_slowly, receive_bytes=RECEIVE_BUFFER_BYTES)
+        system.engines[0].answer_bytes = None
+
+
 @pytest.mark.parametrize("body", [b"", bytes(KIB)], ids=["no_body", "body"])
 @pytest.mark.parametrize("answer_bytes", [None, 256 * KIB], ids=["short_answer", "long_answer"])
 async def test_requests_sent_ahead_whose_answers_are_not_read(system, body, answer_bytes) -> None:
