Limit the readers of metrics

What callers saw: each silent connection to the metrics address takes a thread and a descriptor for as long as it stays, so that a daemon can run out of both.

Change: at most 8 connections are served at a time, further ones are closed, and a reader that is silent for 2 s is disconnected.

Test: test_silent_readers_take_few_threads_and_leave_room_for_others; before, 60 silent connections took 60 threads; with it, 8 at most.

--- a/packages/ibisspring-core/src/ibisspring_core/exposition.py
+++ b/packages/ibisspring-core/src/ibisspring_core/exposition.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import sys
+import threading
 from itertools import accumulate
 from socketserver import ThreadingMixIn
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from wsgiref.simple_server import WSGIRequestHandler, WSGIServer
 
+import eliot
 from prometheus_client import CollectorRegistry, make_wsgi_app
 from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
 from prometheus_client.utils import floatToGoString
@@ -21,6 +24,8 @@
     from ibisspring_core.latencies import Histogram
 
 COUNTED = PREFIX + "counted"
+MAX_READERS = 8
+READER_SILENCE_S = 2.0
 BOUNDS = (*(floatToGoString(bound) for bound in BUCKETS_S), "+Inf")
 
 
@@ -65,12 +70,41 @@
 
 
 class _Server(ThreadingMixIn, WSGIServer):
-    """Uses one thread per request, so that a stalled reader does not block other readers."""
+    """
+    Uses one thread per request, so that a stalled reader does not block other readers.
+
+    Connections beyond `MAX_READERS` are closed: each takes a thread and a descriptor.
+    """
 
     daemon_threads = True
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._places = threading.Semaphore(MAX_READERS)
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Start a thread for a connection, or close it if there are too many."""
+        if self._places.acquire(blocking=False):
+            super().process_request(request, client_address)
+        else:
+            self.shutdown_request(request)
+
+    def process_request_thread(self, request: Any, client_address: Any) -> None:
+        """Answer the request of a connection."""
+        try:
+            super().process_request_thread(request, client_address)
+        finally:
+            self._places.release()
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Log a reader that sent no request in time, or left."""
+        eliot.log_message("metrics_server:reader_failed", error=repr(sys.exception()))
+
 
 class _Handler(WSGIRequestHandler):
+    # Seconds for which a reader may send nothing of its request or read nothing of the answer.
+    timeout = READER_SILENCE_S
+
     def log_message(self, format: str, *args: object) -> None:
         """No-op: a log line for each read of the metrics, every few seconds, is not useful."""
 
@@ -96,4 +130,4 @@
     return server
 
 
-__all__ = ["COUNTED", "CounterCollector", "build_server"]
+__all__ = ["COUNTED", "MAX_READERS", "CounterCollector", "build_server"]
--- a/tests/unit/core/test_metrics_server.py
+++ b/tests/unit/core/test_metrics_server.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import aiohttp
@@ -13,10 +14,10 @@
 
 from ibisspring_core.counters import Counters
 from ibisspring_core.errors import Reason
-from ibisspring_core.exposition import COUNTED
+from ibisspring_core.exposition import COUNTED, MAX_READERS
 from ibisspring_core.kernel import Kernel
 from ibisspring_core.metrics_server import MetricsServer
-from integration.processes import free_address
+from integration.processes import free_address, wait_until
 
 REPOSITORY = Path(__file__).resolve().parents[3]
 
@@ -119,3 +120,24 @@
 
         await kernel.start()
         await kernel.stop()
+
+
+async def test_silent_readers_take_few_threads_and_leave_room_for_others(served) -> None:
+    # Each connection took a thread and a descriptor for as long as its client liked.
+    _, address = served
+    host, _, port = address.rpartition(":")
+    await _read(address)
+    before = threading.active_count()
+    silent = [socket.create_connection((host, int(port))) for _ in range(60)]
+
+    async def is_read() -> bool:
+        try:
+            await _read(address)
+        except aiohttp.ClientError:
+            return False
+        return True
+
+    await wait_until(is_read, "metrics beside silent readers")
+    assert threading.active_count() - before <= MAX_READERS
+    for one in silent:
+        one.close()
