Send no second answer to a client whose refused body stops

A client whose body was refused and that then stopped was sent 408 after the refusal, which answers no request.

Test: test_a_client_whose_refused_body_stops_gets_no_second_answer failed before.

--- a/packages/ibisspring-core/src/ibisspring_core/client_protocol.py
+++ b/packages/ibisspring-core/src/ibisspring_core/client_protocol.py
@@ -147,9 +147,7 @@
     def end(self, excess: Excess) -> None:
         """Disconnect the client; if its request is not complete, refuse it as not run."""
         status = STATUS_BY_EXCESS.get(excess)
-        is_incomplete = self._is_answered() or (
-            self._in_message and not self.cycle.response_started
-        )
+        is_incomplete = not self.cycle.response_started if self._in_message else self._is_answered()
         if not is_incomplete or self.transport.is_closing():
             self.transport.abort()
         elif status is None:
--- a/tests/unit/core/test_client_protocol.py
+++ b/tests/unit/core/test_client_protocol.py
@@ -239,6 +239,22 @@
         assert (await answers)[0].startswith(status)
 
 
+async def test_a_client_whose_refused_body_stops_gets_no_second_answer() -> None:
+    async with serving(budget_bytes=100_000) as server:
+        connections = connections_of(server)
+        first = asyncio.create_task(answers_to(server, request("/1", bytes(90_000))[:-1], 1))
+        await wait_until(lambda: server.started, "the first request")
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(request("/2", bytes(90_000))[:-1])
+        assert await read_answer(reader) == b"503 POST /2 "
+        answers = []
+        connections[1]._refuse = lambda *answer: answers.append(answer)
+        connections[1].end(Excess.SLOW_BODY)
+        first.cancel()
+
+    assert answers == []
+
+
 async def test_what_is_sent_ahead_is_not_read_without_end() -> None:
     async with serving() as server:
         connections = connections_of(server)
