Keep room for small requests beside a request that exceeds the budget

What callers saw: while one job of the largest legal size was submitted, which reserves three times its size, every other request with a body was refused with 503.

Cause: a large request that is alone is admitted beyond the budget, and small ones were compared with all that is reserved.

Change: for small requests, large ones count at most with their own part of the budget.

Test: test_small_requests_find_room_beside_a_job_that_alone_exceeds_the_budget failed before.

--- a/packages/ibisspring-decisions/src/ibisspring_decisions/client_load.py
+++ b/packages/ibisspring-decisions/src/ibisspring_decisions/client_load.py
@@ -260,8 +260,12 @@
         if client is None:
             return Verdict(False)
         is_large = total_bytes > SMALL_BYTES
-        limit = self.capacity.budget_bytes * (1 - SMALL_SHARE if is_large else 1)
-        used = self._large_bytes if is_large else self.reserved_bytes
+        large_limit = self.capacity.budget_bytes * (1 - SMALL_SHARE)
+        # One large request that is alone may exceed the budget; small ones keep their part of it.
+        limit = large_limit if is_large else self.capacity.budget_bytes
+        used = self._large_bytes
+        if not is_large:
+            used = self.reserved_bytes - self._large_bytes + min(self._large_bytes, large_limit)
         own = client.reserved_bytes
         if is_large and own <= SMALL_BYTES:
             own = 0
--- a/tests/unit/decisions/test_client_load.py
+++ b/tests/unit/decisions/test_client_load.py
@@ -54,6 +54,16 @@
     assert not receiving(load, "second", 32 * MB)
 
 
+def test_small_requests_find_room_beside_a_job_that_alone_exceeds_the_budget() -> None:
+    # A job of the largest size is in memory three times, which is more than the budget. All other
+    # requests with a body were refused until it was stored.
+    load = load_of()
+    assert receiving(load, "job", 3 * 32 * MB)
+
+    assert all(receiving(load, f"s{number}", 200) for number in range(100))
+    assert not receiving(load, "large", MB)
+
+
 def test_a_body_that_stopped_gives_way_to_one_that_arrives() -> None:
     load = load_of()
     assert receiving(load, "stopped", 20 * MB)
